entry: serve one request through the whole path

Ruled out: httputil.ReverseProxy and echo's proxy (not allowed); a store read on the request path (the store may be away for hours). Before: no code. Conclusion: the shape stands; each VM limits by itself still, so rates do not yet hold over the fleet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+.PHONY: run smoke test build check unit model install
+
+# Starts a sample fleet and serves until interrupted.
+run: build
+	scripts/fleet.sh run
+
+# Starts a sample fleet, checks it and stops it.
+smoke: build
+	scripts/fleet.sh smoke
+
+# Everything that CI runs.
+test: install check unit smoke
+
+install:
+	scripts/install.sh
+
+build:
+	mkdir -p build/bin
+	go build -o build/bin/entry ./entry
+	go build -o build/bin/operator ./operator
+	go build -o build/bin/standin ./standin
+
+check:
+	scripts/check.sh
+
+unit:
+	scripts/test.sh
--- /dev/null
+++ b/core/admitter/admitter.go
@@ -0,0 +1,81 @@
+// Package admitter decides whether a request may run and for whom: it finds
+// the route, proves the organisation by the key, and checks that the
+// organisation may use the route.
+//
+// # Usage
+//
+//	admission, refusal := admitter.Admit(table, admitter.Request{Path: path, Key: key, KeysKnown: true})
+package admitter
+
+import (
+	"crypto/sha256"
+
+	"godwitramp.example/core/configurator"
+)
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons for refusing a request before it reaches an upstream.
+const (
+	Admitted        Reason = ""
+	NoRoute         Reason = "no-route"
+	KeyMissing      Reason = "key-missing"
+	KeyUnknown      Reason = "key-unknown"
+	RouteForbidden  Reason = "route-forbidden"
+	KeysUnconfirmed Reason = "keys-unconfirmed"
+	OverRate        Reason = "over-rate"
+)
+
+// Request is what the decision depends on.
+type Request struct {
+	// Path is the path of the URL, without dot segments.
+	Path string
+	// Key is what the caller sent, empty if nothing.
+	Key string
+	// KeysKnown is false while the VM can't know of withdrawn keys.
+	KeysKnown bool
+}
+
+// Admission says for whom and where a request runs.
+type Admission struct {
+	Route *configurator.Route
+	// Organisation is nil on an open route without a valid key.
+	Organisation *configurator.Organisation
+	Service      *configurator.ServiceTargets
+}
+
+// Admit decides on a request. On a refusal the admission holds what was found
+// so far.
+func Admit(table *configurator.Table, request Request) (Admission, Reason) {
+	route := table.Route(request.Path)
+	if route == nil {
+		return Admission{}, NoRoute
+	}
+	admission := Admission{Route: route, Service: table.Service(route.Service)}
+	if admission.Service == nil {
+		return admission, NoRoute
+	}
+	if route.Open {
+		return admission, Admitted
+	}
+	if request.Key == "" {
+		return admission, KeyMissing
+	}
+	key := table.Key(sha256.Sum256([]byte(request.Key)))
+	if key == nil {
+		return admission, KeyUnknown
+	}
+	organisation := table.Organisation(key.Organisation)
+	if organisation == nil {
+		return admission, KeyUnknown
+	}
+	admission.Organisation = organisation
+	if !request.KeysKnown && organisation.WhenCutOff == configurator.RefuseWhenCutOff {
+		return admission, KeysUnconfirmed
+	}
+	if !route.MayUse(organisation.Path) {
+		return admission, RouteForbidden
+	}
+	return admission, Admitted
+}
--- /dev/null
+++ b/core/router/router.go
@@ -0,0 +1,88 @@
+// Package router picks the target that a request is sent to.
+//
+// # Usage
+//
+//	router := router.New(router.Place{Region: "kutch", DataCentre: "kutch-1"})
+//	target, ok := router.Pick(service, tried, random)
+//	defer router.Finished(target.Path)
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"godwitramp.example/core/configurator"
+)
+
+// Place is where a VM stands.
+type Place struct {
+	Region     string
+	DataCentre string
+}
+
+// Router knows the requests in progress at each target. It isn't safe for
+// concurrent use.
+type Router struct {
+	Place Place
+
+	running map[configurator.Path]int
+}
+
+// New returns a router of a VM at the given place.
+func New(place Place) *Router {
+	return &Router{Place: place, running: make(map[configurator.Path]int)}
+}
+
+// Pick returns the better of two random targets of the nearest kind, leaving
+// out those that were tried. It reports false if none is left.
+func (router *Router) Pick(
+	service *configurator.ServiceTargets, tried []configurator.Path, random *rand.Rand,
+) (configurator.Target, bool) {
+	var nearest []configurator.Target
+	best := farthest
+	for _, target := range service.Targets {
+		if target.Leaving || slices.Contains(tried, target.Path) {
+			continue
+		}
+		distance := router.distance(target)
+		if distance < best {
+			best = distance
+			nearest = nearest[:0]
+		}
+		if distance == best {
+			nearest = append(nearest, target)
+		}
+	}
+	if len(nearest) == 0 {
+		return configurator.Target{}, false
+	}
+	first := nearest[random.IntN(len(nearest))]
+	second := nearest[random.IntN(len(nearest))]
+	if router.running[second.Path] < router.running[first.Path] {
+		first = second
+	}
+	router.running[first.Path]++
+	return first, true
+}
+
+// Distances between a VM and a target.
+const (
+	sameDataCentre = iota
+	sameRegion
+	otherRegion
+	farthest
+)
+
+func (router *Router) distance(target configurator.Target) int {
+	switch {
+	case target.Region != router.Place.Region:
+		return otherRegion
+	case target.DataCentre != router.Place.DataCentre:
+		return sameRegion
+	default:
+		return sameDataCentre
+	}
+}
+
+// Finished takes note that a request at the target has ended.
+func (router *Router) Finished(target configurator.Path) { router.running[target]-- }
--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Installs what the machine lacks: Spin and a C compiler, through apt.
+set -euo pipefail
+missing=()
+command -v spin >/dev/null || missing+=(spin)
+command -v gcc >/dev/null || missing+=(gcc libc6-dev)
+if [ "${#missing[@]}" -gt 0 ]; then
+  apt-get update -qq
+  DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}"
+fi
--- /dev/null
+++ b/standin/internal/prober/prober.go
@@ -0,0 +1,172 @@
+// Package prober sends a few requests through a sample fleet and checks the
+// answers.
+//
+// # Usage
+//
+//	prober := &prober.Prober{Balancer: "http://127.0.0.1:18000", Targets: targets, Out: os.Stdout}
+//	err := prober.Run(ctx)
+package prober
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Prober checks a sample fleet.
+type Prober struct {
+	Balancer string
+	// Targets are the addresses of the targets of the service that books.
+	Targets []string
+	// Key is a key of an organisation that may use both paths.
+	Key string
+	// Read and Book are the paths of an idempotent and of a non-idempotent
+	// service.
+	Read, Book string
+	Out        io.Writer
+}
+
+// answer is what came back for one request.
+type answer struct {
+	status  int
+	outcome string
+	vm      string
+	target  string
+	body    string
+}
+
+const (
+	probeTimeout = 10 * time.Second
+	readyTimeout = 20 * time.Second
+	retryPeriod  = 100 * time.Millisecond
+)
+
+// Run sends the requests and returns every check that failed.
+func (prober *Prober) Run(ctx context.Context) error {
+	if err := prober.waitReady(ctx); err != nil {
+		return err
+	}
+	marker := rand.Text()
+	return errors.Join(
+		prober.check(ctx, "read with the right key", http.MethodGet, prober.Read+"/anand", prober.Key, http.StatusOK, ""),
+		prober.check(ctx, "booking with the right key", http.MethodPost, prober.Book+"/"+marker, prober.Key, http.StatusOK, ""),
+		prober.check(ctx, "read without a key", http.MethodGet, prober.Read, "", http.StatusUnauthorized, "not-run"),
+		prober.check(ctx, "read with an unknown key", http.MethodGet, prober.Read, "guess", http.StatusUnauthorized, "not-run"),
+		prober.checkRecord(ctx, marker),
+	)
+}
+
+// waitReady waits until the fleet answers with its configuration.
+func (prober *Prober) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		got, err := prober.send(ctx, http.MethodGet, prober.Read, "")
+		if err == nil && got.status == http.StatusUnauthorized {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("fleet is not ready after %v: status %d, %w", readyTimeout, got.status, errors.Join(err, ctx.Err()))
+		case <-time.After(retryPeriod):
+		}
+	}
+}
+
+func (prober *Prober) check(ctx context.Context, name, method, path, key string, status int, outcome string) error {
+	got, err := prober.send(ctx, method, path, key)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	_, _ = fmt.Fprintf(prober.Out, "%s: %s %s -> %d vm=%s target=%s outcome=%s\n  %s\n",
+		name, method, path, got.status, got.vm, got.target, got.outcome, strings.TrimSpace(got.body))
+	if got.status != status || got.outcome != outcome {
+		return fmt.Errorf("%s: got status %d and outcome %q, want %d and %q", name, got.status, got.outcome, status, outcome)
+	}
+	want := method + " " + path + " answered by "
+	if status == http.StatusOK && !strings.HasPrefix(got.body, want) {
+		return fmt.Errorf("%s: got body %q, want one that begins with %q", name, got.body, want)
+	}
+	return nil
+}
+
+func (prober *Prober) send(ctx context.Context, method, path, key string) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, prober.Balancer+path, http.NoBody)
+	if err != nil {
+		return answer{}, fmt.Errorf("make request: %w", err)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{}, fmt.Errorf("send request: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer{}, fmt.Errorf("read answer: %w", err)
+	}
+	header := response.Header
+	return answer{
+		status: response.StatusCode, outcome: header.Get("Godwitramp-Outcome"), vm: header.Get("Godwitramp-Vm"),
+		target: header.Get("Upstream-Target"), body: string(body),
+	}, nil
+}
+
+// seen is what the stand-in says of a request that it has run.
+type seen struct {
+	Path   string
+	Query  string
+	Header http.Header
+}
+
+// checkRecord checks that the booking ran once and that no target saw a key.
+func (prober *Prober) checkRecord(ctx context.Context, marker string) error {
+	runs := 0
+	for _, target := range prober.Targets {
+		records, err := record(ctx, target)
+		if err != nil {
+			return err
+		}
+		for _, request := range records {
+			if strings.HasSuffix(request.Path, marker) {
+				runs++
+			}
+			if strings.Contains(fmt.Sprint(request), prober.Key) {
+				return fmt.Errorf("target %s saw the key in %v", target, request)
+			}
+		}
+	}
+	_, _ = fmt.Fprintf(prober.Out, "record of the targets: booking ran %d time(s), no key seen\n", runs)
+	if runs != 1 {
+		return fmt.Errorf("booking ran %d times, want 1", runs)
+	}
+	return nil
+}
+
+func record(ctx context.Context, target string) ([]seen, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+"/stand-in/record", http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("make request for record: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("read record of target %s: %w", target, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var records []seen
+	if err := json.NewDecoder(response.Body).Decode(&records); err != nil {
+		return nil, fmt.Errorf("decode record of target %s: %w", target, err)
+	}
+	return records, nil
+}
--- /dev/null
+++ b/standin/internal/upstream/upstream.go
@@ -0,0 +1,226 @@
+// Package upstream plays one target of a service, with slots, a cold start,
+// shedding and gray faults that can be switched while it runs.
+//
+// # Usage
+//
+//	upstream := &upstream.Upstream{Name: "bookings-t01", Slots: 4}
+//	http.Serve(listener, upstream.Handler())
+//
+// POST /stand-in/faults with the JSON form of Faults switches faults;
+// GET /stand-in/record returns what the target has seen.
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Faults says what goes wrong at the target. Shares are from 0 to 1.
+type Faults struct {
+	// ErrorShare of the requests get status 500.
+	ErrorShare float64
+	// Delay is added to DelayShare of the requests.
+	Delay      time.Duration
+	DelayShare float64
+	// Shed refuses every request with 503 and a Retry-After.
+	Shed bool
+	// Truncate ends every answer in its middle.
+	Truncate bool
+	// Silent reads requests and never answers.
+	Silent bool
+	// SilentConnections leaves all requests on connections that are open now
+	// without an answer; new connections work.
+	SilentConnections bool
+	// CloseAfterRead runs the request and closes the connection without an
+	// answer.
+	CloseAfterRead bool
+	// Crossed puts the ID of another request on the answer.
+	Crossed bool
+	// HealthLies keeps the health endpoint at 200 whatever else goes wrong.
+	HealthLies bool
+	// Leaving makes the health endpoint say that the target drains.
+	Leaving bool
+}
+
+// Seen is one request that the target has run.
+type Seen struct {
+	Method    string
+	Path      string
+	Query     string
+	RequestID string
+	Header    http.Header
+	Body      string
+}
+
+// Upstream is one target.
+type Upstream struct {
+	Name string
+	// Slots is the number of requests that run at a time; more are shed.
+	Slots int
+	// Work is how long a request takes.
+	Work time.Duration
+	// ColdFor is how long after its start the target is ten times slower.
+	ColdFor time.Duration
+
+	mutex   sync.Mutex
+	faults  Faults
+	seen    []Seen
+	silent  map[string]bool
+	open    map[string]bool
+	started time.Time
+	running atomic.Int64
+}
+
+const (
+	coldFactor      = 10
+	requestIDHeader = "Godwitramp-Request-Id"
+	outcomeHeader   = "Godwitramp-Outcome"
+	maxSeenBody     = 4096
+	maxSeen         = 100_000
+)
+
+// Handler answers requests and the switches.
+func (upstream *Upstream) Handler() http.Handler {
+	upstream.started = time.Now()
+	upstream.silent = make(map[string]bool)
+	upstream.open = make(map[string]bool)
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /stand-in/faults", upstream.setFaults)
+	mux.HandleFunc("GET /stand-in/record", upstream.record)
+	mux.HandleFunc("GET /health", upstream.health)
+	mux.HandleFunc("/", upstream.serve)
+	return mux
+}
+
+func (upstream *Upstream) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.faults = faults
+	clear(upstream.silent)
+	if faults.SilentConnections {
+		for address := range upstream.open {
+			upstream.silent[address] = true
+		}
+	}
+}
+
+func (upstream *Upstream) record(w http.ResponseWriter, _ *http.Request) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	_ = json.NewEncoder(w).Encode(upstream.seen)
+}
+
+func (upstream *Upstream) health(w http.ResponseWriter, _ *http.Request) {
+	faults := upstream.current("")
+	if faults.Leaving {
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	}
+	if !faults.HealthLies && faults.ErrorShare > 0 {
+		http.Error(w, "sick", http.StatusInternalServerError)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "load %d of %d\n", upstream.running.Load(), upstream.Slots)
+}
+
+// current returns the faults for a request on the given connection.
+func (upstream *Upstream) current(remote string) Faults {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	if remote != "" {
+		upstream.open[remote] = true
+	}
+	faults := upstream.faults
+	faults.Silent = faults.Silent || upstream.silent[remote]
+	return faults
+}
+
+func (upstream *Upstream) serve(w http.ResponseWriter, r *http.Request) {
+	faults := upstream.current(r.RemoteAddr)
+	running := upstream.running.Add(1)
+	defer upstream.running.Add(-1)
+	if faults.Shed || running > int64(upstream.Slots) {
+		w.Header().Set("Retry-After", "1")
+		w.Header().Set(outcomeHeader, "not-run")
+		http.Error(w, "no slot", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if !upstream.work(r, faults) {
+		return
+	}
+	upstream.note(r, body)
+	upstream.answer(w, r, faults)
+}
+
+// work takes as long as the request takes. It reports false if the caller
+// cancelled meanwhile.
+func (upstream *Upstream) work(r *http.Request, faults Faults) bool {
+	duration := upstream.Work
+	if time.Since(upstream.started) < upstream.ColdFor {
+		duration *= coldFactor
+	}
+	if faults.Delay > 0 && rand.Float64() < faults.DelayShare {
+		duration += faults.Delay
+	}
+	select {
+	case <-time.After(duration):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (upstream *Upstream) note(r *http.Request, body []byte) {
+	seen := Seen{
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, RequestID: r.Header.Get(requestIDHeader),
+		Header: r.Header.Clone(), Body: string(body[:min(len(body), maxSeenBody)]),
+	}
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	if len(upstream.seen) < maxSeen {
+		upstream.seen = append(upstream.seen, seen)
+	}
+}
+
+func (upstream *Upstream) answer(w http.ResponseWriter, r *http.Request, faults Faults) {
+	if faults.CloseAfterRead {
+		panic(http.ErrAbortHandler)
+	}
+	if rand.Float64() < faults.ErrorShare {
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return
+	}
+	id := r.Header.Get(requestIDHeader)
+	if faults.Crossed {
+		id = "crossed"
+	}
+	w.Header().Set(requestIDHeader, id)
+	w.Header().Set("Upstream-Target", upstream.Name)
+	body := fmt.Sprintf("%s %s answered by %s\n", r.Method, r.URL.Path, upstream.Name)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if faults.Truncate {
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, body)
+}
