scanner: read INI values as written or refuse them

Cause: the INI library rewrites values, and the line search stood twice, in the parser and in the loader. Ruled out: library options alone (none switches off the quotes and generated names together); a parser of our own (the library still reads the text, the line walk gives places, and a difference between the two is refused). Before: two line searches, values changed in silence. After: scanner.Scan serves both; a refused line is reported once and not as missing too. Two expectations of TestParseReportsEveryMistake changed: a setting above the first section is now reported with its line, and the article of "an organisation" was wrong. Conclusion: a value means what its line says, or the file is refused.

--- a/core/configurator/decode.go
+++ b/core/configurator/decode.go
@@ -136,12 +136,19 @@
 		}
 		decoder.problems = append(decoder.problems, &Problem{
 			Path: decoder.entry.Path, Field: field.Name, Value: field.Value,
-			Message: fmt.Sprintf("unknown setting of a %s; the nearest known name is %q", decoder.schema.Name, Nearest(field.Name, names)),
+			Message: fmt.Sprintf("unknown setting of %s; the nearest known name is %q", withArticle(decoder.schema.Name), Nearest(field.Name, names)),
 			Allowed: strings.Join(names, ", "),
 		})
 	}
 }
 
+func withArticle(noun string) string {
+	if strings.ContainsRune("aeiou", rune(noun[0])) {
+		return "an " + noun
+	}
+	return "a " + noun
+}
+
 // value returns the text of a field, or its default. It reports false if
 // there is nothing to decode.
 func (decoder *decoder) value(name string) (Setting, string, bool) {
--- a/core/parser/parser_test.go
+++ b/core/parser/parser_test.go
@@ -42,7 +42,7 @@
 		name, text, want string
 	}{
 		{"unknown setting", "[/a/organisations/o]\nrate = 1\nburst = 2\nrat = 3\n",
-			`f.ini:4: /a/organisations/o: rat = "3": unknown setting of a organisation; the nearest known name is "rate"`},
+			`f.ini:4: /a/organisations/o: rat = "3": unknown setting of an organisation; the nearest known name is "rate"`},
 		{"value out of range", "[/a/organisations/o]\nrate = -1\nburst = 2\n",
 			`f.ini:2: /a/organisations/o: rate = "-1": is not a number in the allowed range; allowed: a number from 0.01`},
 		{"not a number", "[/a/organisations/o]\nrate = NaN\nburst = 2\n", `f.ini:2: /a/organisations/o: rate = "NaN"`},
@@ -53,7 +53,9 @@
 		{"missing service", "[/a/routes/r]\nprefix = /r\nservice = s\n", `f.ini:3: /a/routes/r: service = "/a/services/s": refers to an entry that does not exist`},
 		{"prefix twice", "[/a/services/s]\n[/a/routes/r]\nprefix = /r\nservice = s\n[/a/routes/t]\nprefix = /r\nservice = s\n",
 			`f.ini:6: /a/routes/t: prefix = "/r": is the prefix of /a/routes/r too`},
-		{"loose setting", "rate = 1\n", `f.ini: setting "rate" stands above the first section`},
+		{"value in quotes", "[/a/organisations/o]\nrate = \"1\"\nburst = 2\n",
+			`f.ini:2: "rate = \"1\"": the value stands in quotes; allowed: the value without quotes`},
+		{"loose setting", "rate = 1\n", `f.ini:1: "rate": setting stands above the first section; allowed: settings below a [section]`},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- /dev/null
+++ b/core/scanner/verify.go
@@ -0,0 +1,68 @@
+package scanner
+
+import (
+	"fmt"
+	"slices"
+
+	"gopkg.in/ini.v1"
+)
+
+// verify reads the text by the INI library and reports whatever the library
+// reads otherwise than the line walk.
+func verify(file, text string, sections []Section) []*Problem {
+	options := ini.LoadOptions{
+		KeyValueDelimiters: "=", AllowNonUniqueSections: true, AllowShadows: true, AllowDuplicateShadowValues: true,
+		IgnoreContinuation: true, SpaceBeforeInlineComment: true,
+	}
+	loaded, err := ini.LoadSources(options, []byte(text))
+	if err != nil {
+		return []*Problem{{Position: Position{File: file}, Cause: fmt.Errorf("read settings: %w", err)}}
+	}
+	read := loaded.Sections()[1:] // the first is the library's default section
+	var problems []*Problem
+	for i, section := range sections {
+		if i >= len(read) || read[i].Name() != section.Name {
+			return append(problems, misread(section.Position, section.Name))
+		}
+		problems = append(problems, verifySection(read[i], section)...)
+	}
+	return problems
+}
+
+func verifySection(read *ini.Section, section Section) []*Problem {
+	var problems []*Problem
+	for _, setting := range section.Settings {
+		if !slices.Equal(libraryValues(read, setting.Name), section.values(setting.Name)) {
+			problems = append(problems, misread(setting.Position, setting.Name))
+		}
+	}
+	return problems
+}
+
+func misread(position Position, name string) *Problem {
+	return &Problem{Position: position, Cause: &LineError{
+		Text: name, Message: "is read otherwise than it is written", Allowed: "plain names and values"}}
+}
+
+// libraryValues returns what the library holds for a name, without the empty
+// values that it leaves out.
+func libraryValues(section *ini.Section, name string) []string {
+	if !section.HasKey(name) {
+		return nil
+	}
+	return withoutEmpty(section.Key(name).ValueWithShadows())
+}
+
+func (section Section) values(name string) []string {
+	var values []string
+	for _, setting := range section.Settings {
+		if setting.Name == name {
+			values = append(values, setting.Value)
+		}
+	}
+	return withoutEmpty(values)
+}
+
+func withoutEmpty(values []string) []string {
+	return slices.DeleteFunc(values, func(value string) bool { return value == "" })
+}
--- a/entry/internal/loader/loader.go
+++ b/entry/internal/loader/loader.go
@@ -2,19 +2,16 @@
 //
 // # Usage
 //
-//	settings, problems := loader.Load("vm-01.ini", data)
+//	settings, problems := loader.Load("vm-01.ini", data, []string{"vm.name=vm-02"})
 package loader
 
 import (
 	"fmt"
 	"net/netip"
 	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
-	"gopkg.in/ini.v1"
-
 	"godwitramp.example/core/configurator"
 )
 
@@ -56,34 +53,6 @@
 	set           func(*Settings, string) error
 }
 
-// Problem is one mistake in the settings.
-type Problem struct {
-	File    string
-	Line    int
-	Section string
-	Name    string
-	Value   string
-	Message string
-	Allowed string
-}
-
-// Error returns the problem as one line.
-func (problem *Problem) Error() string {
-	place := problem.File
-	if problem.Line > 0 {
-		place = fmt.Sprintf("%s:%d", problem.File, problem.Line)
-	}
-	line := fmt.Sprintf("%s: [%s] %s", place, problem.Section, problem.Name)
-	if problem.Value != "" {
-		line += fmt.Sprintf(" = %q", problem.Value)
-	}
-	line += ": " + problem.Message
-	if problem.Allowed != "" {
-		line += "; allowed: " + problem.Allowed
-	}
-	return line
-}
-
 const (
 	allowedName    = "a name of lower-case letters, digits and hyphens"
 	allowedAddress = "an IP address and a port, such as 127.0.0.1:8080"
@@ -169,82 +138,16 @@
 	return nil
 }
 
-// Load reads the settings from the text of a file and returns every mistake.
-func Load(file string, data []byte) (Settings, []*Problem) {
-	var settings Settings
-	loaded, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", IgnoreContinuation: true}, data)
-	if err != nil {
-		return settings, []*Problem{{File: file, Message: err.Error()}}
-	}
-	lines := locate(string(data))
-	problems := unknownSettings(file, loaded, lines)
-	for _, setting := range All {
-		value := loaded.Section(setting.Section).Key(setting.Name).String()
-		if value == "" {
-			value = setting.Default
-		}
-		problem := setting.apply(&settings, value)
-		if problem != nil {
-			problem.File = file
-			problem.Line = lines[place{setting.Section, setting.Name}]
-			problems = append(problems, problem)
-		}
-	}
-	return settings, problems
-}
-
-func (setting Setting) apply(settings *Settings, value string) *Problem {
-	problem := &Problem{Section: setting.Section, Name: setting.Name, Value: value, Allowed: setting.Allowed}
-	if value == "" && setting.Required {
-		problem.Message = "is missing"
-		return problem
-	}
-	if err := setting.set(settings, value); err != nil {
-		problem.Message = err.Error()
-		return problem
-	}
-	return nil
-}
-
-// place names a setting.
-type place struct{ section, name string }
-
-func locate(text string) map[place]int {
-	lines := make(map[place]int)
-	section, number := "", 0
-	for line := range strings.Lines(text) {
-		number++
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "[") {
-			section = strings.Trim(line, "[] \t")
-			continue
-		}
-		if name, _, found := strings.Cut(line, "="); found {
-			lines[place{section, strings.TrimSpace(name)}] = number
-		}
-	}
-	return lines
-}
-
-func unknownSettings(file string, loaded *ini.File, lines map[place]int) []*Problem {
-	var problems []*Problem
-	var names []string
-	known := make(map[place]bool)
+// Page returns the settings as a table in Markdown.
+func Page() string {
+	var page strings.Builder
+	page.WriteString("| Section | Setting | Allowed | Default | Meaning |\n| --- | --- | --- | --- | --- |\n")
 	for _, setting := range All {
-		known[place{setting.Section, setting.Name}] = true
-		names = append(names, setting.Section+"."+setting.Name)
-	}
-	for _, section := range loaded.Sections() {
-		for _, key := range section.Keys() {
-			if known[place{section.Name(), key.Name()}] {
-				continue
-			}
-			nearest := configurator.Nearest(section.Name()+"."+key.Name(), names)
-			problems = append(problems, &Problem{
-				File: file, Line: lines[place{section.Name(), key.Name()}], Section: section.Name(), Name: key.Name(),
-				Value: key.String(), Message: "unknown setting; the nearest known name is " + strconv.Quote(nearest),
-			})
+		normal := setting.Default
+		if setting.Required {
+			normal = "none, must be set"
 		}
+		fmt.Fprintf(&page, "| `%s` | `%s` | %s | %s | %s |\n", setting.Section, setting.Name, setting.Allowed, normal, setting.Doc)
 	}
-	return problems
+	return page.String()
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -4,12 +4,15 @@
 // # Usage
 //
 //	entry --settings vm-01.ini
+//	entry --settings vm-01.ini --set stop.grace=10s
 //	entry --settings vm-01.ini --check
+//	entry --describe
 //
 // SIGTERM and SIGINT begin a planned stop.
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -21,6 +24,7 @@
 
 	"godwitramp.example/entry/internal/loader"
 	"godwitramp.example/entry/internal/starter"
+	"godwitramp.example/shell/certifier"
 	"godwitramp.example/shell/logger"
 )
 
@@ -34,9 +38,11 @@
 )
 
 type options struct {
-	Settings string `long:"settings" description:"file with the settings of this VM" value-name:"FILE"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-	Version  bool   `long:"version" description:"print the version and exit"`
+	Settings string   `long:"settings" description:"file with the settings of this VM" value-name:"FILE"`
+	Set      []string `long:"set" description:"a setting that wins over the file; may be given more than once" value-name:"SECTION.NAME=VALUE"`
+	Check    bool     `long:"check" description:"check the settings, files and certificates, and exit"`
+	Describe bool     `long:"describe" description:"print the settings as a table in Markdown and exit"`
+	Version  bool     `long:"version" description:"print the version and exit"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -58,34 +64,49 @@
 		fmt.Println("entry", version)
 		return 0
 	}
-	settings, ok := load(options.Settings)
+	if options.Describe {
+		fmt.Print(loader.Page())
+		return 0
+	}
+	settings, ok := load(options)
 	if !ok {
 		return exitUsage
 	}
 	if options.Check {
-		fmt.Println("settings are good")
-		return 0
+		return check(settings)
 	}
 	return serve(settings)
 }
 
-func load(file string) (loader.Settings, bool) {
-	if file == "" {
-		fmt.Fprintln(os.Stderr, "entry: --settings is missing; allowed: the path of an INI file")
-		return loader.Settings{}, false
-	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "entry: read settings:", err)
-		return loader.Settings{}, false
+func load(options options) (loader.Settings, bool) {
+	var data []byte
+	if options.Settings != "" {
+		var err error
+		data, err = os.ReadFile(options.Settings)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "entry: read settings:", err)
+			return loader.Settings{}, false
+		}
 	}
-	settings, problems := loader.Load(file, data)
+	settings, problems := loader.Load(cmp.Or(options.Settings, "settings"), data, options.Set)
 	for _, problem := range problems {
 		fmt.Fprintln(os.Stderr, "entry:", problem)
 	}
 	return settings, len(problems) == 0
 }
 
+// check reports whether the program could start, as far as that can be told
+// without taking its ports.
+func check(settings loader.Settings) int {
+	files := certifier.Files{Authority: settings.Authority, Certificate: settings.Certificate, Key: settings.Key}
+	if _, err := certifier.Load(files); err != nil {
+		fmt.Fprintln(os.Stderr, "entry: load certificates:", err)
+		return exitUsage
+	}
+	fmt.Println("settings are good")
+	return 0
+}
+
 func serve(settings loader.Settings) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
--- a/operator/internal/reader/reader.go
+++ b/operator/internal/reader/reader.go
@@ -16,10 +16,11 @@
 
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/parser"
+	"godwitramp.example/core/scanner"
 )
 
 // Read returns the entries of all teams sorted by path, and every mistake.
-func Read(tree fs.FS) ([]configurator.Entry, []*parser.Problem, error) {
+func Read(tree fs.FS) ([]configurator.Entry, []*scanner.Problem, error) {
 	var parsed parser.Parser
 	files, err := fs.Glob(tree, "*/*.ini")
 	if err != nil {
@@ -40,14 +41,14 @@
 }
 
 // foreign reports entries that stand in the folder of another team.
-func foreign(entries []configurator.Entry, parsed *parser.Parser) []*parser.Problem {
-	var problems []*parser.Problem
+func foreign(entries []configurator.Entry, parsed *parser.Parser) []*scanner.Problem {
+	var problems []*scanner.Problem
 	for _, entry := range entries {
 		position := parsed.Position(entry.Path)
 		folder, _, _ := strings.Cut(position.File, "/")
 		if folder != entry.Path.Team() {
 			cause := &configurator.ForeignPathError{Team: folder, Path: entry.Path}
-			problems = append(problems, &parser.Problem{Position: position, Cause: cause})
+			problems = append(problems, &scanner.Problem{Position: position, Cause: cause})
 		}
 	}
 	return problems
--- a/operator/main.go
+++ b/operator/main.go
@@ -17,7 +17,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"godwitramp.example/core/configurator"
-	"godwitramp.example/core/parser"
+	"godwitramp.example/core/scanner"
 	"godwitramp.example/operator/internal/applier"
 	"godwitramp.example/operator/internal/reader"
 	"godwitramp.example/shell/connector"
@@ -42,7 +42,7 @@
 
 // problemsError carries every mistake in the declarations.
 type problemsError struct {
-	problems []*parser.Problem
+	problems []*scanner.Problem
 }
 
 // Error returns one line for each mistake.
