operator: the commands of a product, and keys that stay withdrawn

Cause: operators had check and apply only; apply claimed nothing about what is in force, ended every failure with code 1, and a withdrawn key came back with the next apply of older declarations. Ruled out: deleting a withdrawn key (any older file brings it back); a list of withdrawn keys beside the configuration (a second thing to pass on and confirm); letting apply delete keys given by command (an unrelated apply would refuse the organisation's callers). Decided: a withdrawal is an entry that names the hash and is never deleted; the compiled table leaves out every key that has one, whoever declares it. Any change that ends a key records its withdrawal. A key given by command has source = command and outlives applies of declarations without it. Before: 2 commands. After: check, diff, apply, show, history, rollback, key give, key withdraw, vms, upstreams, describe; exit codes 0 to 8; text or JSON. Conclusion: what the command prints is what is known.

--- a/core/configurator/decode.go
+++ b/core/configurator/decode.go
@@ -64,8 +64,14 @@
 		}
 		return func() { items.Organisations = append(items.Organisations, organisation) }
 	case KindKey:
-		key := Key{Path: path, Organisation: path.Parent(), Hash: decoder.hash("sha-256")}
+		key := Key{
+			Path: path, Organisation: path.Parent(), Hash: decoder.hash("sha-256"),
+			Source: KeySource(decoder.choice("source")),
+		}
 		return func() { items.Keys = append(items.Keys, key) }
+	case KindWithdrawal:
+		withdrawal := Withdrawal{Path: path, Hash: decoder.hash("sha-256")}
+		return func() { items.Withdrawals = append(items.Withdrawals, withdrawal) }
 	case KindService:
 		service := Service{
 			Path: path, Floor: decoder.number("floor") / percent, Timeout: decoder.duration("timeout"),
--- a/core/configurator/item.go
+++ b/core/configurator/item.go
@@ -43,6 +43,22 @@
 	Path         Path
 	Organisation Path
 	Hash         KeyHash
+	Source       KeySource
+}
+
+// KeySource says who owns a key.
+type KeySource int
+
+// The owners of keys.
+const (
+	FromDeclarations KeySource = iota
+	FromCommand
+)
+
+// Withdrawal says that a key is never valid again.
+type Withdrawal struct {
+	Path Path
+	Hash KeyHash
 }
 
 // Service is a set of targets that can serve the same requests.
@@ -100,6 +116,7 @@
 type Items struct {
 	Organisations []Organisation
 	Keys          []Key
+	Withdrawals   []Withdrawal
 	Services      []Service
 	Targets       []Target
 	Routes        []Route
--- a/core/configurator/schema.go
+++ b/core/configurator/schema.go
@@ -17,6 +17,7 @@
 	KindTarget
 	KindRoute
 	KindBudget
+	KindWithdrawal
 )
 
 // String returns the kind as it stands in messages.
@@ -129,6 +130,15 @@
 		Doc: "A key of an organisation, kept as a hash.",
 		Settings: []Setting{
 			{Name: "sha-256", Type: TypeHash, Required: true, Doc: "The SHA-256 of the key, in hexadecimal."},
+			{Name: "source", Type: TypeChoice, Default: "declarations", Choices: []string{"declarations", "command"},
+				Doc: "Who owns the key: apply withdraws a key that is no longer declared, but not one given by command."},
+		},
+	},
+	KindWithdrawal: {
+		Name: "withdrawal", Form: "/<team>/withdrawals/<name>",
+		Doc: "A withdrawn key. It is recorded when a key is withdrawn and never deleted; no key with its hash is valid again.",
+		Settings: []Setting{
+			{Name: "sha-256", Type: TypeHash, Required: true, Doc: "The SHA-256 of the withdrawn key, in hexadecimal."},
 		},
 	},
 	KindService: {
--- a/core/configurator/table.go
+++ b/core/configurator/table.go
@@ -43,7 +43,7 @@
 		budgets:       make(map[RegionPair][]*Budget, len(items.Budgets)),
 	}
 	problems = append(problems, table.addOwners(&items)...)
-	problems = append(problems, table.addKeys(items.Keys)...)
+	problems = append(problems, table.addKeys(items.Keys, items.Withdrawals)...)
 	problems = append(problems, table.addTargets(items.Targets)...)
 	problems = append(problems, table.addRoutes(items.Routes)...)
 	return table, problems
@@ -65,9 +65,19 @@
 	return nil
 }
 
-func (table *Table) addKeys(keys []Key) []*Problem {
+// addKeys leaves out withdrawn keys, whatever else declares them.
+func (table *Table) addKeys(keys []Key, withdrawals []Withdrawal) []*Problem {
+	withdrawn := make(map[KeyHash]Path, len(withdrawals))
+	for _, withdrawal := range withdrawals {
+		withdrawn[withdrawal.Hash] = withdrawal.Path
+	}
 	var problems []*Problem
 	for i, key := range keys {
+		if path, ok := withdrawn[key.Hash]; ok {
+			message := fmt.Sprintf("has been withdrawn, see %s; give a new key", path)
+			problems = append(problems, &Problem{Path: key.Path, Field: "sha-256", Message: message})
+			continue
+		}
 		if table.organisations[key.Organisation] == nil {
 			problems = append(problems, missing(key.Path, "organisation", key.Organisation))
 			continue
--- /dev/null
+++ b/core/withdrawer/withdrawer_test.go
@@ -0,0 +1,81 @@
+package withdrawer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/withdrawer"
+)
+
+const organisation = "/t/organisations/o"
+
+func hashOf(number int) string { return strings.Repeat(fmt.Sprintf("%02x", number), 32) }
+
+func declared(source string, keys ...int) []configurator.Entry {
+	entries := []configurator.Entry{{Path: organisation, Fields: []configurator.Field{{Name: "burst", Value: "5"}, {Name: "rate", Value: "5"}}}}
+	for _, key := range keys {
+		path := configurator.Path(fmt.Sprintf("%s/keys/k%02d", organisation, key))
+		entries = append(entries, configurator.Entry{Path: path, Fields: []configurator.Field{
+			{Name: "sha-256", Value: hashOf(key)}, {Name: "source", Value: source}}})
+	}
+	return entries
+}
+
+// record makes the state's team equal to the entries, as apply does.
+func record(t *testing.T, state *configurator.State, entries []configurator.Entry) {
+	t.Helper()
+	puts, deletes := configurator.Difference(state.Team("t"), entries)
+	puts, deletes = withdrawer.Complete(state.Team("t"), puts, deletes)
+	change := configurator.Change{Revision: state.Revision + 1, Team: "t", Puts: puts, Deletes: deletes}
+	is.New(t).NoErr(state.Apply(change))
+}
+
+func valid(state *configurator.State, key int) bool {
+	table, _ := configurator.Compile(state.All())
+	return table.Key(configurator.KeyHash([]byte(strings.Repeat(string(rune(key)), 32)))) != nil
+}
+
+func TestKeyGivenByCommandOutlivesApply(t *testing.T) {
+	is := is.New(t)
+	state := configurator.NewState()
+	record(t, state, append(declared("declarations", 1), declared("command", 2)[1:]...))
+	record(t, state, declared("declarations", 1))
+	is.True(valid(state, 1) && valid(state, 2))
+	record(t, state, nil) // takes the organisation away too
+	is.True(!valid(state, 1) && !valid(state, 2))
+	record(t, state, declared("declarations", 1, 2))
+	is.True(!valid(state, 1) && !valid(state, 2))
+}
+
+// TestWithdrawnKeyNeverReturns compares random histories of applied and rolled
+// back declarations with a plain list of the keys that have ended.
+func TestWithdrawnKeyNeverReturns(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(7, 7))
+	for range 50 {
+		state := configurator.NewState()
+		var ended []int
+		var before []int
+		for range 20 {
+			keys := random.Perm(6)[:random.IntN(6)]
+			kept, left := withdrawer.Strip(state.Team("t"), declared("declarations", keys...))
+			is.Equal(len(left)+len(kept), len(keys)+1)
+			record(t, state, kept)
+			for _, key := range before {
+				if !slices.Contains(keys, key) {
+					ended = append(ended, key)
+				}
+			}
+			before = slices.DeleteFunc(keys, func(key int) bool { return slices.Contains(ended, key) })
+			for key := range 6 {
+				is.Equal(valid(state, key), slices.Contains(before, key))
+			}
+		}
+	}
+}
--- a/operator/internal/applier/applier.go
+++ b/operator/internal/applier/applier.go
@@ -3,7 +3,7 @@
 // # Usage
 //
 //	applier := &applier.Applier{Recorder: recorder, Author: "asha"}
-//	result, err := applier.Apply(ctx, "kundsetu", entries)
+//	result, err := applier.Change(ctx, "kundsetu", applier.Replace(entries))
 package applier
 
 import (
@@ -14,6 +14,7 @@
 	"slices"
 
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/withdrawer"
 	"godwitramp.example/shell/recorder"
 )
 
@@ -36,9 +37,35 @@
 	Problems []*configurator.Problem
 }
 
-// Error gives the first problem and the number of the others.
+// Error gives the number of problems and each of them on a line of its own.
 func (err *InvalidError) Error() string {
-	return fmt.Sprintf("the configuration would not be valid (%d problems): %v", len(err.Problems), err.Problems[0])
+	joined := []error{fmt.Errorf("the configuration would not be valid (%d problems)", len(err.Problems))}
+	for _, problem := range err.Problems {
+		joined = append(joined, problem)
+	}
+	return errors.Join(joined...).Error()
+}
+
+// BusyError says that other teams' changes were recorded first each time.
+type BusyError struct {
+	Attempts int
+}
+
+// Error gives the number of attempts.
+func (err *BusyError) Error() string {
+	return fmt.Sprintf("other teams' changes were recorded first %d times; nothing was recorded", err.Attempts)
+}
+
+// Edit returns what to put and delete in a team's recorded entries.
+type Edit func(recorded []configurator.Entry) (puts []configurator.Entry, deletes []configurator.Path, err error)
+
+// Replace returns the edit that makes a team's subtree equal to the entries,
+// but for withdrawals and for keys given by command.
+func Replace(entries []configurator.Entry) Edit {
+	return func(recorded []configurator.Entry) ([]configurator.Entry, []configurator.Path, error) {
+		puts, deletes := configurator.Difference(recorded, entries)
+		return puts, deletes, nil
+	}
 }
 
 // Applier records changes.
@@ -48,33 +75,31 @@
 	Comment  string
 }
 
-// Difference returns what applying the entries would change.
-func (applier *Applier) Difference(ctx context.Context, team string, entries []configurator.Entry) (Result, error) {
+// Difference returns what the edit would change.
+func (applier *Applier) Difference(ctx context.Context, team string, edit Edit) (Result, error) {
 	state, head, err := applier.Recorder.Load(ctx)
 	if err != nil {
 		return Result{}, fmt.Errorf("read recorded configuration: %w", err)
 	}
-	result := Result{Team: team, Revision: head.Revision}
-	result.Puts, result.Deletes = configurator.Difference(state.Team(team), entries)
-	result.Changed = len(result.Puts)+len(result.Deletes) > 0
-	return result, nil
+	return difference(state, head, team, edit)
 }
 
-// Apply makes the team's subtree equal to the entries.
-func (applier *Applier) Apply(ctx context.Context, team string, entries []configurator.Entry) (Result, error) {
-	replace := func(state *configurator.State) ([]configurator.Entry, []configurator.Path) {
-		return configurator.Difference(state.Team(team), entries)
+// difference completes the edit by the withdrawals of the keys that it ends.
+func difference(state *configurator.State, head recorder.Head, team string, edit Edit) (Result, error) {
+	result := Result{Team: team, Revision: head.Revision}
+	recorded := state.Team(team)
+	puts, deletes, err := edit(recorded)
+	if err != nil {
+		return result, fmt.Errorf("edit team %q: %w", team, err)
 	}
-	return applier.Change(ctx, team, replace)
+	result.Puts, result.Deletes = withdrawer.Complete(recorded, puts, deletes)
+	return result, nil
 }
 
-// Change records what edit returns for the recorded state. It is made anew if
-// another team's change is recorded first, and refused with a
+// Change records what the edit returns for the recorded entries. It is made
+// anew if another team's change is recorded first, and refused with a
 // *recorder.RaceError if it is the same team's.
-func (applier *Applier) Change(
-	ctx context.Context, team string,
-	edit func(*configurator.State) (puts []configurator.Entry, deletes []configurator.Path),
-) (Result, error) {
+func (applier *Applier) Change(ctx context.Context, team string, edit Edit) (Result, error) {
 	version, err := applier.Recorder.Team(ctx, team)
 	if err != nil {
 		return Result{}, fmt.Errorf("read version of team: %w", err)
@@ -86,21 +111,17 @@
 			return result, err
 		}
 	}
-	return Result{}, fmt.Errorf("other teams' changes were recorded first %d times", attempts)
+	return Result{}, &BusyError{Attempts: attempts}
 }
 
-func (applier *Applier) try(
-	ctx context.Context, team string, version recorder.TeamVersion,
-	edit func(*configurator.State) (puts []configurator.Entry, deletes []configurator.Path),
-) (Result, error) {
+func (applier *Applier) try(ctx context.Context, team string, version recorder.TeamVersion, edit Edit) (Result, error) {
 	state, head, err := applier.Recorder.Load(ctx)
 	if err != nil {
 		return Result{}, fmt.Errorf("read recorded configuration: %w", err)
 	}
-	result := Result{Team: team, Revision: head.Revision}
-	result.Puts, result.Deletes = edit(state)
-	if len(result.Puts)+len(result.Deletes) == 0 {
-		return result, nil
+	result, err := difference(state, head, team, edit)
+	if err != nil || len(result.Puts)+len(result.Deletes) == 0 {
+		return result, err
 	}
 	change := configurator.Change{
 		ID: rand.Text(), Revision: head.Revision + 1, Team: team, Author: applier.Author, Comment: applier.Comment,
--- /dev/null
+++ b/operator/internal/commander/commander_test.go
@@ -0,0 +1,230 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/operator/internal/commander"
+	"godwitramp.example/shell/connector"
+	"godwitramp.example/shell/describer"
+	"godwitramp.example/shell/faker"
+)
+
+const organisation = "[/t/organisations/o]\nrate = 5\nburst = 5\n"
+
+// bench is a command over a platform in memory.
+type bench struct {
+	t         *testing.T
+	platform  connector.Platform
+	directory string
+	report    commander.Report
+	asker     commander.Asker
+}
+
+func newBench(t *testing.T, platform connector.Platform, declarations string) *bench {
+	bench := &bench{t: t, platform: platform, directory: t.TempDir(), report: commander.Report{InForce: true, Confirmed: 2}}
+	bench.declare(declarations)
+	return bench
+}
+
+func (bench *bench) declare(text string) {
+	is := is.New(bench.t)
+	is.NoErr(os.MkdirAll(filepath.Join(bench.directory, "t"), 0o700))
+	is.NoErr(os.WriteFile(filepath.Join(bench.directory, "t", "all.ini"), []byte(text), 0o600))
+}
+
+// Wait returns the report of the bench.
+func (bench *bench) Wait(_ context.Context, _ uint64, progress func(commander.Report)) (commander.Report, error) {
+	if !bench.report.InForce {
+		progress(bench.report)
+	}
+	return bench.report, nil
+}
+
+// run returns the exit code and what the command wrote.
+func (bench *bench) run(arguments ...string) (code int, out, problems string) {
+	var first, second bytes.Buffer
+	command := &commander.Commander{
+		Out: &first, Err: &second, Author: "asha", Asker: bench.asker,
+		Open:   func(string) connector.Platform { return bench.platform },
+		Waiter: func(connector.Platform) commander.Waiter { return bench },
+		Secret: func() string { return "not-a-secret" },
+		Now:    func() time.Time { return time.Unix(1000, 0).UTC() },
+	}
+	arguments = append(arguments, "--platform", "http://127.0.0.1:1", "--settings", bench.directory)
+	code = command.Run(bench.t.Context(), arguments)
+	return code, first.String(), second.String()
+}
+
+func (bench *bench) want(code int, out, problems string, arguments ...string) {
+	bench.t.Helper()
+	gotCode, gotOut, gotProblems := bench.run(arguments...)
+	if gotCode != code || gotOut != out || gotProblems != problems {
+		bench.t.Fatalf("%v\ngot  %d %q %q\nwant %d %q %q", arguments, gotCode, gotOut, gotProblems, code, out, problems)
+	}
+}
+
+// meddler does something right before a transaction and may lose its answer
+// and all later ones.
+type meddler struct {
+	connector.Platform
+	before func()
+	lose   bool
+	lost   bool
+}
+
+// Transact runs before, then the transaction.
+func (meddler *meddler) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	if before := meddler.before; before != nil {
+		meddler.before = nil
+		before()
+	}
+	outcome, err := meddler.Platform.Transact(ctx, transaction)
+	if meddler.lose {
+		meddler.lost = true
+		return connector.Outcome{}, &connector.UnknownError{Cause: errors.New("answer lost")}
+	}
+	return outcome, err
+}
+
+// Row fails once an answer has been lost.
+func (meddler *meddler) Row(ctx context.Context, key string) (connector.Row, error) {
+	if meddler.lost {
+		return connector.Row{}, &connector.UnavailableError{Reason: "away"}
+	}
+	return meddler.Platform.Row(ctx, key)
+}
+
+func TestCheckReportsEveryMistakeAtOnce(t *testing.T) {
+	bench := newBench(t, faker.New(), "[/t/organisations/o]\nrate = -5\nbrst = 5\n[/u/services/s]\n")
+	bench.want(3, "", `operator: the declarations are not valid (4 problems)
+t/all.ini:1: /t/organisations/o: burst: is missing; allowed: a number from 1 to 1e+07 requests
+t/all.ini:2: /t/organisations/o: rate = "-5": is not a number in the allowed range; allowed: a number from 0.01 to 1e+07 requests a second
+t/all.ini:3: /t/organisations/o: brst = "5": unknown setting of an organisation; the nearest known name is "burst"; allowed: rate, burst, when-cut-off
+t/all.ini:4: team "t" can't change "/u/services/s", which belongs to team "u"
+`, "check")
+}
+
+func TestApplyTellsWhatIsKnown(t *testing.T) {
+	const applied = "t: revision 1 recorded, 1 entries put, 0 deleted\n"
+	t.Run("in force", func(t *testing.T) {
+		bench := newBench(t, faker.New(), organisation)
+		bench.want(0, applied, "revision 1 is in force on 2 VMs\n", "apply")
+		bench.want(0, "t: nothing to change at revision 1\n", "revision 1 is in force on 2 VMs\n", "apply")
+	})
+	t.Run("not in force", func(t *testing.T) {
+		bench := newBench(t, faker.New(), organisation)
+		bench.report = commander.Report{Revision: 1, Confirmed: 1, Missing: []string{"vm-02"}}
+		bench.want(5, applied, "waiting: 1 VMs have confirmed revision 1, 1 have not: vm-02\n"+
+			"operator: revision 1 is recorded but not in force: 1 VMs have confirmed it, 1 have not: vm-02\n", "apply")
+	})
+	t.Run("store away", func(t *testing.T) {
+		platform := faker.New()
+		platform.SetFaults(faker.Faults{Outage: true})
+		code, out, _ := newBench(t, platform, organisation).run("apply")
+		is.New(t).Equal([]any{code, out}, []any{7, ""})
+	})
+	t.Run("answer lost and read back", func(t *testing.T) {
+		platform := faker.New()
+		platform.SetFaults(faker.Faults{LoseAnswers: true})
+		newBench(t, platform, organisation).want(0, applied, "revision 1 is in force on 2 VMs\n", "apply")
+	})
+	t.Run("answer lost for good", func(t *testing.T) {
+		is := is.New(t)
+		code, out, problems := newBench(t, &meddler{Platform: faker.New(), lose: true}, organisation).run("apply")
+		is.Equal([]any{code, out}, []any{6, ""})
+		is.True(strings.Contains(problems, "may or may not be recorded"))
+	})
+	t.Run("raced", func(t *testing.T) {
+		platform := &meddler{Platform: faker.New()}
+		first, second := newBench(t, platform, organisation), newBench(t, platform, strings.Replace(organisation, "5", "6", 1))
+		platform.before = func() { second.want(0, applied, "revision 1 is in force on 2 VMs\n", "apply") }
+		first.want(4, "", `operator: record change of team "t": team "t" is at revision 1, not at 0 as expected: another change was recorded first`+"\n", "apply")
+	})
+	t.Run("one team of two", func(t *testing.T) {
+		is := is.New(t)
+		bench := newBench(t, faker.New(), organisation)
+		is.NoErr(os.MkdirAll(filepath.Join(bench.directory, "u"), 0o700))
+		other := strings.ReplaceAll(organisation, "/t/", "/u/")
+		is.NoErr(os.WriteFile(filepath.Join(bench.directory, "u", "all.ini"), []byte(other), 0o600))
+		platform := &meddler{Platform: bench.platform}
+		platform.before = func() { platform.lost = true } // the next read fails
+		bench.platform = platform
+		code, out, _ := bench.run("apply")
+		is.Equal([]any{code, out}, []any{8, applied})
+	})
+}
+
+func TestWithdrawnKeyIsNotBroughtBack(t *testing.T) {
+	is := is.New(t)
+	bench := newBench(t, faker.New(), organisation)
+	code, _, _ := bench.run("apply")
+	is.Equal(code, 0)
+	code, out, _ := bench.run("key", "give", "--organisation", "/t/organisations/o", "--name", "k")
+	is.Equal(code, 0)
+	is.Equal(strings.Count(out, "not-a-secret"), 1)
+	declared := organisation + out[strings.LastIndex(out, "["):]
+	_, out, _ = bench.run("show", "/t/organisations/o/keys")
+	is.True(!strings.Contains(out, "not-a-secret") && strings.Contains(out, "source = command"))
+	bench.want(0, "t: nothing to change at revision 2\n", "revision 2 is in force on 2 VMs\n", "apply")
+	bench.declare(declared)
+	bench.want(0, "t: revision 3 recorded, 1 entries put, 0 deleted\n", "revision 3 is in force on 2 VMs\n", "apply")
+	bench.want(0, "t: revision 4 recorded, 1 entries put, 1 deleted\n", "revision 4 is in force on 2 VMs\n",
+		"key", "withdraw", "/t/organisations/o/keys/k")
+	code, out, problems := bench.run("apply")
+	is.Equal([]any{code, out}, []any{3, ""})
+	is.True(strings.Contains(problems, "t/all.ini:4: /t/organisations/o/keys/k: sha-256: has been withdrawn"))
+	bench.want(0, "t: nothing to change at revision 4\nleft out: /t/organisations/o/keys/k has been withdrawn\n",
+		"revision 4 is in force on 2 VMs\n", "rollback", "--team", "t", "--to", "3")
+	code, out, _ = bench.run("history", "--limit", "1", "--output", "json")
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, `"comment": "key withdrawn"`))
+}
+
+// statuses answers for VMs by address.
+type statuses map[string]describer.Status
+
+// Ask returns the status of the VM at the address.
+func (statuses statuses) Ask(_ context.Context, address string) (describer.Status, error) {
+	status, ok := statuses[address]
+	if !ok {
+		return status, errors.New("silent")
+	}
+	return status, nil
+}
+
+func TestFleetSaysWhatIsNotKnown(t *testing.T) {
+	platform := faker.New()
+	platform.SetVMs([]connector.VM{
+		{Name: "vm-01", Region: "r", DataCentre: "d", Peers: "1", State: connector.VMLive},
+		{Name: "vm-02", Region: "s", DataCentre: "e", Peers: "2", State: connector.VMLeaving},
+	})
+	bench := newBench(t, platform, organisation)
+	ejection := describer.Ejection{
+		Target: "/t/services/s/targets/a", Reason: "failures", By: "vm-01",
+		Since: time.Unix(990, 0), Until: time.Unix(1020, 0),
+		Evidence: []describer.Evidence{{VM: "vm-01", Good: 1, Failures: 9}},
+	}
+	bench.asker = statuses{"1": {Revision: 7, Ready: true, KeysKnown: true, Version: "0.1.0", Ejections: []describer.Ejection{ejection}}}
+	bench.want(0, "vm-01  r/d  listed=live  revision=7  ready=true  leaving=false  keys-known=true  version=0.1.0\n"+
+		"vm-02  s/e  listed=leaving  no answer: silent\n", "", "vms")
+	bench.want(0, "r  /t/services/s/targets/a  out for 10s, for 20s more  reason=failures  by=vm-01\n"+
+		"    vm-01 saw good=1 failures=9 slow=0\ns: not known, no VM answered\n", "", "upstreams")
+	bench.asker = statuses{}
+	bench.want(1, "", "operator: no VM answered; whether targets are out of use is not known (regions: r, s)\n", "upstreams")
+}
+
+func TestSettingsPageListsEverySetting(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/SETTINGS.md")
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), commander.SettingsPage())) // operator describe prints the missing part
+}
--- /dev/null
+++ b/operator/internal/commander/commands.go
@@ -0,0 +1,71 @@
+package commander
+
+import (
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// description is a command on the command line.
+type description struct {
+	name, short, example string
+	command              flags.Commander
+	below                []description
+}
+
+// commands lists the commands in the order of the help page.
+func (commander *Commander) commands() []description {
+	return []description{
+		{"check", "check declarations without touching the fleet", "operator check --settings settings",
+			&checkCommand{commander: commander}, nil},
+		{"diff", "show what apply would change", "operator diff --team kundsetu",
+			&diffCommand{commander: commander}, nil},
+		{"apply", "record the declarations and wait until they are in force",
+			"operator apply --team kundsetu --comment \"twice the rate for Anand\"",
+			&applyCommand{commander: commander}, nil},
+		{"show", "print the recorded entries below a path", "operator show /kundsetu/services/bookings",
+			&showCommand{commander: commander}, nil},
+		{"history", "list the recorded changes, newest first", "operator history --team kundsetu --limit 5",
+			&historyCommand{commander: commander}, nil},
+		{"rollback", "record a team's entries of an older revision as a new one",
+			"operator rollback --team kundsetu --to 12", &rollbackCommand{commander: commander}, nil},
+		{"key", "give and withdraw keys", "operator key give --help", nil, []description{
+			{"give", "give an organisation a new key; its secret is shown once",
+				"operator key give --organisation /kundsetu/organisations/anand-crews --name second",
+				&giveCommand{commander: commander}, nil},
+			{"withdraw", "withdraw a key for good",
+				"operator key withdraw /kundsetu/organisations/anand-crews/keys/first",
+				&withdrawCommand{commander: commander}, nil},
+		}},
+		{"vms", "list the VMs, their revision and what they can know", "operator vms --certificate op.pem --key op.key --authority ca.pem",
+			&vmsCommand{commander: commander}, nil},
+		{"upstreams", "list the targets out of use, why, and by whose evidence",
+			"operator upstreams --certificate op.pem --key op.key --authority ca.pem", &upstreamsCommand{commander: commander}, nil},
+		{"describe", "print the settings of declarations as tables in Markdown", "operator describe",
+			&describeCommand{commander: commander}, nil},
+	}
+}
+
+func (commander *Commander) addCommands(parser *flags.Parser) error {
+	if _, err := parser.AddGroup("Options of every command", "", &commander.options); err != nil {
+		return fmt.Errorf("add options: %w", err)
+	}
+	return add(parser.Command, commander.commands())
+}
+
+func add(parent *flags.Command, descriptions []description) error {
+	for _, description := range descriptions {
+		var data any = &struct{}{}
+		if description.command != nil {
+			data = description.command
+		}
+		command, err := parent.AddCommand(description.name, description.short, "Example:\n\n  "+description.example, data)
+		if err != nil {
+			return fmt.Errorf("add command %q: %w", description.name, err)
+		}
+		if err := add(command, description.below); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/operator/internal/commander/describe.go
@@ -0,0 +1,46 @@
+package commander
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"godwitramp.example/core/configurator"
+)
+
+// describeCommand prints the settings of declarations.
+type describeCommand struct {
+	commander *Commander
+}
+
+// Execute prints a table for each kind of entry.
+func (command *describeCommand) Execute([]string) error {
+	_, err := fmt.Fprint(command.commander.Out, SettingsPage())
+	return err
+}
+
+// SettingsPage returns the settings of declarations as tables in Markdown.
+func SettingsPage() string {
+	var page strings.Builder
+	kinds := make([]configurator.Kind, 0, len(configurator.Schemas))
+	for kind := range configurator.Schemas {
+		kinds = append(kinds, kind)
+	}
+	slices.Sort(kinds)
+	for _, kind := range kinds {
+		schema := configurator.Schemas[kind]
+		fmt.Fprintf(&page, "### `[%s]`\n\n%s\n\n", schema.Form, schema.Doc)
+		page.WriteString("| Setting | Allowed | Unit | Default | Meaning |\n| --- | --- | --- | --- | --- |\n")
+		for _, setting := range schema.Settings {
+			normal := cmp.Or(setting.Default, "none")
+			if setting.Required {
+				normal = "none, must be set"
+			}
+			fmt.Fprintf(&page, "| `%s` | %s | %s | %s | %s |\n",
+				setting.Name, setting.Allowed(), cmp.Or(setting.Unit, "-"), normal, setting.Doc)
+		}
+		page.WriteString("\n")
+	}
+	return page.String()
+}
--- /dev/null
+++ b/operator/internal/commander/history.go
@@ -0,0 +1,163 @@
+package commander
+
+import (
+	"fmt"
+	"strings"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/withdrawer"
+	"godwitramp.example/operator/internal/applier"
+	"godwitramp.example/shell/recorder"
+)
+
+// showCommand prints recorded entries.
+type showCommand struct {
+	commander *Commander
+	Args      struct {
+		Path string `positional-arg-name:"PATH" description:"entries at and below this path; all unless given"`
+	} `positional-args:"yes"`
+}
+
+// shown is the output of show.
+type shown struct {
+	Revision uint64    `json:"revision"`
+	Digest   string    `json:"digest"`
+	Entries  []section `json:"entries"`
+}
+
+// Execute prints the entries as INI.
+func (command *showCommand) Execute([]string) error {
+	commander := command.commander
+	recorder, err := commander.recorder()
+	if err != nil {
+		return err
+	}
+	state, head, err := recorder.Load(commander.ctx)
+	if err != nil {
+		return fmt.Errorf("read recorded configuration: %w", err)
+	}
+	result := shown{Revision: head.Revision, Digest: state.Digest.String(), Entries: []section{}}
+	text := fmt.Sprintf("# revision %d, digest %s\n", result.Revision, result.Digest)
+	for _, entry := range sectionsOf(state.Snapshot().Entries) {
+		if !below(entry.Path, command.Args.Path) {
+			continue
+		}
+		result.Entries = append(result.Entries, entry)
+		text += "\n" + entry.String()
+	}
+	return commander.print(result, text)
+}
+
+func below(path configurator.Path, parent string) bool {
+	parent = strings.TrimSuffix(parent, "/")
+	return string(path) == parent || strings.HasPrefix(string(path), parent+"/")
+}
+
+// historyCommand lists changes.
+type historyCommand struct {
+	commander *Commander
+	teamOption
+	Limit int `long:"limit" default:"20" description:"how many changes to list"`
+}
+
+// past is one change in the output of history.
+type past struct {
+	Revision uint64 `json:"revision"`
+	Team     string `json:"team"`
+	Author   string `json:"author"`
+	Comment  string `json:"comment"`
+	ChangeID string `json:"change-id"`
+	Puts     int    `json:"puts"`
+	Deletes  int    `json:"deletes"`
+}
+
+// Execute prints the changes, newest first.
+func (command *historyCommand) Execute([]string) error {
+	commander := command.commander
+	recorder, err := commander.recorder()
+	if err != nil {
+		return err
+	}
+	head, err := recorder.Head(commander.ctx)
+	if err != nil {
+		return fmt.Errorf("read head: %w", err)
+	}
+	changes := []past{}
+	var text strings.Builder
+	for revision := head.Revision; revision > 0 && len(changes) < command.Limit; revision-- {
+		change, ok, err := recorder.Change(commander.ctx, revision)
+		if err != nil {
+			return fmt.Errorf("read change of revision %d: %w", revision, err)
+		}
+		if !ok {
+			break // older changes are kept in the snapshot only
+		}
+		if command.Team != "" && command.Team != change.Team {
+			continue
+		}
+		next := past{change.Revision, change.Team, change.Author, change.Comment, change.ID, len(change.Puts), len(change.Deletes)}
+		changes = append(changes, next)
+		fmt.Fprintf(&text, "%d  %s  by %s  put %d, deleted %d  %s  (%s)\n",
+			next.Revision, next.Team, next.Author, next.Puts, next.Deletes, next.Comment, next.ChangeID)
+	}
+	return commander.print(changes, text.String())
+}
+
+// rollbackCommand records an older revision of a team's subtree as a new one.
+type rollbackCommand struct {
+	commander *Commander
+	Team      string `long:"team" required:"yes" description:"the team whose subtree is rolled back"`
+	To        uint64 `long:"to" required:"yes" description:"the revision whose entries are recorded anew"`
+	waitOption
+}
+
+// Execute records the older entries, without the keys withdrawn since.
+func (command *rollbackCommand) Execute([]string) error {
+	commander := command.commander
+	comment := fmt.Sprintf("rollback to revision %d", command.To)
+	applying, err := commander.applier(comment)
+	if err != nil {
+		return err
+	}
+	entries, err := command.older(applying.Recorder)
+	if err != nil {
+		return err
+	}
+	var left []configurator.Path
+	edit := func(recorded []configurator.Entry) ([]configurator.Entry, []configurator.Path, error) {
+		var kept []configurator.Entry
+		kept, left = withdrawer.Strip(recorded, entries)
+		return applier.Replace(kept)(recorded)
+	}
+	result, err := applying.Change(commander.ctx, command.Team, edit)
+	if err != nil {
+		return err
+	}
+	output := changedBy(result)
+	output.LeftOut = left
+	return commander.finish([]changed{output}, command.Wait)
+}
+
+// older returns the team's entries at the revision to roll back to.
+func (command *rollbackCommand) older(recorder *recorder.Recorder) ([]configurator.Entry, error) {
+	ctx := command.commander.ctx
+	head, err := recorder.Head(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read head: %w", err)
+	}
+	if command.To > head.Revision {
+		message := fmt.Sprintf("--to %d is newer than the recorded configuration; allowed: 1 to %d", command.To, head.Revision)
+		return nil, &usageError{Message: message}
+	}
+	changes, err := recorder.Changes(ctx, 0, command.To, int(command.To))
+	if err != nil {
+		return nil, fmt.Errorf("read changes up to revision %d: %w", command.To, err)
+	}
+	state := configurator.NewState()
+	for _, change := range changes {
+		if err := state.Apply(change); err != nil {
+			return nil, fmt.Errorf("replay change %s: %w", change.ID, err)
+		}
+	}
+	return state.Team(command.Team), nil
+}
--- a/operator/internal/reader/reader.go
+++ b/operator/internal/reader/reader.go
@@ -6,10 +6,14 @@
 //
 // # Usage
 //
-//	entries, problems, err := reader.Read(os.DirFS("settings"))
+//	tree, err := reader.Read(os.DirFS("settings"))
+//	if len(tree.Problems) > 0 {
+//		// Apply nothing.
+//	}
 package reader
 
 import (
+	"errors"
 	"fmt"
 	"io/fs"
 	"strings"
@@ -19,45 +23,62 @@
 	"godwitramp.example/core/scanner"
 )
 
-// Read returns the entries of all teams sorted by path, and every mistake.
-func Read(tree fs.FS) ([]configurator.Entry, []*scanner.Problem, error) {
-	var parsed parser.Parser
-	files, err := fs.Glob(tree, "*/*.ini")
+// ErrNoSettings says that a directory declares nothing.
+var ErrNoSettings = errors.New("no settings found; allowed: files named <team>/<name>.ini")
+
+// Tree is what a directory declares.
+type Tree struct {
+	// Entries are sorted by path.
+	Entries []configurator.Entry
+	// Problems has every mistake.
+	Problems []*scanner.Problem
+	parsed   parser.Parser
+}
+
+// Read reads the declarations of all teams.
+func Read(directory fs.FS) (*Tree, error) {
+	files, err := fs.Glob(directory, "*/*.ini")
 	if err != nil {
-		return nil, nil, fmt.Errorf("list settings: %w", err)
+		return nil, fmt.Errorf("list settings: %w", err)
 	}
 	if len(files) == 0 {
-		return nil, nil, fmt.Errorf("no settings found; allowed: files named <team>/<name>.ini")
+		return nil, ErrNoSettings
 	}
+	tree := &Tree{}
 	for _, file := range files {
-		data, err := fs.ReadFile(tree, file)
+		data, err := fs.ReadFile(directory, file)
 		if err != nil {
-			return nil, nil, fmt.Errorf("read settings: %w", err)
+			return nil, fmt.Errorf("read settings: %w", err)
 		}
-		parsed.Add(file, data)
+		tree.parsed.Add(file, data)
 	}
-	entries, problems := parsed.Finish()
-	return entries, append(problems, foreign(entries, &parsed)...), nil
+	tree.Entries, tree.Problems = tree.parsed.Finish()
+	tree.refuseForeign()
+	return tree, nil
 }
 
-// foreign reports entries that stand in the folder of another team.
-func foreign(entries []configurator.Entry, parsed *parser.Parser) []*scanner.Problem {
-	var problems []*scanner.Problem
-	for _, entry := range entries {
-		position := parsed.Position(entry.Path)
+// refuseForeign reports entries that stand in the folder of another team.
+func (tree *Tree) refuseForeign() {
+	for _, entry := range tree.Entries {
+		position := tree.parsed.Position(entry.Path)
 		folder, _, _ := strings.Cut(position.File, "/")
 		if folder != entry.Path.Team() {
 			cause := &configurator.ForeignPathError{Team: folder, Path: entry.Path}
-			problems = append(problems, &scanner.Problem{Position: position, Cause: cause})
+			tree.Problems = append(tree.Problems, &scanner.Problem{Position: position, Cause: cause})
 		}
 	}
-	return problems
 }
 
-// Teams returns the names of the teams that the entries belong to, in order.
-func Teams(entries []configurator.Entry) []string {
+// Position returns where an entry stands, and an empty position if it isn't
+// declared in the directory.
+func (tree *Tree) Position(path configurator.Path) scanner.Position {
+	return tree.parsed.Position(path)
+}
+
+// Teams returns the names of the teams that declare something, in order.
+func (tree *Tree) Teams() []string {
 	var teams []string
-	for _, entry := range entries {
+	for _, entry := range tree.Entries {
 		if len(teams) == 0 || teams[len(teams)-1] != entry.Path.Team() {
 			teams = append(teams, entry.Path.Team())
 		}
@@ -66,9 +87,9 @@
 }
 
 // Of returns the entries of one team.
-func Of(entries []configurator.Entry, team string) []configurator.Entry {
+func (tree *Tree) Of(team string) []configurator.Entry {
 	var own []configurator.Entry
-	for _, entry := range entries {
+	for _, entry := range tree.Entries {
 		if entry.Path.Team() == team {
 			own = append(own, entry)
 		}
