operator: report service-level burn as text, JSON and a page with plots

Cause: the stored counters were not shown to anybody. Ruled out: a chart library from elsewhere (the page has to open without a network); a logarithmic axis (a burn of 0 has no place on it). Before: no report. Conclusion: an outage of counting shows as a gap, not as a good service.

--- a/core/burner/burn.go
+++ b/core/burner/burn.go
@@ -1,6 +1,7 @@
 package burner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -77,7 +78,8 @@
 	Points []Point
 }
 
-// Report has a row for each pair with answers, the most urgent first.
+// Report has a row for each pair with answers, the most urgent first. Within a
+// level the row for all organisations of a service comes before the others.
 type Report struct {
 	// Until is the end of the newest bucket.
 	Until time.Time
@@ -102,14 +104,23 @@
 		report.Rows = append(report.Rows, newRow(pair, share, last, buckets))
 	}
 	slices.SortFunc(report.Rows, func(a, b Row) int {
-		if order := slices.Index(levels, a.Level) - slices.Index(levels, b.Level); order != 0 {
-			return order
-		}
-		return a.Pair.compare(b.Pair)
+		return cmp.Or(
+			cmp.Compare(slices.Index(levels, a.Level), slices.Index(levels, b.Level)),
+			cmp.Compare(a.Pair.Service, b.Pair.Service),
+			cmp.Compare(a.rank(), b.rank()),
+			a.Pair.compare(b.Pair))
 	})
 	return report
 }
 
+// rank puts the row for all organisations first.
+func (row Row) rank() int {
+	if row.Pair.Organisation == All {
+		return 0
+	}
+	return 1
+}
+
 var levels = []Level{LevelPage, LevelTicket, LevelNone}
 
 func newRow(pair Pair, share float64, last Bucket, buckets map[Bucket]Counts) Row {
--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/matryer/is"
 
+	"godwitramp.example/core/burner"
 	"godwitramp.example/operator/internal/commander"
+	"godwitramp.example/shell/archiver"
 	"godwitramp.example/shell/connector"
 	"godwitramp.example/shell/describer"
 	"godwitramp.example/shell/faker"
@@ -222,6 +224,27 @@
 	bench.want(1, "", "operator: no VM answered; whether targets are out of use is not known (regions: r, s)\n", "upstreams")
 }
 
+func TestBurnReportTellsGaps(t *testing.T) {
+	is := is.New(t)
+	platform := faker.New()
+	bench := newBench(t, platform, "[/t/services/s]\nobjective = 99\n")
+	code, _, _ := bench.run("apply")
+	is.Equal(code, 0)
+	const empty = "burn up to 1970-01-01T00:20:00Z; 1 spends the budget of 30 days in 30 days\n"
+	bench.want(0, empty+"no answers are counted in the last 72 hours\n", "", "report", "burn")
+	uploader := &archiver.Archiver{Platform: platform, DataCentre: "d", Owner: burner.Source{VM: "vm-01"}}
+	is.NoErr(uploader.Save(t.Context(), 0, []burner.Record{{Bucket: 3, Lines: []burner.Line{
+		{Pair: burner.Pair{Service: "/t/services/s", Organisation: "o"}, Counts: burner.Counts{Good: 80, Bad: 20}}}}}))
+	const rows = "LEVEL  SERVICE        ORGANISATION  OBJECTIVE  5m     30m    1h     6h     72h    ANSWERS\n" +
+		"page   /t/services/s  all           0.99       20.00  20.00  20.00  20.00  20.00  100\n" +
+		"page   /t/services/s  o             0.99       20.00  20.00  20.00  20.00  20.00  100\n"
+	bench.want(0, empty+rows, "", "report", "burn")
+	is.NoErr(platform.PutObject(t.Context(), "burn/d/000/0", []byte("spoilt")))
+	code, out, problems := bench.run("report", "burn")
+	is.Equal([]any{code, out}, []any{0, empty + "no answers are counted in the last 72 hours\nincomplete: 1 stored parts could not be read\n"})
+	is.True(strings.HasPrefix(problems, "could not read burn/d/000/0: "))
+}
+
 func TestSettingsPageListsEverySetting(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../../../docs/SETTINGS.md")
--- a/operator/internal/commander/commands.go
+++ b/operator/internal/commander/commands.go
@@ -41,6 +41,10 @@
 			&vmsCommand{commander: commander}, nil},
 		{"upstreams", "list the targets out of use, why, and by whose evidence",
 			"operator upstreams --certificate op.pem --key op.key --authority ca.pem", &upstreamsCommand{commander: commander}, nil},
+		{"report", "report on the fleet", "operator report burn --help", nil, []description{
+			{"burn", "report how fast services burn their error budgets",
+				"operator report burn --html burn.html", &burnCommand{commander: commander}, nil},
+		}},
 		{"describe", "print the settings of declarations as tables in Markdown", "operator describe",
 			&describeCommand{commander: commander}, nil},
 	}
