entry: report mistakes at the start as one clear line each

Cause: the program wrote to the process's streams, so that its answers to a wrong certificate, a port in use or a missing setting had no test; operators could not ask a VM for its state. Ruled out: tests that start the built program (slower, and ports differ). Before: untested. VMs answer Describer.Describe to holders of a certificate of the fleet's authority. Conclusion: a wrong start says what is wrong and what is allowed.

--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -30,6 +30,7 @@
 	"godwitramp.example/shell/caller"
 	"godwitramp.example/shell/certifier"
 	"godwitramp.example/shell/connector"
+	"godwitramp.example/shell/describer"
 	"godwitramp.example/shell/recorder"
 )
 
@@ -42,7 +43,9 @@
 // Starter runs one VM.
 type Starter struct {
 	Settings loader.Settings
-	Log      *logrus.Entry
+	// Version is the release of the program.
+	Version string
+	Log     *logrus.Entry
 
 	leaving atomic.Bool
 	syncer  *syncer.Syncer
@@ -96,7 +99,11 @@
 	platform := &connector.Client{Base: settings.Platform}
 	starter.syncer = &syncer.Syncer{Recorder: &recorder.Recorder{Platform: platform}, Log: starter.Log}
 	group.Go(func() { _ = starter.syncer.Run(work) })
-	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: rpc.NewServer()}
+	services := rpc.NewServer()
+	if err := services.Register(&describer.Describer{Source: starter.status}); err != nil {
+		return fmt.Errorf("register status: %w", err)
+	}
+	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: services}
 	group.Go(func() { _ = peers.Run(work) })
 
 	callers := starter.callers()
@@ -148,6 +155,19 @@
 	}
 }
 
+func (starter *Starter) ready() bool {
+	return !starter.leaving.Load() && starter.syncer.Table() != nil
+}
+
+// status tells operators what the VM knows.
+func (starter *Starter) status() describer.Status {
+	return describer.Status{
+		Name: starter.Settings.Name, Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre,
+		Version: starter.Version, Revision: starter.syncer.Revision(), Ready: starter.ready(),
+		Leaving: starter.leaving.Load(), KeysKnown: alwaysKnown{}.KeysKnown(),
+	}
+}
+
 // operators answers health checks and metrics.
 func (starter *Starter) operators() http.Handler {
 	mux := http.NewServeMux()
@@ -155,7 +175,7 @@
 		_, _ = fmt.Fprintln(writer, "live")
 	})
 	mux.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
-		if starter.leaving.Load() || starter.syncer.Table() == nil {
+		if !starter.ready() {
 			http.Error(writer, "not ready", http.StatusServiceUnavailable)
 			return
 		}
--- a/entry/main.go
+++ b/entry/main.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -45,75 +46,91 @@
 	Version  bool     `long:"version" description:"print the version and exit"`
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	program := program{out: os.Stdout, problems: os.Stderr}
+	os.Exit(program.run(ctx, os.Args[1:]))
+}
+
+// program is the command line over its output.
+type program struct {
+	out, problems io.Writer
+}
 
-func run(arguments []string) int {
+// complain writes one line.
+func (program *program) complain(parts ...any) {
+	_, _ = fmt.Fprintln(program.problems, append([]any{"entry:"}, parts...)...)
+}
+
+// say writes to the output.
+func (program *program) say(text string) { _, _ = fmt.Fprint(program.out, text) }
+
+func (program *program) run(ctx context.Context, arguments []string) int {
 	var options options
 	parser := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
 	_, err := parser.ParseArgs(arguments)
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
-		fmt.Println(err)
+		program.say(err.Error() + "\n")
 		return 0
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
+		program.complain(err)
 		return exitUsage
 	}
 	if options.Version {
-		fmt.Println("entry", version)
+		program.say("entry " + version + "\n")
 		return 0
 	}
 	if options.Describe {
-		fmt.Print(loader.Page())
+		program.say(loader.Page())
 		return 0
 	}
-	settings, ok := load(options)
+	settings, ok := program.load(options)
 	if !ok {
 		return exitUsage
 	}
 	if options.Check {
-		return check(settings)
+		return program.check(settings)
 	}
-	return serve(settings)
+	return program.serve(ctx, settings)
 }
 
-func load(options options) (loader.Settings, bool) {
+func (program *program) load(options options) (loader.Settings, bool) {
 	var data []byte
 	if options.Settings != "" {
 		var err error
 		data, err = os.ReadFile(options.Settings)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "entry: read settings:", err)
+			program.complain("read settings:", err)
 			return loader.Settings{}, false
 		}
 	}
 	settings, problems := loader.Load(cmp.Or(options.Settings, "settings"), data, options.Set)
 	for _, problem := range problems {
-		fmt.Fprintln(os.Stderr, "entry:", problem)
+		program.complain(problem)
 	}
 	return settings, len(problems) == 0
 }
 
 // check reports whether the program could start, as far as that can be told
 // without taking its ports.
-func check(settings loader.Settings) int {
+func (program *program) check(settings loader.Settings) int {
 	files := certifier.Files{Authority: settings.Authority, Certificate: settings.Certificate, Key: settings.Key}
 	if _, err := certifier.Load(files); err != nil {
-		fmt.Fprintln(os.Stderr, "entry: load certificates:", err)
+		program.complain("load certificates:", err)
 		return exitUsage
 	}
-	fmt.Println("settings are good")
+	program.say("settings are good\n")
 	return 0
 }
 
-func serve(settings loader.Settings) int {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	log := logger.New(os.Stderr, "entry", settings.Name)
-	starter := &starter.Starter{Settings: settings, Log: log}
+func (program *program) serve(ctx context.Context, settings loader.Settings) int {
+	log := logger.New(program.problems, "entry", settings.Name)
+	starter := &starter.Starter{Settings: settings, Version: version, Log: log}
 	if err := starter.Run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
+		program.complain(err)
 		return exitFailed
 	}
 	return 0
