--- a/operator/internal/applier/applier.go
+++ b/operator/internal/applier/applier.go
@@ -39,7 +39,7 @@
 
 // Error gives the number of problems and each of them on a line of its own.
 func (err *InvalidError) Error() string {
-	joined := []error{fmt.Errorf("the configuration would not be valid (%d problems)", len(err.Problems))}
+	joined := []error{fmt.Errorf("the configuration would not be valid, problems: %d", len(err.Problems))}
 	for _, problem := range err.Problems {
 		joined = append(joined, problem)
 	}
@@ -73,6 +73,8 @@
 	Recorder *recorder.Recorder
 	Author   string
 	Comment  string
+	// NewID returns the ID of a change; one from crypto/rand unless set.
+	NewID func() string
 }
 
 // Difference returns what the edit would change.
@@ -124,7 +126,7 @@
 		return result, err
 	}
 	change := configurator.Change{
-		ID: rand.Text(), Revision: head.Revision + 1, Team: team, Author: applier.Author, Comment: applier.Comment,
+		ID: applier.newID(), Revision: head.Revision + 1, Team: team, Author: applier.Author, Comment: applier.Comment,
 		Puts: result.Puts, Deletes: result.Deletes,
 	}
 	if err := check(state, change); err != nil {
@@ -137,6 +139,13 @@
 	return result, nil
 }
 
+func (applier *Applier) newID() string {
+	if applier.NewID != nil {
+		return applier.NewID()
+	}
+	return rand.Text()
+}
+
 // check refuses a change after which the configuration would not be valid.
 func check(state *configurator.State, change configurator.Change) error {
 	if err := state.Apply(change); err != nil {
--- a/operator/internal/commander/apply.go
+++ b/operator/internal/commander/apply.go
@@ -49,7 +49,7 @@
 	if !changed.Recorded {
 		return fmt.Sprintf("%s: nothing to change at revision %d\n", changed.Team, changed.Revision)
 	}
-	return fmt.Sprintf("%s: revision %d recorded, %d entries put, %d deleted\n",
+	return fmt.Sprintf("%s: revision %d recorded, put %d, deleted %d\n",
 		changed.Team, changed.Revision, len(changed.Puts), len(changed.Deletes))
 }
 
@@ -212,7 +212,7 @@
 	if err != nil || !report.InForce {
 		return &notInForceError{Report: report}
 	}
-	_, _ = fmt.Fprintf(commander.Err, "revision %d is in force on %d VMs\n", revision, report.Confirmed)
+	_, _ = fmt.Fprintf(commander.Err, "revision %d is in force, confirmed by %d\n", revision, report.Confirmed)
 	return nil
 }
 
@@ -224,6 +224,6 @@
 	if len(report.Missing) > namesShown {
 		missing += ", ..."
 	}
-	_, _ = fmt.Fprintf(commander.Err, "waiting: %d VMs have confirmed revision %d, %d have not: %s\n",
-		report.Confirmed, report.Revision, len(report.Missing), missing)
+	_, _ = fmt.Fprintf(commander.Err, "waiting for revision %d: confirmed by %d, missing %d: %s\n",
+		report.Revision, report.Confirmed, len(report.Missing), missing)
 }
--- a/operator/internal/commander/check.go
+++ b/operator/internal/commander/check.go
@@ -20,6 +20,6 @@
 		return err
 	}
 	result := checked{Entries: len(tree.Entries), Teams: tree.Teams()}
-	text := fmt.Sprintf("%d entries of %d teams are good\n", result.Entries, len(result.Teams))
+	text := fmt.Sprintf("good: entries %d, teams %d\n", result.Entries, len(result.Teams))
 	return command.commander.print(result, text)
 }
--- a/operator/internal/commander/commander.go
+++ b/operator/internal/commander/commander.go
@@ -57,6 +57,8 @@
 	Asker Asker
 	// Secret returns a new key; one from crypto/rand unless set.
 	Secret func() string
+	// NewID returns the ID of a change; one from crypto/rand unless set.
+	NewID func() string
 	// Now returns the time; time.Now unless set.
 	Now func() time.Time
 
@@ -77,7 +79,7 @@
 	commander.options = options{}
 	commander.setDefaults()
 	parser := flags.NewNamedParser("operator", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Drives a godwitramp fleet. Exit codes:\n\n" + exitPage()
+	parser.LongDescription = "Drives a godwitramp fleet. Exit codes:\n\n" + ExitPage()
 	if err := commander.addCommands(parser); err != nil {
 		return commander.fail(err)
 	}
@@ -132,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &applier.Applier{Recorder: recorder, Author: commander.Author, Comment: comment}, nil
+	return &applier.Applier{Recorder: recorder, Author: commander.Author, Comment: comment, NewID: commander.NewID}, nil
 }
 
 // read returns the declarations, or a *problemsError with every mistake.
--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -107,7 +107,7 @@
 
 func TestCheckReportsEveryMistakeAtOnce(t *testing.T) {
 	bench := newBench(t, faker.New(), "[/t/organisations/o]\nrate = -5\nbrst = 5\n[/u/services/s]\n")
-	bench.want(3, "", `operator: the declarations are not valid (4 problems)
+	bench.want(3, "", `operator: the declarations are not valid, problems: 4
 t/all.ini:1: /t/organisations/o: burst: is missing; allowed: a number from 1 to 1e+07 requests
 t/all.ini:2: /t/organisations/o: rate = "-5": is not a number in the allowed range; allowed: a number from 0.01 to 1e+07 requests a second
 t/all.ini:3: /t/organisations/o: brst = "5": unknown setting of an organisation; the nearest known name is "burst"; allowed: rate, burst, when-cut-off
@@ -116,17 +116,17 @@
 }
 
 func TestApplyTellsWhatIsKnown(t *testing.T) {
-	const applied = "t: revision 1 recorded, 1 entries put, 0 deleted\n"
+	const applied = "t: revision 1 recorded, put 1, deleted 0\n"
 	t.Run("in force", func(t *testing.T) {
 		bench := newBench(t, faker.New(), organisation)
-		bench.want(0, applied, "revision 1 is in force on 2 VMs\n", "apply")
-		bench.want(0, "t: nothing to change at revision 1\n", "revision 1 is in force on 2 VMs\n", "apply")
+		bench.want(0, applied, "revision 1 is in force, confirmed by 2\n", "apply")
+		bench.want(0, "t: nothing to change at revision 1\n", "revision 1 is in force, confirmed by 2\n", "apply")
 	})
 	t.Run("not in force", func(t *testing.T) {
 		bench := newBench(t, faker.New(), organisation)
 		bench.report = commander.Report{Revision: 1, Confirmed: 1, Missing: []string{"vm-02"}}
-		bench.want(5, applied, "waiting: 1 VMs have confirmed revision 1, 1 have not: vm-02\n"+
-			"operator: revision 1 is recorded but not in force: 1 VMs have confirmed it, 1 have not: vm-02\n", "apply")
+		bench.want(5, applied, "waiting for revision 1: confirmed by 1, missing 1: vm-02\n"+
+			"operator: revision 1 is recorded but not in force: confirmed by 1, missing 1: vm-02\n", "apply")
 	})
 	t.Run("store away", func(t *testing.T) {
 		platform := faker.New()
@@ -137,7 +137,7 @@
 	t.Run("answer lost and read back", func(t *testing.T) {
 		platform := faker.New()
 		platform.SetFaults(faker.Faults{LoseAnswers: true})
-		newBench(t, platform, organisation).want(0, applied, "revision 1 is in force on 2 VMs\n", "apply")
+		newBench(t, platform, organisation).want(0, applied, "revision 1 is in force, confirmed by 2\n", "apply")
 	})
 	t.Run("answer lost for good", func(t *testing.T) {
 		is := is.New(t)
@@ -148,7 +148,7 @@
 	t.Run("raced", func(t *testing.T) {
 		platform := &meddler{Platform: faker.New()}
 		first, second := newBench(t, platform, organisation), newBench(t, platform, strings.Replace(organisation, "5", "6", 1))
-		platform.before = func() { second.want(0, applied, "revision 1 is in force on 2 VMs\n", "apply") }
+		platform.before = func() { second.want(0, applied, "revision 1 is in force, confirmed by 2\n", "apply") }
 		first.want(4, "", `operator: record change of team "t": team "t" is at revision 1, not at 0 as expected: another change was recorded first`+"\n", "apply")
 	})
 	t.Run("one team of two", func(t *testing.T) {
@@ -176,16 +176,16 @@
 	declared := organisation + out[strings.LastIndex(out, "["):]
 	_, out, _ = bench.run("show", "/t/organisations/o/keys")
 	is.True(!strings.Contains(out, "not-a-secret") && strings.Contains(out, "source = command"))
-	bench.want(0, "t: nothing to change at revision 2\n", "revision 2 is in force on 2 VMs\n", "apply")
+	bench.want(0, "t: nothing to change at revision 2\n", "revision 2 is in force, confirmed by 2\n", "apply")
 	bench.declare(declared)
-	bench.want(0, "t: revision 3 recorded, 1 entries put, 0 deleted\n", "revision 3 is in force on 2 VMs\n", "apply")
-	bench.want(0, "t: revision 4 recorded, 1 entries put, 1 deleted\n", "revision 4 is in force on 2 VMs\n",
+	bench.want(0, "t: revision 3 recorded, put 1, deleted 0\n", "revision 3 is in force, confirmed by 2\n", "apply")
+	bench.want(0, "t: revision 4 recorded, put 1, deleted 1\n", "revision 4 is in force, confirmed by 2\n",
 		"key", "withdraw", "/t/organisations/o/keys/k")
 	code, out, problems := bench.run("apply")
 	is.Equal([]any{code, out}, []any{3, ""})
 	is.True(strings.Contains(problems, "t/all.ini:4: /t/organisations/o/keys/k: sha-256: has been withdrawn"))
 	bench.want(0, "t: nothing to change at revision 4\nleft out: /t/organisations/o/keys/k has been withdrawn\n",
-		"revision 4 is in force on 2 VMs\n", "rollback", "--team", "t", "--to", "3")
+		"revision 4 is in force, confirmed by 2\n", "rollback", "--team", "t", "--to", "3")
 	code, out, _ = bench.run("history", "--limit", "1", "--output", "json")
 	is.Equal(code, 0)
 	is.True(strings.Contains(out, `"comment": "key withdrawn"`))
--- a/operator/internal/commander/exits.go
+++ b/operator/internal/commander/exits.go
@@ -41,8 +41,8 @@
 	exitPartial:    "some teams' changes are recorded as printed, another's is not",
 }
 
-// exitPage lists the exit codes.
-func exitPage() string {
+// ExitPage lists the exit codes.
+func ExitPage() string {
 	var page strings.Builder
 	for code, meaning := range exits {
 		fmt.Fprintf(&page, "%d  %s\n", code, meaning)
@@ -65,7 +65,7 @@
 
 // Error returns one line for each mistake.
 func (err *problemsError) Error() string {
-	joined := []error{fmt.Errorf("the declarations are not valid (%d problems)", len(err.Problems))}
+	joined := []error{fmt.Errorf("the declarations are not valid, problems: %d", len(err.Problems))}
 	for _, problem := range err.Problems {
 		joined = append(joined, problem)
 	}
@@ -96,7 +96,7 @@
 	if len(report.Missing) == 0 {
 		return fmt.Sprintf("revision %d is recorded; whether it is in force is not known", report.Revision)
 	}
-	return fmt.Sprintf("revision %d is recorded but not in force: %d VMs have confirmed it, %d have not: %s",
+	return fmt.Sprintf("revision %d is recorded but not in force: confirmed by %d, missing %d: %s",
 		report.Revision, report.Confirmed, len(report.Missing), strings.Join(report.Missing, ", "))
 }
 
