burner: smaller groups for each uploader

Cause: at two years' size an uploader of 64 VMs would take more than a VM's 11 KB a second. Ruled out: a longer period (the report lags); fewer counters (organisations would vanish into the rest sooner). Progress of a wait is printed when it changes, or every 5 s. Conclusion: the way to the store fits the size; reading 72 hours of it back does not (13 GB), which has to be folded before that size is reached.

--- a/core/burner/uploader.go
+++ b/core/burner/uploader.go
@@ -10,7 +10,7 @@
 
 // GroupSize is about how many VMs of a data centre hand their counters to the
 // same uploader.
-const GroupSize = 64
+const GroupSize = 16
 
 // Uploaders returns the names of the VMs that merge and store the counters of
 // the named VM, in the order to try them. The names are those of all live VMs
--- a/entry/internal/persister/persister_test.go
+++ b/entry/internal/persister/persister_test.go
@@ -1,8 +1,11 @@
 package persister_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -147,3 +150,36 @@
 		is.Equal(fleet.calls, 0) // nothing is handed over again
 	})
 }
+
+// BenchmarkHandover measures what a VM hands over in one flush.
+func BenchmarkHandover(b *testing.B) {
+	for _, lines := range []int{10, 100, 500} {
+		b.Run(fmt.Sprintf("lines=%d", lines), func(b *testing.B) {
+			meter := burner.Meter{Source: burner.Source{VM: "vm-0001", Incarnation: 1}}
+			for line := range lines {
+				pair := burner.Pair{Service: fmt.Sprintf("/team/services/s%04d", line%40), Organisation: fmt.Sprintf("/team/organisations/o%06d", line)}
+				for range 100 {
+					meter.Observe(time.Unix(1_800_000_000, 0), pair, true)
+				}
+			}
+			var data bytes.Buffer
+			for b.Loop() {
+				data.Reset()
+				if err := gob.NewEncoder(&data).Encode(persister.Handover{Records: meter.Records()}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(data.Len())/float64(lines), "bytes/line")
+		})
+	}
+}
+
+func BenchmarkCount(b *testing.B) {
+	fleet := newFleet("vm-01")
+	pair := burner.Pair{Service: "/team/services/s", Organisation: "/team/organisations/o"}
+	b.RunParallel(func(parallel *testing.PB) {
+		for parallel.Next() {
+			fleet.vms["vm-01"].Count(pair, true)
+		}
+	})
+}
--- a/operator/internal/commander/apply.go
+++ b/operator/internal/commander/apply.go
@@ -204,7 +204,8 @@
 	}
 	ctx, cancel := context.WithTimeout(commander.ctx, limit)
 	defer cancel()
-	report, err := commander.Waiter(platform).Wait(ctx, revision, commander.progress)
+	progress := &progress{commander: commander}
+	report, err := commander.Waiter(platform).Wait(ctx, revision, progress.print)
 	if err != nil {
 		_, _ = fmt.Fprintln(commander.Err, "operator: wait until in force:", err)
 	}
@@ -219,11 +220,30 @@
 // namesShown bounds the names on a line of progress.
 const namesShown = 5
 
-func (commander *Commander) progress(report Report) {
+// progressPeriod is how often an unchanged report is printed again.
+const progressPeriod = 5 * time.Second
+
+// progress prints reports that change, and others now and then.
+type progress struct {
+	commander *Commander
+	line      string
+	printed   time.Time
+}
+
+func (progress *progress) print(report Report) {
+	if report.InForce {
+		return
+	}
 	missing := strings.Join(report.Missing[:min(namesShown, len(report.Missing))], ", ")
 	if len(report.Missing) > namesShown {
 		missing += ", ..."
 	}
-	_, _ = fmt.Fprintf(commander.Err, "waiting for revision %d: confirmed by %d, missing %d: %s\n",
+	line := fmt.Sprintf("waiting for revision %d: confirmed by %d, missing %d: %s",
 		report.Revision, report.Confirmed, len(report.Missing), missing)
+	now := progress.commander.Now()
+	if line == progress.line && now.Sub(progress.printed) < progressPeriod {
+		return
+	}
+	progress.line, progress.printed = line, now
+	_, _ = fmt.Fprintln(progress.commander.Err, line)
 }
