--- a/entry/main.go
+++ b/entry/main.go
@@ -4,15 +4,19 @@
 // # Usage
 //
 //	entry --settings vm-01.ini
+//	entry --settings vm-01.ini --set stop.grace=10s
 //	entry --settings vm-01.ini --check
+//	entry --describe
 //
 // SIGTERM and SIGINT begin a planned stop.
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -21,6 +25,7 @@
 
 	"godwitramp.example/entry/internal/loader"
 	"godwitramp.example/entry/internal/starter"
+	"godwitramp.example/shell/certifier"
 	"godwitramp.example/shell/logger"
 )
 
@@ -34,65 +39,98 @@
 )
 
 type options struct {
-	Settings string `long:"settings" description:"file with the settings of this VM" value-name:"FILE"`
-	Check    bool   `long:"check" description:"check the settings and exit"`
-	Version  bool   `long:"version" description:"print the version and exit"`
+	Settings string   `long:"settings" description:"file with the settings of this VM" value-name:"FILE"`
+	Set      []string `long:"set" description:"a setting that wins over the file; may be given more than once" value-name:"SECTION.NAME=VALUE"`
+	Check    bool     `long:"check" description:"check the settings, files and certificates, and exit"`
+	Describe bool     `long:"describe" description:"print the settings as a table in Markdown and exit"`
+	Version  bool     `long:"version" description:"print the version and exit"`
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	program := program{out: os.Stdout, problems: os.Stderr}
+	os.Exit(program.run(ctx, os.Args[1:]))
+}
+
+// program is the command line over its output.
+type program struct {
+	out, problems io.Writer
+}
 
-func run(arguments []string) int {
+// complain writes one line.
+func (program *program) complain(parts ...any) {
+	_, _ = fmt.Fprintln(program.problems, append([]any{"entry:"}, parts...)...)
+}
+
+// say writes to the output.
+func (program *program) say(text string) { _, _ = fmt.Fprint(program.out, text) }
+
+func (program *program) run(ctx context.Context, arguments []string) int {
 	var options options
 	parser := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
 	_, err := parser.ParseArgs(arguments)
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
-		fmt.Println(err)
+		program.say(err.Error() + "\n")
 		return 0
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
+		program.complain(err)
 		return exitUsage
 	}
 	if options.Version {
-		fmt.Println("entry", version)
+		program.say("entry " + version + "\n")
+		return 0
+	}
+	if options.Describe {
+		program.say(loader.Page())
 		return 0
 	}
-	settings, ok := load(options.Settings)
+	settings, ok := program.load(options)
 	if !ok {
 		return exitUsage
 	}
 	if options.Check {
-		fmt.Println("settings are good")
-		return 0
+		return program.check(settings)
 	}
-	return serve(settings)
+	return program.serve(ctx, settings)
 }
 
-func load(file string) (loader.Settings, bool) {
-	if file == "" {
-		fmt.Fprintln(os.Stderr, "entry: --settings is missing; allowed: the path of an INI file")
-		return loader.Settings{}, false
-	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "entry: read settings:", err)
-		return loader.Settings{}, false
+func (program *program) load(options options) (loader.Settings, bool) {
+	var data []byte
+	if options.Settings != "" {
+		var err error
+		data, err = os.ReadFile(options.Settings)
+		if err != nil {
+			program.complain("read settings:", err)
+			return loader.Settings{}, false
+		}
 	}
-	settings, problems := loader.Load(file, data)
+	settings, problems := loader.Load(cmp.Or(options.Settings, "settings"), data, options.Set)
 	for _, problem := range problems {
-		fmt.Fprintln(os.Stderr, "entry:", problem)
+		program.complain(problem)
 	}
 	return settings, len(problems) == 0
 }
 
-func serve(settings loader.Settings) int {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	log := logger.New(os.Stderr, "entry", settings.Name)
-	starter := &starter.Starter{Settings: settings, Log: log}
+// check reports whether the program could start, as far as that can be told
+// without taking its ports.
+func (program *program) check(settings loader.Settings) int {
+	files := certifier.Files{Authority: settings.Authority, Certificate: settings.Certificate, Key: settings.Key}
+	if _, err := certifier.Load(files); err != nil {
+		program.complain("load certificates:", err)
+		return exitUsage
+	}
+	program.say("settings are good\n")
+	return 0
+}
+
+func (program *program) serve(ctx context.Context, settings loader.Settings) int {
+	log := logger.New(program.problems, "entry", settings.Name)
+	starter := &starter.Starter{Settings: settings, Version: version, Log: log}
 	if err := starter.Run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "entry:", err)
+		program.complain(err)
 		return exitFailed
 	}
 	return 0
