exchanger: send each request at most once

Cause: net/http's transport sends a request again when a kept connection turns out to be dead, for any method if it has an Idempotency-Key. Ruled out: a body that can't be replayed (a POST without a body is replayed all the same); httptrace (tells of the header's write to a buffer, not of bytes taken by the operating system); a connection for each request (1 ms each). After: each call writes to one connection once and tells exactly whether a byte was taken; a connection is used again only if nothing was left on it.

--- /dev/null
+++ b/entry/internal/exchanger/exchanger_test.go
@@ -0,0 +1,301 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/entry/internal/exchanger"
+)
+
+// script plays an upstream: it gets each connection with its number.
+type script func(number int, conn net.Conn)
+
+// dialer returns an exchanger whose connections are pipes to the script, and
+// the count of connections.
+func dialer(script script) (*exchanger.Exchanger, *int) {
+	number := new(int)
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		*number++
+		go script(*number, far)
+		return near, nil
+	}
+	return &exchanger.Exchanger{Dial: dial}, number
+}
+
+func request(method, body string) *http.Request {
+	request := &http.Request{Method: method, URL: &url.URL{Path: "/x"}, Host: "h", Header: http.Header{}}
+	if body != "" {
+		request.Body = io.NopCloser(strings.NewReader(body))
+		request.ContentLength = int64(len(body))
+	}
+	return request
+}
+
+// exchange does one call and returns the body of the answer.
+func exchange(ctx context.Context, exchanger *exchanger.Exchanger, request *http.Request) (string, error) {
+	return exchangeCall(ctx, exchanger, request, false)
+}
+
+func exchangeCall(
+	ctx context.Context, sender *exchanger.Exchanger, request *http.Request, freshOnly bool,
+) (string, error) {
+	answer, err := sender.Do(ctx, exchanger.Call{Address: "a", Request: request, FreshOnly: freshOnly})
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer.Response.Body)
+	return string(body), err
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// serve reads a request and returns false at the end of the connection.
+func serve(reader *bufio.Reader) bool {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
+func TestReusedConnectionNeverSendsTwice(t *testing.T) {
+	for _, key := range []string{"", "Idempotency-Key", "X-Idempotency-Key"} {
+		for _, method := range []string{"POST", "GET", "PUT"} {
+			for _, body := range []string{"", "job"} {
+				t.Run(method+" "+key+" "+body, func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						is := is.New(t)
+						runs := 0
+						sender, _ := dialer(func(_ int, conn net.Conn) {
+							defer func() { _ = conn.Close() }()
+							reader := bufio.NewReader(conn)
+							if serve(reader) {
+								_, _ = io.WriteString(conn, okAnswer)
+							}
+							if serve(reader) { // runs and closes without an answer
+								runs++
+							}
+						})
+						_, err := exchange(t.Context(), sender, request("GET", ""))
+						is.NoErr(err)
+						again := request(method, body)
+						if key != "" {
+							again.Header.Set(key, "1")
+						}
+						_, err = exchange(t.Context(), sender, again)
+						var failure *exchanger.Error
+						is.True(errors.As(err, &failure))
+						is.True(failure.Written)
+						synctest.Wait()
+						is.Equal(runs, 1)
+					})
+				})
+			}
+		}
+	}
+}
+
+func TestNothingWrittenIsToldExactly(t *testing.T) {
+	tests := []struct {
+		name    string
+		script  script
+		written bool
+	}{
+		{"closed before the request", func(_ int, conn net.Conn) { _ = conn.Close() }, false},
+		{"closed after one byte", func(_ int, conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 1))
+			_ = conn.Close()
+		}, true},
+		{"closed after the request", func(_ int, conn net.Conn) {
+			serve(bufio.NewReader(conn))
+			_ = conn.Close()
+		}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sender, _ := dialer(test.script)
+				_, err := exchange(t.Context(), sender, request("POST", "job"))
+				var failure *exchanger.Error
+				is.True(errors.As(err, &failure))
+				is.Equal(failure.Written, test.written)
+			})
+		})
+	}
+}
+
+func TestConnectionIsKeptOnlyWhenClean(t *testing.T) {
+	tests := []struct {
+		name        string
+		answer      string
+		connections int
+		err         bool
+	}{
+		{"whole answer", okAnswer, 1, false},
+		{"chunked answer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 1, false},
+		{"interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + okAnswer, 1, false},
+		{"bytes after the answer", okAnswer + "HTTP/1.1 200 OK\r\n\r\n", 2, false},
+		{"asks to close", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 2, false},
+		{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", 2, true},
+		{"cut chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", 2, true},
+		{"switches protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", 2, true},
+		{"endless interim answers", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 99), 2, true},
+		{"malformed", "HELLO\r\n\r\n", 2, true},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", 2, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				sender, connections := dialer(func(number int, conn net.Conn) {
+					defer func() { _ = conn.Close() }()
+					reader := bufio.NewReader(conn)
+					serve(reader)
+					if number > 1 {
+						_, _ = io.WriteString(conn, okAnswer)
+						return
+					}
+					_, _ = io.WriteString(conn, test.answer)
+					if !test.err && serve(reader) {
+						_, _ = io.WriteString(conn, okAnswer)
+					}
+				})
+				_, err := exchange(t.Context(), sender, request("GET", ""))
+				is.Equal(err != nil, test.err)
+				body, err := exchange(t.Context(), sender, request("GET", ""))
+				is.NoErr(err)
+				is.Equal(body, "ok")
+				is.Equal(*connections, test.connections)
+			})
+		})
+	}
+}
+
+func TestEndlessHeaderIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		total := 0
+		sender, _ := dialer(func(_ int, conn net.Conn) {
+			serve(bufio.NewReader(conn))
+			for n, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nA: "); err == nil && total < 1<<20; {
+				total += n
+				n, err = conn.Write(make([]byte, 1<<10))
+			}
+			_ = conn.Close()
+		})
+		_, err := exchange(t.Context(), sender, request("GET", ""))
+		is.True(err != nil)
+		synctest.Wait()
+		is.True(total < 300<<10)
+	})
+}
+
+// A cancelled request's answer must not reach the next request.
+func TestLateAnswerIsNeverSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sender, connections := dialer(func(number int, conn net.Conn) {
+			defer func() { _ = conn.Close() }()
+			serve(bufio.NewReader(conn))
+			if number == 1 {
+				time.Sleep(2 * time.Second)
+				_, _ = io.WriteString(conn, strings.Replace(okAnswer, "ok", "no", 1))
+			}
+			_, _ = io.WriteString(conn, okAnswer)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := exchange(ctx, sender, request("GET", ""))
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		body, err := exchange(t.Context(), sender, request("GET", ""))
+		is.NoErr(err)
+		is.Equal(body, "ok")
+		is.Equal(*connections, 2)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+func TestStreamedBody(t *testing.T) {
+	t.Run("answered before it was read", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			sender, _ := dialer(func(_ int, conn net.Conn) {
+				_, _ = http.ReadRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, okAnswer)
+			})
+			caller, feed := io.Pipe()
+			defer func() { _ = feed.Close() }()
+			slow := request("POST", "")
+			slow.Body, slow.ContentLength = caller, 1000
+			answer, err := sender.Do(t.Context(), exchanger.Call{
+				Address: "a", Request: slow, Streamed: true, StopBody: func() { _ = caller.Close() },
+			})
+			is.NoErr(err)
+			body, err := io.ReadAll(answer.Response.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "ok")
+			is.True(!answer.RequestSent())
+			answer.Close()
+		})
+	})
+	t.Run("caller breaks off", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			whole := true
+			sender, _ := dialer(func(_ int, conn net.Conn) { whole = serve(bufio.NewReader(conn)) })
+			caller, feed := io.Pipe()
+			broken := request("POST", "")
+			broken.Body, broken.ContentLength = caller, -1
+			broken.TransferEncoding = []string{"chunked"}
+			go func() {
+				_, _ = io.WriteString(feed, "half a booking")
+				_ = feed.CloseWithError(io.ErrUnexpectedEOF)
+			}()
+			_, err := sender.Do(t.Context(), exchanger.Call{Address: "a", Request: broken, Streamed: true})
+			is.True(err != nil)
+			synctest.Wait()
+			is.True(!whole) // the upstream can't take the half for the whole
+		})
+	})
+}
+
+// A connection that the upstream has closed meanwhile isn't used again.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	closed := make(chan struct{}, 2)
+	go func() {
+		for conn, err := listener.Accept(); err == nil; conn, err = listener.Accept() {
+			serve(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, okAnswer)
+			_ = conn.Close()
+			closed <- struct{}{}
+		}
+	}()
+	sender := &exchanger.Exchanger{}
+	for range 2 {
+		answer, err := sender.Do(t.Context(), exchanger.Call{Address: listener.Addr().String(), Request: request("POST", "job")})
+		is.NoErr(err)
+		_, err = io.ReadAll(answer.Response.Body)
+		is.NoErr(err)
+		answer.Close()
+		<-closed
+	}
+}
