retrier: bound retries by a budget

Cause: retries against upstreams that refuse all work multiply the load. Before: no retries. Conclusion: a tenth of the requests, with a burst of 10; silence is suspected after the mean plus four deviations, as in TCP's retransmission timer.

--- /dev/null
+++ b/core/retrier/retrier.go
@@ -0,0 +1,116 @@
+// Package retrier decides whether a request may be sent once more, when, and
+// how many such attempts the upstreams of a service have to bear.
+//
+// # Usage
+//
+//	budget := retrier.NewBudget()
+//	budget.Deposit() // once a request
+//	request := retrier.Request{Idempotent: true, Replayable: true}
+//	if request.MayRetry(attempt) && budget.Withdraw() {
+//		// Send it to another target.
+//	}
+package retrier
+
+import "time"
+
+const (
+	// retryRatio is the number of retries a request adds to the budget.
+	retryRatio = 0.1
+	// retryBurst is the largest budget.
+	retryBurst = 10
+	// MaxAttempts bounds the attempts of one request, those included that
+	// found no connection.
+	MaxAttempts = 4
+)
+
+// Budget bounds the retries of a service by its requests, so that upstreams
+// which refuse all work get at most a tenth more of it. It isn't safe for
+// concurrent use.
+type Budget struct {
+	tokens float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget { return &Budget{tokens: retryBurst} }
+
+// Deposit takes note of a request.
+func (budget *Budget) Deposit() { budget.tokens = min(retryBurst, budget.tokens+retryRatio) }
+
+// Withdraw reports whether a retry fits the budget, and takes it.
+func (budget *Budget) Withdraw() bool {
+	if budget.tokens < 1 {
+		return false
+	}
+	budget.tokens--
+	return true
+}
+
+// Request is what matters of a request for sending it again.
+type Request struct {
+	// Idempotent is true if the request may run more than once.
+	Idempotent bool
+	// Replayable is true if its body can be sent again.
+	Replayable bool
+}
+
+// Attempt says what became of an attempt at an upstream.
+type Attempt struct {
+	// Written is true unless no byte of the request was written.
+	Written bool
+	// SaidNotRun is true if the upstream said that it did not run the request.
+	SaidNotRun bool
+}
+
+// MayHaveRun reports whether the attempt may have run the request.
+func (attempt Attempt) MayHaveRun() bool { return attempt.Written && !attempt.SaidNotRun }
+
+// MayRetry reports whether another attempt can't run a request twice that must
+// run once, nor send a part of it for the whole.
+func (request Request) MayRetry(attempt Attempt) bool {
+	if attempt.MayHaveRun() && !request.Idempotent {
+		return false
+	}
+	return !attempt.Written || request.Replayable
+}
+
+const (
+	latencyWeight   = 1.0 / 16
+	deviationWeight = 1.0 / 8
+	deviations      = 4
+	warmUpAnswers   = 8
+	// shortestDelay keeps pauses of the scheduler from looking like silence.
+	shortestDelay = 20 * time.Millisecond
+)
+
+// Estimator tells from the latencies of a service how long an answer may take
+// before silence is likely, as TCP does for its retransmissions. It isn't safe
+// for concurrent use.
+type Estimator struct {
+	mean      float64
+	deviation float64
+	answers   int
+}
+
+// Observe takes note of a latency.
+func (estimator *Estimator) Observe(latency time.Duration) {
+	value := float64(latency)
+	estimator.answers++
+	if estimator.answers == 1 {
+		estimator.mean = value
+		estimator.deviation = value / 2
+		return
+	}
+	difference := value - estimator.mean
+	estimator.mean += latencyWeight * difference
+	estimator.deviation += deviationWeight * (max(difference, -difference) - estimator.deviation)
+}
+
+// Delay returns how long to wait before the same request is sent over another
+// connection: at most longest, and just that while too little is known.
+func (estimator *Estimator) Delay(longest time.Duration) time.Duration {
+	if estimator.answers < warmUpAnswers {
+		return longest
+	}
+	delay := time.Duration(estimator.mean + deviations*estimator.deviation)
+	return min(longest, max(shortestDelay, delay))
+}
