server: prove whole answers, hidden keys and clear refusals

Cause: the server had no test; CONNECT and OPTIONS * got an answer without an outcome, and an upstream's answer without Content-Type got a guessed one. Ruled out: tests over real sockets (their timing is not repeatable); all run over pipes with virtual time. Conclusion: limits of the callers' connections now stand in the server package.

--- a/entry/internal/forwarder/answer.go
+++ b/entry/internal/forwarder/answer.go
@@ -105,6 +105,9 @@
 	for name, values := range response.Header {
 		header[name] = values
 	}
+	if _, ok := header["Content-Type"]; !ok {
+		header["Content-Type"] = nil // keeps net/http from guessing one
+	}
 	if response.StatusCode == http.StatusNoContent {
 		header.Del("Content-Length")
 	}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	server := &server.Server{Tables: syncer, Forwarder: forwarder}
-//	http.Serve(listener, server.Handler())
+//	server.HTTP().Serve(listener)
 package server
 
 import (
@@ -60,6 +60,20 @@
 
 const defaultMaxBodyBytes = 1 << 30
 
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
+
+// HTTP returns the server of callers' connections, with its limits set.
+func (server *Server) HTTP() *http.Server {
+	return &http.Server{
+		Handler: server.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true,
+	}
+}
+
 // Handler returns the handler of all requests of callers.
 func (server *Server) Handler() http.Handler {
 	router := echo.New()
@@ -69,7 +83,8 @@
 		return nil
 	}
 	router.Any("/*", serve)
-	router.RouteNotFound("/*", serve) // methods that echo doesn't know
+	// Requests that echo finds no route for are refused as all others are.
+	router.HTTPErrorHandler = func(_ error, context echo.Context) { _ = serve(context) }
 	return router
 }
 
--- /dev/null
+++ b/entry/internal/server/server_test.go
@@ -0,0 +1,393 @@
+package server_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/parser"
+	"godwitramp.example/core/router"
+	"godwitramp.example/entry/internal/exchanger"
+	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/entry/internal/server"
+)
+
+const key = "kunds-key-1"
+
+// fixture is a server between scripted callers and a scripted upstream.
+type fixture struct {
+	server   *server.Server
+	callers  chan net.Conn
+	closed   chan struct{}
+	upstream func(conn net.Conn, reader *bufio.Reader)
+
+	mutex sync.Mutex
+	seen  bytes.Buffer
+	// forget keeps nothing of what the upstream reads.
+	forget bool
+}
+
+func table(t testing.TB) *configurator.Table {
+	t.Helper()
+	hash := sha256.Sum256([]byte(key))
+	var parser parser.Parser
+	parser.Add("a.ini", []byte(`
+[/a/organisations/o]
+rate = 1
+burst = 1
+[/a/organisations/o/keys/k]
+sha-256 = `+hex.EncodeToString(hash[:])+`
+[/a/services/s]
+timeout = 5s
+[/a/services/s/targets/t]
+address = 10.0.0.1:80
+region = r
+data-centre = r-1
+[/a/routes/r]
+prefix = /r
+service = s
+`))
+	entries, problems := parser.Finish()
+	is.New(t).Equal(len(problems), 0)
+	state := configurator.NewState()
+	is.New(t).NoErr(state.Apply(configurator.Change{Revision: 1, Team: "a", Puts: entries}))
+	compiled, _ := configurator.Compile(state.All())
+	return compiled
+}
+
+// tables gives one table and admits all.
+type tables struct{ table *configurator.Table }
+
+func (tables tables) Table() *configurator.Table                               { return tables.table }
+func (tables) KeysKnown() bool                                                 { return true }
+func (tables) Admit(*configurator.Organisation) (inside bool, _ time.Duration) { return true, 0 }
+func (tables) Done(router.Result, time.Duration)                               {}
+
+func (tables) Pick(ask router.Ask, _ *rand.Rand) (configurator.Target, bool) {
+	if len(ask.Tried) > 0 {
+		return configurator.Target{}, false
+	}
+	return ask.Service.Targets[0], true
+}
+
+// Accept, Close and Addr make the fixture a listener.
+func (fixture *fixture) Accept() (net.Conn, error) {
+	select {
+	case conn := <-fixture.callers:
+		return conn, nil
+	case <-fixture.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (fixture *fixture) Close() error   { return nil }
+func (fixture *fixture) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (fixture *fixture) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		fixture.upstream(far, bufio.NewReader(io.TeeReader(far, fixture)))
+	}()
+	return near, nil
+}
+
+// Write notes what the upstream has read.
+func (fixture *fixture) Write(data []byte) (int, error) {
+	fixture.mutex.Lock()
+	defer fixture.mutex.Unlock()
+	if fixture.forget {
+		return len(data), nil
+	}
+	return fixture.seen.Write(data)
+}
+
+func (fixture *fixture) sawUpstream() string {
+	fixture.mutex.Lock()
+	defer fixture.mutex.Unlock()
+	return fixture.seen.String()
+}
+
+// run serves in a bubble while the test runs.
+func run(t *testing.T, upstream func(net.Conn, *bufio.Reader), test func(is *is.I, fixture *fixture)) {
+	t.Helper()
+	compiled := table(t)
+	synctest.Test(t, func(t *testing.T) {
+		tables := tables{compiled}
+		fixture := &fixture{callers: make(chan net.Conn), closed: make(chan struct{}), upstream: upstream}
+		sender := &exchanger.Exchanger{Dial: fixture.dial}
+		fixture.server = &server.Server{
+			Tables: tables, Keys: tables, Limits: tables, Forwarder: &forwarder.Forwarder{Picker: tables, Exchanger: sender},
+			MaxBodyBytes: 1 << 30,
+		}
+		callers := fixture.server.HTTP()
+		go func() { _ = callers.Serve(fixture) }()
+		defer synctest.Wait()
+		defer sender.Close()
+		defer func() { _ = callers.Close() }()
+		defer close(fixture.closed)
+		test(is.New(t), fixture)
+	})
+}
+
+func (fixture *fixture) connect() net.Conn {
+	near, far := net.Pipe()
+	fixture.callers <- far
+	return near
+}
+
+// exchange sends raw bytes and returns the raw answer; the request must ask
+// for the connection to be closed.
+func (fixture *fixture) exchange(raw string) string {
+	conn := fixture.connect()
+	go func() { _, _ = io.WriteString(conn, raw) }()
+	answer, _ := io.ReadAll(conn)
+	_ = conn.Close()
+	return string(answer)
+}
+
+// ok answers requests until the connection ends.
+func ok(conn net.Conn, reader *bufio.Reader) {
+	script("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")(conn, reader)
+}
+
+func script(answer string) func(net.Conn, *bufio.Reader) {
+	return func(conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, answer); err != nil || !strings.Contains(answer, "200 OK\r\nContent-Length: 2") {
+				return
+			}
+		}
+	}
+}
+
+func get(path string, fields ...string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + strings.Join(append(fields, "\r\n"), "\r\n")
+}
+
+func TestUpstreamNeverSeesKey(t *testing.T) {
+	field := "X-Api-Key: " + key
+	for name, raw := range map[string]string{
+		"field":              get("/r", field),
+		"bearer":             get("/r", "Authorization: bearer  "+key),
+		"parameter":          get("/r?a=1&api-key=" + key + "&b=2"),
+		"encoded parameter":  get("/r?a=1;%61pi-key=%6bunds-key-1"),
+		"repeated":           get("/r?api-key="+key+"&api-key="+key, field, field),
+		"listed field":       get("/r", field, "Connection: x-api-key, x-copy", "X-Copy: "+key),
+		"cookie":             get("/r", field, "Cookie: k="+key),
+		"referer":            get("/r", field, "Referer: http://h/r?api-key=kunds%2Dkey-1"),
+		"own field":          get("/r", field, "Godwitramp-Organisation: "+key),
+		"absolute with user": get("http://u:"+key+"@h/r", field),
+		"trailer": "POST /r HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\nTrailer: X-Api-Key, X-Copy\r\n" +
+			field + "\r\n\r\n1\r\nb\r\n0\r\nX-Api-Key: " + key + "\r\nX-Copy: " + key + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, ok, func(is *is.I, fixture *fixture) {
+				is.True(strings.HasPrefix(fixture.exchange(raw), "HTTP/1.1 200 OK"))
+				is.True(strings.Contains(fixture.sawUpstream(), " /r"))
+				is.True(!strings.Contains(fixture.sawUpstream(), "key-1"))
+				is.True(!strings.Contains(fixture.sawUpstream(), "Connection"))
+			})
+		})
+	}
+}
+
+func TestClearRefusals(t *testing.T) {
+	field := "X-Api-Key: " + key
+	post := "POST /r HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + field + "\r\n"
+	tests := []struct{ raw, status, reason string }{
+		{get("/r/../r", field), "400", "path-not-clean"},
+		{get("/r/%2e%2E/x", field), "400", "path-not-clean"},
+		{get("/r%2fx", field), "400", "path-not-clean"},
+		{get("/r/%252e%252e/x", field), "400", "path-not-clean"},
+		{get("/r//x", field), "400", "path-not-clean"},
+		{get("/r/..;a=b/x", field), "400", "path-not-clean"},
+		{get("/r/%5c..", field), "400", "path-not-clean"},
+		{get("/r/%00", field), "400", "path-not-clean"},
+		{get("/r/"+key, field), "400", "key-in-path"},
+		{get("/r", field, "Authorization: Bearer another-key"), "400", "keys-differ"},
+		{get("/r?a=%zz", field), "400", "query-malformed"},
+		{get("/r", field, "Upgrade: websocket"), "501", "upgrade-not-served"},
+		{get("/r", "X-Api-Key: guess"), "401", "key-unknown"},
+		{get("/r", field, "Godwitramp-Deadline-Ms: soon"), "400", "deadline-malformed"},
+		{strings.Replace(get("/r", field), "GET", "TRACE", 1), "405", "method-not-allowed"},
+		{"CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\nConnection: close\r\n\r\n", "405", "method-not-allowed"},
+		{"OPTIONS * HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "400", "path-not-clean"},
+		{post + "Content-Length: 2000000000\r\n\r\n", "413", "body-too-large"},
+		{post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400", "body-malformed"},
+		{post + "Content-Length: 9\r\n\r\nslow", "408", "body-too-slow"},
+	}
+	for _, test := range tests {
+		t.Run(test.reason+" "+strings.Fields(test.raw)[1], func(t *testing.T) {
+			run(t, ok, func(is *is.I, fixture *fixture) {
+				answer := fixture.exchange(test.raw)
+				is.True(strings.HasPrefix(answer, "HTTP/1.1 "+test.status))
+				is.True(strings.Contains(answer, `"reason":"`+test.reason+`"`))
+				is.True(strings.Contains(answer, "Godwitramp-Outcome: not-run"))
+				is.Equal(fixture.sawUpstream(), "")
+			})
+		})
+	}
+}
+
+// A slow caller's body costs the upstream nothing, and others are served.
+func TestSlowCallerHarmsNobody(t *testing.T) {
+	run(t, ok, func(is *is.I, fixture *fixture) {
+		slow := fixture.connect()
+		defer func() { _ = slow.Close() }()
+		_, _ = io.WriteString(slow, "POST /r HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\nX-Api-Key: "+key+"\r\n\r\ns")
+		header := fixture.connect()
+		defer func() { _ = header.Close() }()
+		_, _ = io.WriteString(header, "GET /r HT")
+		synctest.Wait()
+		is.Equal(fixture.sawUpstream(), "")
+		is.True(strings.HasPrefix(fixture.exchange(get("/r", "X-Api-Key: "+key)), "HTTP/1.1 200 OK"))
+	})
+}
+
+func TestWholeAnswers(t *testing.T) {
+	field := "X-Api-Key: " + key
+	long := strings.Repeat("x", 100_000)
+	tests := []struct {
+		name, method, answer string
+		body                 string
+		cut                  bool
+	}{
+		{"interim answers", "GET", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 201 X\r\nContent-Length: 2\r\n\r\nok", "ok", false},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", "", false},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", "", false},
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", "", false},
+		{"until the end", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", "ok", false},
+		{"long", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + long, long, false},
+		{"long and cut", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 100001\r\n\r\n" + long, "", true},
+		{"chunks and cut", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", "", true},
+		{"chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: X-Hop\r\nX-Hop: 1\r\n" +
+			"Godwitramp-Outcome: not-run\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\n\r\n", "ok", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, script(test.answer), func(is *is.I, fixture *fixture) {
+				raw := fixture.exchange(strings.Replace(get("/r", field), "GET", test.method, 1))
+				request := &http.Request{Method: test.method}
+				answer, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), request)
+				is.NoErr(err)
+				body, err := io.ReadAll(answer.Body)
+				is.Equal(err != nil, test.cut)
+				if !test.cut {
+					is.Equal(string(body), test.body)
+				}
+				is.Equal(answer.Header.Get("X-Hop"), "")
+				is.Equal(answer.Header.Get(forwarder.OutcomeHeader), "") // a forged one
+				if test.name == "chunks" {
+					is.Equal(answer.Trailer.Get("X-Sum"), "7")
+				}
+				if test.method == "HEAD" {
+					is.Equal(answer.ContentLength, int64(100000))
+				}
+			})
+		})
+	}
+}
+
+// The upstream's early answer reaches a caller that hasn't sent its body.
+func TestEarlyAnswer(t *testing.T) {
+	upstream := func(conn net.Conn, reader *bufio.Reader) {
+		_, _ = http.ReadRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+		_, _ = reader.WriteTo(io.Discard)
+	}
+	run(t, upstream, func(is *is.I, fixture *fixture) {
+		head := "POST /r HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 900000\r\nX-Api-Key: " + key + "\r\n\r\n"
+		answer := fixture.exchange(head + strings.Repeat("x", 70_000))
+		is.True(strings.HasPrefix(answer, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 413 "))
+		is.True(strings.Contains(answer, "Connection: close"))
+		is.True(strings.HasSuffix(answer, "\r\n\r\nno"))
+		is.True(!strings.Contains(fixture.sawUpstream(), "Expect"))
+	})
+}
+
+// A caller that breaks off in its body never makes a shorter one.
+func TestBrokenBodyIsNotPassedForWhole(t *testing.T) {
+	whole := make(chan bool, 1)
+	upstream := func(_ net.Conn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err == nil {
+			_, err = io.Copy(io.Discard, request.Body)
+		}
+		whole <- err == nil
+	}
+	run(t, upstream, func(is *is.I, fixture *fixture) {
+		conn := fixture.connect()
+		_, _ = io.WriteString(conn, "POST /r HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX-Api-Key: "+key+"\r\n\r\n")
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", 70_000, strings.Repeat("x", 70_000))
+		_ = conn.Close()
+		is.True(!<-whole)
+	})
+}
+
+// Bodies of both directions pass in bounded memory.
+func TestLargeBodiesAreStreamed(t *testing.T) {
+	const size = 64 << 20
+	const bound = 16 << 20
+	upstream := func(conn net.Conn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		n, _ := io.Copy(io.Discard, request.Body)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", n)
+		_, _ = io.CopyN(conn, zeros{}, n)
+	}
+	run(t, upstream, func(is *is.I, fixture *fixture) {
+		fixture.forget = true
+		conn := fixture.connect()
+		go func() {
+			_, _ = fmt.Fprintf(conn, "POST /r HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\nX-Api-Key: %s\r\n\r\n", size, key)
+			_, _ = io.CopyN(conn, zeros{}, size)
+		}()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		n, err := io.Copy(io.Discard, conn)
+		runtime.ReadMemStats(&after)
+		is.NoErr(err)
+		is.True(n > size)
+		is.True(after.TotalAlloc-before.TotalAlloc < bound)
+	})
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(data []byte) (int, error) { return len(data), nil }
+
+func TestLeavingClosesConnectionsWithNotice(t *testing.T) {
+	run(t, ok, func(is *is.I, fixture *fixture) {
+		fixture.server.Leaving = func() bool { return true }
+		raw := strings.Replace(get("/r", "X-Api-Key: "+key), "Connection: close\r\n", "", 1)
+		answer := fixture.exchange(raw) // ends only if the server closes
+		is.True(strings.HasPrefix(answer, "HTTP/1.1 200 OK"))
+		is.True(strings.Contains(answer, "Connection: close"))
+	})
+}
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -34,11 +34,7 @@
 	"godwitramp.example/shell/recorder"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 32 << 10
-)
+const readHeaderTimeout = 5 * time.Second
 
 // Starter runs one VM.
 type Starter struct {
@@ -144,9 +140,7 @@
 		},
 		Log: starter.Log, Leaving: starter.leaving.Load,
 	}
-	return &http.Server{
-		Handler: server.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+	return server.HTTP()
 }
 
 // operators answers health checks and metrics.
