--- /dev/null
+++ b/core/guard/guard.go
@@ -0,0 +1,189 @@
+// Package guard decides whether a VM can know of withdrawn keys.
+//
+// A VM that hears no store can't tell an outage for all from its own
+// isolation. The guard collects evidence about the store, the VM's own and
+// that of other VMs, and trusts keys only while the evidence is fresh:
+//
+//   - a read of the head that is not newer than the VM's own revision, or
+//   - silence: VMs beside the store, in at least two data centres, that get no
+//     answer and hold no newer revision.
+//
+// Evidence travels with its age. A VM takes the age to be the stated one plus
+// the time since it sent the request that brought the evidence, so that an age
+// never falls short and no clocks need to agree.
+//
+// # Usage
+//
+//	guard := &guard.Guard{}
+//	guard.Read(sent, now, head)         // the store answered this VM
+//	guard.Hear(sent, now, evidence)     // a peer answered
+//	guard.Advance(revision)             // a revision is in force
+//	known := guard.KeysKnown(now)
+package guard
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"godwitramp.example/core/timekeeper"
+)
+
+const (
+	// DefaultLimit is the age up to which evidence counts.
+	DefaultLimit = 3 * time.Second
+	// quietDataCentres is the number of data centres whose VMs must find the store
+	// silent.
+	quietDataCentres = 2
+	// keepFactor times the limit is how long old evidence is passed on.
+	keepFactor = 2
+)
+
+// Silence says that a VM beside the store gets no answer from it.
+type Silence struct {
+	DataCentre string
+	// Revision is the newest that the VM knows.
+	Revision uint64
+	Age      time.Duration
+}
+
+// Evidence is what a VM tells others about the store.
+type Evidence struct {
+	// Head is the newest recorded revision as of HeadAge ago; 0 if nothing is
+	// known.
+	Head     uint64
+	HeadAge  time.Duration
+	Silences []Silence
+}
+
+// silence is a Silence as of an instant on this VM's clocks.
+type silence struct {
+	dataCentre string
+	revision   uint64
+	asOf       timekeeper.Reading
+}
+
+// Guard holds the evidence of one VM. It isn't safe for concurrent use.
+type Guard struct {
+	// Limit is the age up to which evidence counts; DefaultLimit if zero.
+	Limit time.Duration
+
+	revision uint64
+	head     uint64
+	// headKnown is false until the first read of the head.
+	headKnown bool
+	headAsOf  timekeeper.Reading
+	// currentAsOf is when the VM's revision was last known to be the head.
+	currentAsOf timekeeper.Reading
+	current     bool
+	silences    []silence
+}
+
+func (guard *Guard) limit() time.Duration {
+	if guard.Limit > 0 {
+		return guard.Limit
+	}
+	return DefaultLimit
+}
+
+// Read adds the VM's own read of the head, sent at an instant and answered by
+// now.
+func (guard *Guard) Read(sent, now timekeeper.Reading, head uint64) {
+	guard.addHead(sent, now, head)
+}
+
+// Hear adds the evidence in a peer's answer to a request sent at an instant.
+func (guard *Guard) Hear(sent, now timekeeper.Reading, evidence Evidence) {
+	if evidence.HeadAge >= 0 && evidence.Head > 0 {
+		guard.addHead(sent.Add(-evidence.HeadAge), now, evidence.Head)
+	}
+	for _, heard := range evidence.Silences {
+		if heard.Age >= 0 {
+			guard.addSilence(now, silence{heard.DataCentre, heard.Revision, sent.Add(-heard.Age)})
+		}
+	}
+}
+
+// Silent adds that this VM, which stands beside the store in a data centre,
+// gets no answer.
+func (guard *Guard) Silent(now timekeeper.Reading, dataCentre string) {
+	guard.addSilence(now, silence{dataCentre, max(guard.revision, guard.head), now})
+}
+
+// Advance says which revision is in force on this VM.
+func (guard *Guard) Advance(revision uint64) {
+	guard.revision = max(guard.revision, revision)
+	guard.settle()
+}
+
+// addHead merges a read of the head. The head only rises, so that the higher
+// of two heads was read after the lower one and is at least as fresh.
+func (guard *Guard) addHead(asOf, now timekeeper.Reading, head uint64) {
+	if !guard.headKnown || now.Longest(asOf) < now.Longest(guard.headAsOf) {
+		guard.headAsOf = asOf
+	}
+	guard.head = max(guard.head, head)
+	guard.headKnown = true
+	guard.settle()
+}
+
+func (guard *Guard) settle() {
+	if guard.headKnown && guard.head <= guard.revision {
+		guard.currentAsOf = guard.headAsOf
+		guard.current = true
+	}
+}
+
+// addSilence keeps the youngest silence of each data centre. A silence that
+// knows a newer revision counts as knowledge of that revision.
+func (guard *Guard) addSilence(now timekeeper.Reading, heard silence) {
+	if heard.revision > guard.head {
+		guard.head = heard.revision
+	}
+	i := slices.IndexFunc(guard.silences, func(known silence) bool { return known.dataCentre == heard.dataCentre })
+	if i < 0 {
+		guard.silences = append(guard.silences, heard)
+		return
+	}
+	known := &guard.silences[i]
+	known.revision = max(known.revision, heard.revision)
+	if now.Longest(heard.asOf) < now.Longest(known.asOf) {
+		known.asOf = heard.asOf
+	}
+}
+
+// KeysKnown reports whether the VM's revision holds every withdrawal but for
+// those of the last moments.
+func (guard *Guard) KeysKnown(now timekeeper.Reading) bool {
+	if guard.current && now.Longest(guard.currentAsOf) <= guard.limit() {
+		return true
+	}
+	return guard.head <= guard.revision && guard.quiet(now)
+}
+
+// quiet reports whether the store is silent in enough data centres.
+func (guard *Guard) quiet(now timekeeper.Reading) bool {
+	fresh := 0
+	for _, known := range guard.silences {
+		if known.revision <= guard.revision && now.Longest(known.asOf) <= guard.limit() {
+			fresh++
+		}
+	}
+	return fresh >= quietDataCentres
+}
+
+// Evidence returns what other VMs may be told now.
+func (guard *Guard) Evidence(now timekeeper.Reading) Evidence {
+	var evidence Evidence
+	keep := keepFactor * guard.limit()
+	if guard.headKnown && now.Longest(guard.headAsOf) <= keep {
+		evidence.Head = guard.head
+		evidence.HeadAge = now.Longest(guard.headAsOf)
+	}
+	guard.silences = slices.DeleteFunc(guard.silences, func(known silence) bool { return now.Longest(known.asOf) > keep })
+	for _, known := range guard.silences {
+		evidence.Silences = append(evidence.Silences, Silence{known.dataCentre, known.revision, now.Longest(known.asOf)})
+	}
+	slices.SortFunc(evidence.Silences, func(a, b Silence) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+	return evidence
+}
