configurator: make the next table from the last one

Cause: each change rebuilt the whole table, and of two routes with one prefix a random one counted, so that VMs could differ at the same revision. Ruled out: a persistent hash trie (an indirection on each look-up for no need: one change a quarter of a minute); locks around one mutable map (a request must see one revision throughout). References are resolved at look-up, so that an entry counts as soon as what it refers to exists. Of twins the smallest path counts.

--- a/core/configurator/table.go
+++ b/core/configurator/table.go
@@ -1,19 +1,25 @@
 package configurator
 
 import (
-	"fmt"
 	"iter"
 	"strings"
 )
 
 // Table is the decoded configuration, made for look-ups on the request path.
-// It never changes once it has been compiled.
+// It never changes; Update makes the next one.
+//
+// An entry whose reference leads nowhere is left out until the entry that it
+// refers to exists. Of several keys with one hash, or routes with one prefix,
+// the one with the smallest path counts.
 type Table struct {
-	organisations map[Path]*Organisation
-	keys          map[KeyHash]*Key
-	services      map[Path]*ServiceTargets
-	routes        map[string]*Route
-	budgets       map[RegionPair][]*Budget
+	organisations shards[Path, *Organisation]
+	keys          shards[KeyHash, []*Key]
+	services      shards[Path, *Service]
+	targets       shards[Path, []Target]
+	// joined holds each service together with its targets.
+	joined  shards[Path, *ServiceTargets]
+	routes  shards[string, []*Route]
+	budgets shards[RegionPair, []*Budget]
 }
 
 // RegionPair is a direction between two regions.
@@ -21,7 +27,7 @@
 	From, To string
 }
 
-// ServiceTargets is a service with its targets.
+// ServiceTargets is a service with its targets, sorted by path.
 type ServiceTargets struct {
 	Service
 	Targets []Target
@@ -30,141 +36,91 @@
 // Compile decodes the entries and checks the references between them. It
 // returns every problem; the table leaves out what has one.
 func Compile(entries iter.Seq[Entry]) (*Table, []*Problem) {
-	var items Items
-	var problems []*Problem
+	edit := new(Table).edit()
 	for entry := range entries {
-		problems = append(problems, items.Decode(entry)...)
+		edit.put(entry)
 	}
-	table := &Table{
-		organisations: make(map[Path]*Organisation, len(items.Organisations)),
-		keys:          make(map[KeyHash]*Key, len(items.Keys)),
-		services:      make(map[Path]*ServiceTargets, len(items.Services)),
-		routes:        make(map[string]*Route, len(items.Routes)),
-		budgets:       make(map[RegionPair][]*Budget, len(items.Budgets)),
-	}
-	problems = append(problems, table.addOwners(&items)...)
-	problems = append(problems, table.addKeys(items.Keys)...)
-	problems = append(problems, table.addTargets(items.Targets)...)
-	problems = append(problems, table.addRoutes(items.Routes)...)
+	table := edit.done()
+	problems := append(edit.problems, table.references()...)
+	sortProblems(problems)
 	return table, problems
 }
 
-// addOwners adds the items that refer to nothing else.
-func (table *Table) addOwners(items *Items) []*Problem {
-	for i := range items.Organisations {
-		table.organisations[items.Organisations[i].Path] = &items.Organisations[i]
+// Update returns the table after a change. The state must be the one that the
+// table was made from, without the change. The problems are those of the
+// entries that the change puts, references not included.
+func (table *Table) Update(state *State, change Change) (*Table, []*Problem) {
+	edit := table.edit()
+	for _, path := range change.Deletes {
+		edit.remove(state, path)
 	}
-	for _, service := range items.Services {
-		table.services[service.Path] = &ServiceTargets{Service: service}
+	for _, entry := range change.Puts {
+		edit.remove(state, entry.Path)
 	}
-	for i := range items.Budgets {
-		budget := &items.Budgets[i]
-		pair := RegionPair{From: budget.From, To: budget.To}
-		table.budgets[pair] = append(table.budgets[pair], budget)
+	for _, entry := range lastPuts(change.Puts) {
+		edit.put(entry)
 	}
-	return nil
+	sortProblems(edit.problems)
+	return edit.done(), edit.problems
 }
 
-func (table *Table) addKeys(keys []Key) []*Problem {
-	var problems []*Problem
-	for i, key := range keys {
-		if table.organisations[key.Organisation] == nil {
-			problems = append(problems, missing(key.Path, "organisation", key.Organisation))
-			continue
-		}
-		if twin := table.keys[key.Hash]; twin != nil {
-			message := fmt.Sprintf("has the same hash as %s", twin.Path)
-			problems = append(problems, &Problem{Path: key.Path, Field: "sha-256", Message: message})
-			continue
-		}
-		table.keys[key.Hash] = &keys[i]
-	}
-	return problems
-}
-
-func (table *Table) addTargets(targets []Target) []*Problem {
-	var problems []*Problem
-	for _, target := range targets {
-		service := table.services[target.Service]
-		if service == nil {
-			problems = append(problems, missing(target.Path, "service", target.Service))
-			continue
-		}
-		service.Targets = append(service.Targets, target)
-	}
-	return problems
+// Organisation returns the organisation at the path, or nil.
+func (table *Table) Organisation(path Path) *Organisation {
+	organisation, _ := table.organisations.get(path)
+	return organisation
 }
 
-func (table *Table) addRoutes(routes []Route) []*Problem {
-	var problems []*Problem
-	for i, route := range routes {
-		if table.services[route.Service] == nil {
-			problems = append(problems, missing(route.Path, "service", route.Service))
-			continue
-		}
-		if twin := table.routes[route.Prefix]; twin != nil {
-			message := fmt.Sprintf("is the prefix of %s too", twin.Path)
-			problems = append(problems, &Problem{Path: route.Path, Field: "prefix", Value: route.Prefix, Message: message})
-			continue
-		}
-		for _, organisation := range route.Organisations {
-			if table.organisations[organisation] == nil {
-				problems = append(problems, missing(route.Path, "organisations", organisation))
-			}
+// Key returns the key with the given hash, or nil.
+func (table *Table) Key(hash KeyHash) *Key {
+	twins, _ := table.keys.get(hash)
+	for _, key := range twins {
+		if table.Organisation(key.Organisation) != nil {
+			return key
 		}
-		table.routes[route.Prefix] = &routes[i]
 	}
-	return problems
-}
-
-func missing(path Path, field string, referred Path) *Problem {
-	return &Problem{Path: path, Field: field, Value: string(referred), Message: "refers to an entry that does not exist"}
+	return nil
 }
 
-// Organisation returns the organisation at the path, or nil.
-func (table *Table) Organisation(path Path) *Organisation { return table.organisations[path] }
-
-// Key returns the key with the given hash, or nil.
-func (table *Table) Key(hash KeyHash) *Key { return table.keys[hash] }
-
 // Service returns the service at the path with its targets, or nil.
-func (table *Table) Service(path Path) *ServiceTargets { return table.services[path] }
+func (table *Table) Service(path Path) *ServiceTargets {
+	service, _ := table.joined.get(path)
+	return service
+}
 
 // Services returns all services in no order.
-func (table *Table) Services() iter.Seq[*ServiceTargets] {
-	return func(yield func(*ServiceTargets) bool) {
-		for _, service := range table.services {
-			if !yield(service) {
-				return
-			}
-		}
-	}
-}
+func (table *Table) Services() iter.Seq[*ServiceTargets] { return table.joined.values() }
 
 // Organisations returns all organisations in no order.
-func (table *Table) Organisations() iter.Seq[*Organisation] {
-	return func(yield func(*Organisation) bool) {
-		for _, organisation := range table.organisations {
-			if !yield(organisation) {
-				return
-			}
-		}
-	}
-}
+func (table *Table) Organisations() iter.Seq[*Organisation] { return table.organisations.values() }
 
-// Budgets returns the budgets for traffic from one region to another.
-func (table *Table) Budgets(pair RegionPair) []*Budget { return table.budgets[pair] }
+// Budgets returns the budgets for traffic from one region to another, sorted
+// by path.
+func (table *Table) Budgets(pair RegionPair) []*Budget {
+	budgets, _ := table.budgets.get(pair)
+	return budgets
+}
 
 // Route returns the route with the longest prefix that the request's path
 // lies in, or nil.
 func (table *Table) Route(requestPath string) *Route {
 	for prefix := requestPath; len(prefix) > 1; {
-		if route := table.routes[prefix]; route != nil {
+		if route := table.routeOf(prefix); route != nil {
 			return route
 		}
 		prefix = prefix[:max(0, strings.LastIndexByte(prefix, '/'))]
 	}
-	return table.routes["/"]
+	return table.routeOf("/")
+}
+
+// routeOf returns the route with exactly this prefix, or nil.
+func (table *Table) routeOf(prefix string) *Route {
+	twins, _ := table.routes.get(prefix)
+	for _, route := range twins {
+		if table.Service(route.Service) != nil {
+			return route
+		}
+	}
+	return nil
 }
 
 // MayUse reports whether the organisation may use the route.
