--- a/shell/recorder/recorder.go
+++ b/shell/recorder/recorder.go
@@ -6,6 +6,10 @@
 // When the answer is lost, the recorder reads the change back by its ID and
 // never writes twice.
 //
+// Now and then a snapshot goes to the object store, and changes far enough
+// before the older of the two newest snapshots are deleted. A snapshot that is
+// damaged or missing is passed over for the older one.
+//
 // # Usage
 //
 //	recorder := &recorder.Recorder{Platform: client}
@@ -33,8 +37,6 @@
 type Head struct {
 	Revision uint64
 	ChangeID string
-	// Snapshot is the newest revision whose snapshot is in the object store.
-	Snapshot uint64
 	version  uint64
 }
 
@@ -85,6 +87,8 @@
 // Recorder reads and writes the configuration's rows.
 type Recorder struct {
 	Platform connector.Platform
+	// OnDamage, if set, hears of snapshots that could not be used.
+	OnDamage func(revision uint64, cause error)
 }
 
 // Head reads the newest revision.
@@ -124,20 +128,69 @@
 	return change, row.Version > 0, err
 }
 
+// MissingChangeError says that a change is not on record.
+type MissingChangeError struct {
+	Revision uint64
+}
+
+// Error names the revision.
+func (err *MissingChangeError) Error() string {
+	return fmt.Sprintf("the change that makes revision %d is not on record", err.Revision)
+}
+
 // Changes reads the recorded changes after the given revision, in order, at
 // most limit of them.
 func (recorder *Recorder) Changes(ctx context.Context, after, head uint64, limit int) ([]configurator.Change, error) {
 	var changes []configurator.Change
-	for revision := after + 1; revision <= head && len(changes) < limit; revision++ {
-		change, ok, err := recorder.Change(ctx, revision)
+	for next := after + 1; next <= head && len(changes) < limit; {
+		batch, err := recorder.batch(ctx, next, head)
 		if err != nil {
 			return changes, err
 		}
-		if !ok {
-			return changes, fmt.Errorf("change of revision %d is missing below head %d", revision, head)
+		changes = append(changes, batch...)
+		next += uint64(len(batch))
+	}
+	return changes[:min(len(changes), limit)], nil
+}
+
+const (
+	// changesPerScan is how many changes share all but the last digits of
+	// their key.
+	changesPerScan = 100
+	scanDigits     = 2
+	// changesByRow is up to how many changes are read one by one.
+	changesByRow = 4
+)
+
+// batch reads one or more changes from the given revision on.
+func (recorder *Recorder) batch(ctx context.Context, from, head uint64) ([]configurator.Change, error) {
+	if head-from < changesByRow {
+		change, ok, err := recorder.Change(ctx, from)
+		if err == nil && !ok {
+			err = &MissingChangeError{Revision: from}
+		}
+		return []configurator.Change{change}, err
+	}
+	key := changeKey(from)
+	rows, err := recorder.Platform.Scan(ctx, key[:len(key)-scanDigits], changesPerScan)
+	if err != nil {
+		return nil, fmt.Errorf("read changes from revision %d: %w", from, err)
+	}
+	var changes []configurator.Change
+	for _, row := range rows {
+		next := from + uint64(len(changes))
+		if row.Key != changeKey(next) || next > head {
+			continue
+		}
+		var change configurator.Change
+		if err := json.Unmarshal(row.Value, &change); err != nil {
+			return nil, fmt.Errorf("decode row %q: %w", row.Key, err)
 		}
 		changes = append(changes, change)
 	}
+	if len(changes) == 0 {
+		return nil, &MissingChangeError{Revision: from}
+	}
 	return changes, nil
 }
 
@@ -165,7 +218,7 @@
 }
 
 func recordTransaction(head Head, team TeamVersion, change configurator.Change) (connector.Transaction, error) {
-	next := Head{Revision: change.Revision, ChangeID: change.ID, Snapshot: head.Snapshot}
+	next := Head{Revision: change.Revision, ChangeID: change.ID}
 	transaction := connector.Transaction{
 		ID: change.ID,
 		Conditions: []connector.Condition{
@@ -226,15 +279,32 @@
 	if err != nil {
 		return nil, head, err
 	}
-	state := configurator.NewState()
-	changes, err := recorder.Changes(ctx, 0, head.Revision, int(head.Revision))
+	state, err := recorder.start(ctx)
 	if err != nil {
 		return nil, head, err
 	}
+	for state.Revision < head.Revision {
+		if err := recorder.advance(ctx, state, head.Revision); err != nil {
+			return nil, head, err
+		}
+	}
+	if state.Revision > head.Revision {
+		return nil, head, &HeadMovedError{Revision: head.Revision}
+	}
+	return state, head, nil
+}
+
+const changesPerAdvance = 256
+
+func (recorder *Recorder) advance(ctx context.Context, state *configurator.State, head uint64) error {
+	changes, err := recorder.Changes(ctx, state.Revision, head, changesPerAdvance)
+	if err != nil {
+		return err
+	}
 	for _, change := range changes {
 		if err := state.Apply(change); err != nil {
-			return nil, head, fmt.Errorf("apply recorded change %s: %w", change.ID, err)
+			return fmt.Errorf("apply recorded change %s: %w", change.ID, err)
 		}
 	}
-	return state, head, nil
+	return nil
 }
