--- a/core/configurator/configurator.go
+++ b/core/configurator/configurator.go
@@ -167,6 +167,11 @@
 	return nil
 }
 
+// Clone returns a copy that changes on its own.
+func (state *State) Clone() *State {
+	return &State{Revision: state.Revision, Digest: state.Digest, entries: maps.Clone(state.entries)}
+}
+
 // Snapshot returns the whole state, its entries sorted by path.
 func (state *State) Snapshot() Snapshot {
 	snapshot := Snapshot{Revision: state.Revision, Digest: state.Digest}
--- a/core/confirmer/confirmer.go
+++ b/core/confirmer/confirmer.go
@@ -50,11 +50,13 @@
 	return &Confirmer{newest: make(map[string]Confirmation), changed: make(map[string]bool)}
 }
 
-// Merge adds confirmations and marks those that are news.
+// Merge adds confirmations and marks those that are not older than the known
+// ones: a VM that says the same again does so because a VM on the way may have
+// been lost.
 func (confirmer *Confirmer) Merge(confirmations []Confirmation) {
 	for _, confirmation := range confirmations {
 		known, ok := confirmer.newest[confirmation.VM]
-		if ok && !confirmation.after(known) {
+		if ok && known.after(confirmation) {
 			continue
 		}
 		confirmer.newest[confirmation.VM] = confirmation
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -39,27 +39,27 @@
 	keepFactor = 2
 )
 
-// Silence says that a VM beside the store gets no answer from it.
+// Silence says that VMs beside the store in a data centre get no answer from
+// it.
 type Silence struct {
 	DataCentre string
-	// Revision is the newest that the VM knows.
-	Revision uint64
-	Age      time.Duration
+	Age        time.Duration
 }
 
 // Evidence is what a VM tells others about the store.
 type Evidence struct {
-	// Head is the newest recorded revision as of HeadAge ago; 0 if nothing is
-	// known.
-	Head     uint64
-	HeadAge  time.Duration
-	Silences []Silence
+	// Newest is the newest revision that the VM has heard of. It covers every
+	// revision known to the VMs whose silence is passed on.
+	Newest uint64
+	// HeadKnown is true if no newer revision was recorded as of HeadAge ago.
+	HeadKnown bool
+	HeadAge   time.Duration
+	Silences  []Silence
 }
 
 // silence is a Silence as of an instant on this VM's clocks.
 type silence struct {
 	dataCentre string
-	revision   uint64
 	asOf       timekeeper.Reading
 }
 
@@ -69,13 +69,14 @@
 	Limit time.Duration
 
 	revision uint64
-	head     uint64
-	// headKnown is false until the first read of the head.
+	// newest is the newest revision that the VM has heard of.
+	newest uint64
+	// headAsOf is when newest was last known to be the head.
 	headKnown bool
 	headAsOf  timekeeper.Reading
 	// currentAsOf is when the VM's revision was last known to be the head.
-	currentAsOf timekeeper.Reading
 	current     bool
+	currentAsOf timekeeper.Reading
 	silences    []silence
 }
 
@@ -94,12 +95,13 @@
 
 // Hear adds the evidence in a peer's answer to a request sent at an instant.
 func (guard *Guard) Hear(sent, now timekeeper.Reading, evidence Evidence) {
-	if evidence.HeadAge >= 0 && evidence.Head > 0 {
-		guard.addHead(sent.Add(-evidence.HeadAge), now, evidence.Head)
+	guard.newest = max(guard.newest, evidence.Newest)
+	if evidence.HeadKnown && evidence.HeadAge >= 0 {
+		guard.addHead(sent.Add(-evidence.HeadAge), now, evidence.Newest)
 	}
 	for _, heard := range evidence.Silences {
 		if heard.Age >= 0 {
-			guard.addSilence(now, silence{heard.DataCentre, heard.Revision, sent.Add(-heard.Age)})
+			guard.addSilence(now, silence{heard.DataCentre, sent.Add(-heard.Age)})
 		}
 	}
 }
@@ -107,12 +109,13 @@
 // Silent adds that this VM, which stands beside the store in a data centre,
 // gets no answer.
 func (guard *Guard) Silent(now timekeeper.Reading, dataCentre string) {
-	guard.addSilence(now, silence{dataCentre, max(guard.revision, guard.head), now})
+	guard.addSilence(now, silence{dataCentre, now})
 }
 
 // Advance says which revision is in force on this VM.
 func (guard *Guard) Advance(revision uint64) {
 	guard.revision = max(guard.revision, revision)
+	guard.newest = max(guard.newest, revision)
 	guard.settle()
 }
 
@@ -122,33 +125,27 @@
 	if !guard.headKnown || now.Longest(asOf) < now.Longest(guard.headAsOf) {
 		guard.headAsOf = asOf
 	}
-	guard.head = max(guard.head, head)
+	guard.newest = max(guard.newest, head)
 	guard.headKnown = true
 	guard.settle()
 }
 
 func (guard *Guard) settle() {
-	if guard.headKnown && guard.head <= guard.revision {
-		guard.currentAsOf = guard.headAsOf
+	if guard.headKnown && guard.newest <= guard.revision {
 		guard.current = true
+		guard.currentAsOf = guard.headAsOf
 	}
 }
 
-// addSilence keeps the youngest silence of each data centre. A silence that
-// knows a newer revision counts as knowledge of that revision.
+// addSilence keeps the youngest silence of each data centre.
 func (guard *Guard) addSilence(now timekeeper.Reading, heard silence) {
-	if heard.revision > guard.head {
-		guard.head = heard.revision
-	}
 	i := slices.IndexFunc(guard.silences, func(known silence) bool { return known.dataCentre == heard.dataCentre })
 	if i < 0 {
 		guard.silences = append(guard.silences, heard)
 		return
 	}
-	known := &guard.silences[i]
-	known.revision = max(known.revision, heard.revision)
-	if now.Longest(heard.asOf) < now.Longest(known.asOf) {
-		known.asOf = heard.asOf
+	if now.Longest(heard.asOf) < now.Longest(guard.silences[i].asOf) {
+		guard.silences[i] = heard
 	}
 }
 
@@ -158,14 +155,14 @@
 	if guard.current && now.Longest(guard.currentAsOf) <= guard.limit() {
 		return true
 	}
-	return guard.head <= guard.revision && guard.quiet(now)
+	return guard.newest <= guard.revision && guard.quiet(now)
 }
 
 // quiet reports whether the store is silent in enough data centres.
 func (guard *Guard) quiet(now timekeeper.Reading) bool {
 	fresh := 0
 	for _, known := range guard.silences {
-		if known.revision <= guard.revision && now.Longest(known.asOf) <= guard.limit() {
+		if now.Longest(known.asOf) <= guard.limit() {
 			fresh++
 		}
 	}
@@ -174,15 +171,15 @@
 
 // Evidence returns what other VMs may be told now.
 func (guard *Guard) Evidence(now timekeeper.Reading) Evidence {
-	var evidence Evidence
+	evidence := Evidence{Newest: guard.newest}
 	keep := keepFactor * guard.limit()
 	if guard.headKnown && now.Longest(guard.headAsOf) <= keep {
-		evidence.Head = guard.head
+		evidence.HeadKnown = true
 		evidence.HeadAge = now.Longest(guard.headAsOf)
 	}
 	guard.silences = slices.DeleteFunc(guard.silences, func(known silence) bool { return now.Longest(known.asOf) > keep })
 	for _, known := range guard.silences {
-		evidence.Silences = append(evidence.Silences, Silence{known.dataCentre, known.revision, now.Longest(known.asOf)})
+		evidence.Silences = append(evidence.Silences, Silence{known.dataCentre, now.Longest(known.asOf)})
 	}
 	slices.SortFunc(evidence.Silences, func(a, b Silence) int { return strings.Compare(a.DataCentre, b.DataCentre) })
 	return evidence
