starter: run the membership and say when a VM leaves

Cause: shares, configuration and evidence need the live VMs in the running program; a planned stop was noticed only as a silence. Ruled out: saying so before requests are finished (the VM still borrows and hears of withdrawals until then). Before: a stopped VM stayed listed until its suspicion ran out (4 s).

--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -181,11 +181,16 @@
 	watcher.neighbours = neighbours(usable, watcher.self.Peer)
 }
 
+// Neighbours returns the VMs that this VM calls in each period.
+func (watcher *Watcher) Neighbours() []Peer {
+	watcher.refresh()
+	return slices.Clone(watcher.neighbours)
+}
+
 // Targets returns the VMs to call in this period: the neighbours, and now and
 // then one VM that is not known alive.
 func (watcher *Watcher) Targets(now time.Duration, random *rand.Rand) []Peer {
-	watcher.refresh()
-	targets := slices.Clone(watcher.neighbours)
+	targets := watcher.Neighbours()
 	if len(targets) > 0 && now-watcher.lastProbe < probePeriod {
 		return targets
 	}
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -43,6 +43,8 @@
 	watcher *watcher.Watcher
 	started time.Time
 	once    sync.Once
+	// lastLive is the number of live VMs in the last round; Run's alone.
+	lastLive int
 }
 
 func (gossiper *Gossiper) init() {
@@ -91,9 +93,19 @@
 	return peers
 }
 
-// Leave tells the fleet that this VM stops; Run's next calls spread it.
-func (gossiper *Gossiper) Leave() {
-	gossiper.locked(func(core *watcher.Watcher, _ time.Duration) { core.Leave() })
+// Leave tells the neighbours that this VM stops. It returns when they have
+// answered or the context ends.
+func (gossiper *Gossiper) Leave(ctx context.Context) {
+	var targets []watcher.Peer
+	gossiper.locked(func(core *watcher.Watcher, now time.Duration) {
+		core.Leave()
+		targets = core.Neighbours()
+	})
+	var group sync.WaitGroup
+	for _, target := range targets {
+		group.Go(func() { gossiper.call(ctx, target) })
+	}
+	group.Wait()
 }
 
 // Service has the methods that other VMs call.
@@ -134,7 +146,6 @@
 // round calls this period's targets side by side.
 func (gossiper *Gossiper) round(ctx context.Context, random *rand.Rand, group *sync.WaitGroup) {
 	var targets []watcher.Peer
-	before := len(gossiper.Live())
 	gossiper.locked(func(core *watcher.Watcher, now time.Duration) {
 		core.Tick(now)
 		targets = core.Targets(now, random)
@@ -142,8 +153,9 @@
 	for _, target := range targets {
 		group.Go(func() { gossiper.call(ctx, target) })
 	}
-	if after := len(gossiper.Live()); after != before {
-		gossiper.Log.WithFields(logrus.Fields{"before": before, "after": after}).Info("live-vms-changed")
+	if live := len(gossiper.Live()); live != gossiper.lastLive {
+		gossiper.Log.WithFields(logrus.Fields{"before": gossiper.lastLive, "after": live}).Info("live-vms-changed")
+		gossiper.lastLive = live
 	}
 }
 
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -65,7 +65,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
-	second.Leave()
+	second.Leave(t.Context())
 	for len(first.Live()) != 1 {
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/entry/internal/loader/loader.go
+++ b/entry/internal/loader/loader.go
@@ -27,6 +27,10 @@
 	Peers     string
 	Operators string
 
+	// Seeds are peers' addresses to call while the platform's list of VMs is
+	// away.
+	Seeds []string
+
 	// Platform is the address of the platform.
 	Platform string
 	// BesideStore is true on VMs in the data centre of the table service.
@@ -76,6 +80,9 @@
 		func(s *Settings, v string) error { return setAddress(&s.Peers, v) }},
 	{"listen", "operators", "", true, allowedAddress, "Address for health checks and metrics.",
 		func(s *Settings, v string) error { return setAddress(&s.Operators, v) }},
+	{"peers", "seeds", "", false, "addresses separated by commas",
+		"Addresses of other VMs, for a start while the platform's list of VMs is away.",
+		func(s *Settings, v string) error { return setAddresses(&s.Seeds, v) }},
 	{"platform", "address", "", true, "a URL such as http://127.0.0.1:6000", "Address of the platform.",
 		func(s *Settings, v string) error { return setURL(&s.Platform, v) }},
 	{"platform", "beside-store", "no", false, "yes, no", "Whether the VM stands in the data centre of the table service.",
@@ -108,6 +115,22 @@
 	return nil
 }
 
+func setAddresses(target *[]string, value string) error {
+	var addresses []string
+	for part := range strings.SplitSeq(value, ",") {
+		part = strings.TrimSpace(part)
+		if part == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(part); err != nil {
+			return fmt.Errorf("contains %q, which is not an address: %w", part, err)
+		}
+		addresses = append(addresses, part)
+	}
+	*target = addresses
+	return nil
+}
+
 func setURL(target *string, value string) error {
 	parsed, err := url.Parse(value)
 	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -25,6 +25,7 @@
 	"godwitramp.example/core/router"
 	"godwitramp.example/entry/internal/exchanger"
 	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/entry/internal/gossiper"
 	"godwitramp.example/entry/internal/loader"
 	"godwitramp.example/entry/internal/server"
 	"godwitramp.example/entry/internal/syncer"
@@ -44,8 +45,9 @@
 	Version string
 	Log     *logrus.Entry
 
-	leaving atomic.Bool
-	syncer  *syncer.Syncer
+	leaving  atomic.Bool
+	syncer   *syncer.Syncer
+	gossiper *gossiper.Gossiper
 }
 
 // listeners are the sockets of a VM.
@@ -96,7 +98,14 @@
 	platform := &connector.Client{Base: settings.Platform}
 	starter.syncer = &syncer.Syncer{Recorder: &recorder.Recorder{Platform: platform}, Log: starter.Log}
 	group.Go(func() { _ = starter.syncer.Run(work) })
+	calls := &caller.Caller{TLS: tls}
+	defer calls.Close()
 	services := rpc.NewServer()
+	starter.gossiper = starter.membership(calls, platform)
+	if err := services.RegisterName("Members", starter.gossiper.Service()); err != nil {
+		return fmt.Errorf("register membership: %w", err)
+	}
+	group.Go(func() { _ = starter.gossiper.Run(work) })
 	if err := services.Register(&describer.Describer{Source: starter.status}); err != nil {
 		return fmt.Errorf("register status: %w", err)
 	}
@@ -133,6 +142,7 @@
 	if err := callers.Shutdown(limit); err != nil {
 		return fmt.Errorf("finish requests: %w", err)
 	}
+	starter.gossiper.Leave(limit)
 	starter.Log.Info("stopped")
 	return nil
 }
