--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -18,23 +18,57 @@
 	retryRatio = 0.1
 	// retryBurst is the largest budget.
 	retryBurst = 10
-	// MaxAttempts bounds the attempts of one request, those included that
-	// found no connection.
+	// retriesPerGood is the number of retries after refusals for want of
+	// capacity that a good answer adds to their budget.
+	retriesPerGood = 4
+	shedBurst      = 50
+	// MaxAttempts bounds the attempts of one request in a row, those included
+	// that found no connection.
 	MaxAttempts = 4
+	// ShedPause is the mean wait before a request is sent again that all tried
+	// targets refused for want of capacity.
+	ShedPause = 10 * time.Millisecond
+	// longestPatience bounds the wait for capacity.
+	longestPatience = time.Second
 )
 
+// Patience returns how long a request may wait for capacity, so that it is
+// given up long before its deadline.
+func Patience(timeout time.Duration) time.Duration { return min(longestPatience, timeout/4) }
+
 // Budget bounds the retries of a service by its requests, so that upstreams
-// which refuse all work get at most a tenth more of it. It isn't safe for
-// concurrent use.
+// which fail get at most a tenth more work. Refusals for want of capacity cost
+// them little; retries after those are bounded by the good answers too, so that
+// upstreams which refuse everything get no more than failing ones. It isn't
+// safe for concurrent use.
 type Budget struct {
-	tokens float64
+	tokens     float64
+	shedTokens float64
 }
 
-// NewBudget returns a full budget.
-func NewBudget() *Budget { return &Budget{tokens: retryBurst} }
+// NewBudget returns a budget for the first retries.
+func NewBudget() *Budget { return &Budget{tokens: retryBurst, shedTokens: retryBurst} }
 
 // Deposit takes note of a request.
-func (budget *Budget) Deposit() { budget.tokens = min(retryBurst, budget.tokens+retryRatio) }
+func (budget *Budget) Deposit() {
+	budget.tokens = min(retryBurst, budget.tokens+retryRatio)
+	budget.shedTokens = min(shedBurst, budget.shedTokens+retryRatio)
+}
+
+// DepositGood takes note of a good answer.
+func (budget *Budget) DepositGood() {
+	budget.shedTokens = min(shedBurst, budget.shedTokens+retriesPerGood)
+}
+
+// WithdrawShed reports whether a retry after a refusal for want of capacity
+// fits the budget, and takes it.
+func (budget *Budget) WithdrawShed() bool {
+	if budget.shedTokens < 1 {
+		return false
+	}
+	budget.shedTokens--
+	return true
+}
 
 // Withdraw reports whether a retry fits the budget, and takes it.
 func (budget *Budget) Withdraw() bool {
--- a/core/retrier/retrier_test.go
+++ b/core/retrier/retrier_test.go
@@ -22,7 +22,7 @@
 			for tries := 1; ; tries++ {
 				attempts++
 				again := tries < retrier.MaxAttempts && request.MayRetry(retrier.Attempt{Written: true, SaidNotRun: true})
-				if !again || budgeted && !budget.Withdraw() {
+				if !again || budgeted && !budget.WithdrawShed() {
 					break
 				}
 			}
--- a/entry/internal/forwarder/answer.go
+++ b/entry/internal/forwarder/answer.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"godwitramp.example/core/queuer"
 	"godwitramp.example/core/router"
 )
 
@@ -72,22 +73,25 @@
 		return
 	}
 	response := leg.answer.Response
-	run.writeHead(leg, verdict)
 	run.record.Target = leg.target.Path
 	run.record.Status = response.StatusCode
 	if held != nil {
+		run.writeHead(leg, verdict)
 		leg.answer.Close()
 		run.done(leg, verdict)
+		run.leave(loadOf(verdict))
 		_, err := run.writer.Write(held.buffer.Bytes())
 		run.record.Whole = err == nil || errors.Is(err, http.ErrBodyNotAllowed)
 		return
 	}
+	run.writeHead(leg, verdict)
 	err := run.stream(response)
 	leg.answer.Close()
 	if err != nil {
 		verdict.kind = run.brokenAnswer(leg)
 	}
 	run.done(leg, verdict)
+	run.leave(loadOf(verdict))
 	if err != nil {
 		run.report()
 		run.body.stop()
@@ -97,6 +101,18 @@
 	copyTrailer(run.writer.Header(), response.Trailer)
 }
 
+// loadOf tells what an answer says of the upstreams' load.
+func loadOf(verdict verdict) queuer.Load {
+	switch verdict.kind {
+	case router.Good:
+		return queuer.Good
+	case router.Shed:
+		return queuer.Shed
+	default:
+		return queuer.Unknown
+	}
+}
+
 func (run *run) writeHead(leg *leg, verdict verdict) {
 	response := leg.answer.Response
 	removeHopByHop(response.Header)
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -42,6 +42,8 @@
 	crossed
 	broken
 	busy // runs the request all the same
+	shedTwice
+	slow
 )
 
 // fleet plays upstreams and the picker that picks them in turn.
@@ -56,6 +58,8 @@
 }
 
 func (fleet *fleet) Pick(ask router.Ask, _ *rand.Rand) (configurator.Target, bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	for _, target := range ask.Service.Targets {
 		if !slices.Contains(ask.Tried, target.Path) {
 			fleet.picked++
@@ -66,6 +70,8 @@
 }
 
 func (fleet *fleet) Done(result router.Result, _ time.Duration) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
 	fleet.results = append(fleet.results, result)
 }
 
@@ -75,7 +81,7 @@
 	}}
 	for i := range fleet.faults {
 		service.Targets = append(service.Targets, configurator.Target{
-			Path: configurator.Path(fmt.Sprintf("/a/services/s/targets/%d", i)), Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.1:%d", i+1)),
+			Path: configurator.Path(fmt.Sprintf("/a/services/s/targets/%d", i)), Address: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.1:%d", i+1)), Slots: 4,
 		})
 	}
 	return service
@@ -112,6 +118,10 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		if fault == shedTwice && fleet.bytes <= 2 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nGodwitramp-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		if fault != shed {
 			fleet.note(request, 0)
 		}
@@ -138,6 +148,8 @@
 	case shed:
 		_, err := io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nGodwitramp-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
+	case slow:
+		time.Sleep(300 * time.Millisecond)
 	case busy:
 		_, err := io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
@@ -295,6 +307,56 @@
 	})
 }
 
+// A request that was refused for want of capacity waits a little for some.
+func TestRequestWaitsForCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{shedTwice}}
+		answer := fleet.forward(t, fleet.forwarder(), httptest.NewRequest("POST", "/x", strings.NewReader("booking")))
+		is.Equal(answer.StatusCode, 200)
+		is.Equal(fleet.runs, 1)
+	})
+}
+
+// One organisation fills the queue of a service; another is served next.
+func TestFullQueueHarmsOnlyItsOrganisation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{slow}}
+		service := fleet.service()
+		service.Targets[0].Slots = 1
+		sender := fleet.forwarder()
+		defer sender.Exchanger.Close()
+		start := time.Now()
+		var group sync.WaitGroup
+		send := func(organisation configurator.Path) (*httptest.ResponseRecorder, *time.Duration) {
+			recorder, took := httptest.NewRecorder(), new(time.Duration)
+			group.Go(func() {
+				sender.Forward(recorder, httptest.NewRequest("POST", "/x", nil), forwarder.Job{
+					Service: service, Organisation: &configurator.Organisation{Path: organisation},
+				})
+				*took = time.Since(start)
+			})
+			synctest.Wait()
+			return recorder, took
+		}
+		for range 9 { // one in progress and eight that wait
+			send("/a/organisations/large")
+		}
+		refused, at := send("/a/organisations/large")
+		is.Equal(refused.Code, 503)
+		is.Equal(refused.Header().Get(forwarder.OutcomeHeader), "not-run")
+		is.Equal(refused.Header().Get("Retry-After"), "1")
+		is.Equal(*at, time.Duration(0))
+		small, took := send("/a/organisations/small")
+		group.Wait()
+		is.Equal(small.Code, 200)
+		is.Equal(*took, 600*time.Millisecond)
+		is.Equal(fleet.runs, 4) // the others waited for a second in vain
+		is.Equal(time.Since(start), 1200*time.Millisecond)
+	})
+}
+
 // An idempotent request behind a connection that went silent is sent over a
 // new one, and the target isn't blamed.
 func TestSilentConnectionIsReplaced(t *testing.T) {
--- a/entry/internal/forwarder/run.go
+++ b/entry/internal/forwarder/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/queuer"
 	"godwitramp.example/core/retrier"
 	"godwitramp.example/core/router"
 	"godwitramp.example/entry/internal/exchanger"
@@ -23,6 +24,8 @@
 	started   time.Time
 
 	service *service
+	ticket  queuer.Ticket
+	left    bool
 	body    requestBody
 	header  http.Header
 	policy  retrier.Request
@@ -30,6 +33,8 @@
 	// tried targets get the request no more.
 	tried    []configurator.Path
 	attempts int
+	// round counts the attempts since the last pause.
+	round int
 	// freshOnly is set once a kept connection was lost.
 	freshOnly bool
 	// mayHaveRun is true once an attempt may have run the request.
@@ -42,12 +47,16 @@
 	run.header = outgoingHeader(run.request, run.job)
 	run.policy = retrier.Request{Idempotent: idempotent(run.request.Method, run.job.Route), Replayable: !run.body.streamed()}
 	delay := run.service.begin(run.job.Service.ObjectiveLatency)
-	leg := run.start()
-	if leg == nil {
-		run.refuse(http.StatusServiceUnavailable, NotRun, "no-target", "no target of the service can take the request", time.Second)
+	if !run.enter() {
 		return
 	}
+	defer run.leave(queuer.Unknown)
+	leg := run.start()
 	for {
+		if leg == nil {
+			run.refuse(http.StatusServiceUnavailable, run.outcome(), "no-target", "no target of the service can take the request", time.Second)
+			return
+		}
 		leg = run.await(leg, delay)
 		verdict := leg.judge(run.request.Context())
 		if leg.err != nil && run.body.err != nil {
@@ -60,6 +69,11 @@
 		run.mayHaveRun = run.mayHaveRun || verdict.attempt.MayHaveRun()
 		next := run.next(leg, verdict)
 		if next == nil {
+			var paused bool
+			if next, paused = run.afterPause(leg, verdict, held); paused {
+				leg = next
+				continue
+			}
 			run.end(leg, verdict, held)
 			return
 		}
@@ -107,6 +121,7 @@
 
 func (run *run) newLeg(target configurator.Target) *leg {
 	run.attempts++
+	run.round++
 	ctx, cancel := context.WithCancel(run.ctx)
 	return &leg{
 		target: target, id: fmt.Sprintf("%s-%d", run.job.RequestID, run.attempts), ctx: ctx, cancel: cancel,
@@ -119,7 +134,7 @@
 	if verdict.kind == router.Good || verdict.kind == router.Cancelled || run.ctx.Err() != nil {
 		return nil
 	}
-	if run.attempts >= retrier.MaxAttempts || !run.policy.MayRetry(verdict.attempt) {
+	if run.round >= retrier.MaxAttempts || !run.policy.MayRetry(verdict.attempt) {
 		return nil
 	}
 	if verdict.kind == router.ConnectionLost && !verdict.fresh {
@@ -131,7 +146,7 @@
 	if !ok {
 		return nil
 	}
-	if verdict.attempt.Written && !run.service.withdraw() {
+	if verdict.attempt.Written && !run.service.withdraw(verdict) {
 		run.forwarder.Picker.Done(router.Result{Target: target.Path, Kind: router.Cancelled}, sinceStart())
 		return nil
 	}
@@ -165,7 +180,7 @@
 
 // hedge returns a second attempt beside the first, or nil.
 func (run *run) hedge(first *leg) *leg {
-	if run.attempts >= retrier.MaxAttempts || run.ctx.Err() != nil || !run.service.withdraw() {
+	if run.round >= retrier.MaxAttempts || run.ctx.Err() != nil || !run.service.withdraw(verdict{}) {
 		return nil
 	}
 	run.freshOnly = true
--- a/entry/internal/forwarder/services.go
+++ b/entry/internal/forwarder/services.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/queuer"
 	"godwitramp.example/core/retrier"
+	"godwitramp.example/core/router"
 )
 
 // services holds what is known of each service.
@@ -14,11 +16,14 @@
 	byPath map[configurator.Path]*service
 }
 
-// service is the retry budget and the usual latency of a service.
+// service is the retry budget, the usual latency and the queue of a service.
 type service struct {
 	mutex     sync.Mutex
 	budget    *retrier.Budget
 	estimator retrier.Estimator
+	queue     *queuer.Queue
+	// targets are those that the queue knows the slots of.
+	targets *configurator.ServiceTargets
 }
 
 func (services *services) get(path configurator.Path) *service {
@@ -34,7 +39,7 @@
 		services.byPath = make(map[configurator.Path]*service)
 	}
 	if services.byPath[path] == nil {
-		services.byPath[path] = &service{budget: retrier.NewBudget()}
+		services.byPath[path] = &service{budget: retrier.NewBudget(), queue: queuer.New(0)}
 	}
 	return services.byPath[path]
 }
@@ -48,9 +53,13 @@
 	return service.estimator.Delay(longest)
 }
 
-func (service *service) withdraw() bool {
+// withdraw reports whether a retry after the verdict fits the budget.
+func (service *service) withdraw(verdict verdict) bool {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
+	if verdict.kind == router.Shed && verdict.attempt.SaidNotRun {
+		return service.budget.WithdrawShed()
+	}
 	return service.budget.Withdraw()
 }
 
@@ -58,4 +67,40 @@
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 	service.estimator.Observe(latency)
+	service.budget.DepositGood()
+}
+
+// enter takes the ticket in, for a service with the given targets.
+func (service *service) enter(ticket *queuer.Ticket, targets *configurator.ServiceTargets) queuer.Verdict {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.targets != targets {
+		service.targets = targets
+		slots := 0
+		for _, target := range targets.Targets {
+			slots += target.Slots
+		}
+		service.queue.SetSlots(slots)
+	}
+	return service.queue.Enter(ticket)
+}
+
+func (service *service) leave(ticket *queuer.Ticket, load queuer.Load) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	for _, next := range service.queue.Leave(ticket, load) {
+		next.Start()
+	}
+}
+
+func (service *service) abandon(ticket *queuer.Ticket) bool {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.queue.Abandon(ticket)
+}
+
+func (service *service) learn(load queuer.Load) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.queue.Learn(load)
 }
