server: bound connections and mark every refusal

Cause: net/http refuses malformed requests by itself, without an outcome, and nothing bounded the connections of callers. Ruled out: a proxy protocol of our own before net/http; matching its answers by their whole text (it differs by release). What is written while no request is in the handler's hands can only be such an answer. Before, by seeded mistakes: no mark '0 != 1' (TestMalformedRequestsGetAnOutcome); mark on every answer 'not true: !strings.Contains(answer, OutcomeHeader)'; no bound 'not true: strings.HasPrefix(answer, HTTP/1.1 503)'; place not given back likewise.

--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	server := &server.Server{Tables: syncer, Forwarder: forwarder}
-//	server.HTTP().Serve(listener)
+//	server.HTTP().Serve(&server.Listener{Listener: listener})
 package server
 
 import (
@@ -66,11 +66,13 @@
 	maxHeaderBytes    = 32 << 10
 )
 
-// HTTP returns the server of callers' connections, with its limits set.
+// HTTP returns the server of callers' connections, with its limits set. It
+// should serve a Listener.
 func (server *Server) HTTP() *http.Server {
 	return &http.Server{
 		Handler: server.Handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true,
+		ConnContext: withConn, ConnState: stateChanged,
 	}
 }
 
@@ -89,6 +91,7 @@
 }
 
 func (server *Server) serve(writer http.ResponseWriter, request *http.Request) {
+	handling(request.Context())
 	id := rand.Text()
 	writer.Header().Set(VMHeader, server.VM)
 	writer.Header().Set(forwarder.RequestIDHeader, id)
--- a/entry/internal/server/server_test.go
+++ b/entry/internal/server/server_test.go
@@ -28,7 +28,10 @@
 	"godwitramp.example/entry/internal/server"
 )
 
-const key = "kunds-key-1"
+const (
+	key            = "kunds-key-1"
+	maxConnections = 3
+)
 
 // fixture is a server between scripted callers and a scripted upstream.
 type fixture struct {
@@ -136,7 +139,7 @@
 			MaxBodyBytes: 1 << 30,
 		}
 		callers := fixture.server.HTTP()
-		go func() { _ = callers.Serve(fixture) }()
+		go func() { _ = callers.Serve(&server.Listener{Listener: fixture, Max: maxConnections}) }()
 		defer synctest.Wait()
 		defer sender.Close()
 		defer func() { _ = callers.Close() }()
@@ -311,6 +314,53 @@
 	}
 }
 
+// Requests that net/http refuses by itself get an outcome too, and what looks
+// like such a refusal in an upstream's answer is left alone.
+func TestMalformedRequestsGetAnOutcome(t *testing.T) {
+	for _, raw := range []string{
+		"HELLO\r\n\r\n",
+		"GET /r HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("a", 64<<10) + "\r\n\r\n",
+		"GET /r HTTP/1.1\r\n\r\n",
+		"POST /r HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+		"POST /r HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n",
+		"POST /r HTTP/1.1\r\nHost: h\r\nConnection: close\r\nExpect: tea\r\n\r\n",
+	} {
+		run(t, ok, func(is *is.I, fixture *fixture) {
+			answer := fixture.exchange(raw)
+			is.True(strings.HasPrefix(answer, "HTTP/1.1 4") || strings.HasPrefix(answer, "HTTP/1.1 501"))
+			is.Equal(strings.Count(answer, "Godwitramp-Outcome: not-run\r\n"), 1)
+			is.Equal(fixture.sawUpstream(), "")
+		})
+	}
+	look := "HTTP/1.1 400 Bad Request\r\n\r\n"
+	body := strings.Repeat(look, 4000)
+	run(t, script(fmt.Sprintf("HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s", len(body), body)), func(is *is.I, fixture *fixture) {
+		answer := fixture.exchange(get("/r", "X-Api-Key: "+key))
+		is.True(strings.HasSuffix(answer, "\r\n\r\n"+body))
+		is.True(!strings.Contains(answer, forwarder.OutcomeHeader))
+	})
+}
+
+func TestConnectionsBeyondTheBoundAreRefused(t *testing.T) {
+	run(t, ok, func(is *is.I, fixture *fixture) {
+		var open []net.Conn
+		for range maxConnections {
+			open = append(open, fixture.connect())
+		}
+		answer, err := io.ReadAll(fixture.connect())
+		is.NoErr(err)
+		is.True(strings.HasPrefix(string(answer), "HTTP/1.1 503"))
+		is.True(strings.Contains(string(answer), "Godwitramp-Outcome: not-run\r\nRetry-After: 1\r\n"))
+		is.True(strings.HasSuffix(string(answer), `{"outcome":"not-run","reason":"too-many-connections","message":"the VM has too many connections"}`+"\n"))
+		_ = open[0].Close()
+		synctest.Wait()
+		is.True(strings.HasPrefix(fixture.exchange(get("/r", "X-Api-Key: "+key)), "HTTP/1.1 200 OK"))
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+	})
+}
+
 // The upstream's early answer reaches a caller that hasn't sent its body.
 func TestEarlyAnswer(t *testing.T) {
 	upstream := func(conn net.Conn, reader *bufio.Reader) {
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -99,7 +99,7 @@
 	callers := starter.callers()
 	operators := &http.Server{Handler: starter.operators(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
-	group.Go(func() { failed <- callers.Serve(listeners.callers) })
+	group.Go(func() { failed <- callers.Serve(&server.Listener{Listener: listeners.callers}) })
 	group.Go(func() { failed <- operators.Serve(listeners.operators) })
 	starter.Log.WithField("callers", settings.Callers).Info("serving")
 	select {
