forwarder: replace many silent connections at once, shorten deadlines

Cause: when more connections went silent together than the retry budget allows, the rest waited for the whole timeout; the deadline passed on was read before the connection was made; idle connections to removed targets stayed open. Ruled out: no budget for second attempts (a slow service would get twice its load). Conclusion: the worst wait of an idempotent request is bounded by the second attempt's delay, a few rounds of it when many go silent.

--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -60,6 +60,10 @@
 	budget.shedTokens = min(shedBurst, budget.shedTokens+retriesPerGood)
 }
 
+// Refund gives back the token of a retry that found the first attempt's
+// connection silent, so that many which went silent at once are all replaced.
+func (budget *Budget) Refund() { budget.tokens = min(retryBurst, budget.tokens+1) }
+
 // WithdrawShed reports whether a retry after a refusal for want of capacity
 // fits the budget, and takes it.
 func (budget *Budget) WithdrawShed() bool {
--- a/entry/internal/exchanger/connection.go
+++ b/entry/internal/exchanger/connection.go
@@ -21,6 +21,8 @@
 // below every buffer.
 type connection struct {
 	net.Conn
+	// raw is nil if the operating system's connection can't be reached.
+	raw     syscall.RawConn
 	address string
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -42,6 +44,9 @@
 	connection := &connection{Conn: raw, address: address, fresh: true, readBudget: unlimited}
 	connection.reader = bufio.NewReaderSize(connection, bufferBytes)
 	connection.writer = bufio.NewWriterSize(connection, bufferBytes)
+	if source, ok := raw.(syscall.Conn); ok {
+		connection.raw, _ = source.SyscallConn() // fails only if closed, as all that follows will
+	}
 	return connection
 }
 
@@ -90,16 +95,11 @@
 	if connection.reader.Buffered() > 0 {
 		return false
 	}
-	source, ok := connection.Conn.(syscall.Conn)
-	if !ok {
+	if connection.raw == nil {
 		return true
 	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return false
-	}
 	var peekErr error
-	err = raw.Read(func(descriptor uintptr) bool {
+	err := connection.raw.Read(func(descriptor uintptr) bool {
 		var one [1]byte
 		_, _, peekErr = syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -14,6 +14,7 @@
 // # Usage
 //
 //	exchanger := &exchanger.Exchanger{}
+//	go exchanger.Run(ctx)
 //	answer, err := exchanger.Do(ctx, exchanger.Call{Address: "10.0.0.1:80", Request: request})
 //	if err != nil {
 //		// An *exchanger.Error.
@@ -55,6 +56,22 @@
 	closed bool
 }
 
+// Run closes connections that were idle for too long, and all idle ones when
+// the context ends.
+func (exchanger *Exchanger) Run(ctx context.Context) error {
+	ticker := time.NewTicker(exchanger.idleTimeout())
+	defer ticker.Stop()
+	defer exchanger.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			exchanger.sweep()
+		}
+	}
+}
+
 func (exchanger *Exchanger) dialTimeout() time.Duration {
 	return orDefault(exchanger.DialTimeout, defaultDialTimeout)
 }
--- a/entry/internal/exchanger/exchanger_test.go
+++ b/entry/internal/exchanger/exchanger_test.go
@@ -274,6 +274,32 @@
 	})
 }
 
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ended := 0
+		sender, _ := dialer(func(_ int, conn net.Conn) {
+			reader := bufio.NewReader(conn)
+			for serve(reader) {
+				_, _ = io.WriteString(conn, okAnswer)
+			}
+			ended++
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = sender.Run(ctx) }()
+		_, err := exchange(ctx, sender, request("GET", ""))
+		is.NoErr(err)
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		is.Equal(ended, 1)
+		_, err = exchange(ctx, sender, request("GET", ""))
+		is.NoErr(err)
+		cancel()
+		synctest.Wait()
+		is.Equal(ended, 2)
+	})
+}
+
 // A connection that the upstream has closed meanwhile isn't used again.
 func TestClosedIdleConnectionIsReplaced(t *testing.T) {
 	is := is.New(t)
--- a/entry/internal/exchanger/pool.go
+++ b/entry/internal/exchanger/pool.go
@@ -76,8 +76,8 @@
 	delete(exchanger.idle, address)
 }
 
-// Sweep closes the connections that were idle for too long.
-func (exchanger *Exchanger) Sweep() {
+// sweep closes the connections that were idle for too long.
+func (exchanger *Exchanger) sweep() {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	for address, idle := range exchanger.idle {
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -34,7 +34,7 @@
 	// Key is what the caller proved its organisation with. No upstream sees it.
 	Key string
 	// Recheck reports whether the job may still be sent. It is called right
-	// before each attempt is written, and may be nil.
+	// before each attempt is written, from several goroutines, and may be nil.
 	Recheck func() bool
 }
 
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -405,6 +405,73 @@
 	})
 }
 
+func TestManyConnectionsGoSilentAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const count = 30
+		fleet := &fleet{faults: []fault{slow}}
+		service := fleet.service()
+		service.Targets[0].Slots = 100
+		sender := fleet.forwarder()
+		defer sender.Exchanger.Close()
+		var mutex sync.Mutex
+		var conns []*lossyConn
+		sender.Exchanger.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := fleet.dial(ctx, network, address)
+			mutex.Lock()
+			defer mutex.Unlock()
+			conns = append(conns, &lossyConn{Conn: conn, gone: make(chan struct{})})
+			return conns[len(conns)-1], err
+		}
+		send := func() time.Duration {
+			start := time.Now()
+			var group sync.WaitGroup
+			for range count {
+				group.Go(func() {
+					recorder := httptest.NewRecorder()
+					sender.Forward(recorder, httptest.NewRequest("GET", "/x", nil), forwarder.Job{Service: service})
+					if recorder.Code != 200 {
+						t.Errorf("status %d", recorder.Code)
+					}
+				})
+			}
+			group.Wait()
+			return time.Since(start)
+		}
+		is.Equal(send(), 300*time.Millisecond)
+		is.Equal(len(conns), count)
+		for _, conn := range conns {
+			conn.silent = true
+		}
+		worst := send()
+		t.Logf("%d requests behind silent connections: worst wait %v, timeout %v", count, worst, service.Timeout)
+		is.True(worst < 3*time.Second)
+	})
+}
+
+// The caller's deadline is passed on shortened, and holds.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{closedAfterRun, silent}}
+		request := httptest.NewRequest("GET", "/x", nil)
+		request.Header.Set(forwarder.DeadlineHeader, "500")
+		start := time.Now()
+		sender := fleet.forwarder()
+		dial := sender.Exchanger.Dial
+		sender.Exchanger.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(100 * time.Millisecond)
+			return dial(ctx, network, address)
+		}
+		answer := fleet.forward(t, sender, request)
+		is.Equal(answer.StatusCode, 504)
+		is.Equal(time.Since(start), 500*time.Millisecond)
+		is.Equal(len(fleet.requests), 2)
+		is.Equal(fleet.requests[0].Header.Get(forwarder.DeadlineHeader), "400")
+		is.Equal(fleet.requests[1].Header.Get(forwarder.DeadlineHeader), "300")
+	})
+}
+
 // lossyConn is a connection that can go silent both ways.
 type lossyConn struct {
 	net.Conn
--- a/entry/internal/forwarder/outgoing.go
+++ b/entry/internal/forwarder/outgoing.go
@@ -1,7 +1,7 @@
 package forwarder
 
 import (
-	"context"
+	"maps"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -87,18 +87,11 @@
 	return header
 }
 
-// outgoing makes the request of one attempt. The header is the attempt's own.
-func (run *run) outgoing(ctx context.Context, target configurator.Target, id string) *http.Request {
+// outgoing makes the request of one attempt.
+func (run *run) outgoing(target configurator.Target, id string) *http.Request {
 	request := run.request
-	header := run.header
-	if run.attempts > 1 {
-		header = header.Clone()
-	}
+	header := maps.Clone(run.header) // the values are shared and never changed
 	header[RequestIDHeader] = []string{id}
-	if deadline, ok := ctx.Deadline(); ok {
-		left := max(1, time.Until(deadline).Milliseconds())
-		header[DeadlineHeader] = []string{strconv.FormatInt(left, 10)}
-	}
 	out := &http.Request{
 		Method: request.Method, Header: header, Host: request.Host,
 		URL: &url.URL{
@@ -115,3 +108,11 @@
 	}
 	return out
 }
+
+// setDeadline tells the upstream how much time is left.
+func (run *run) setDeadline(header http.Header) {
+	if deadline, ok := run.ctx.Deadline(); ok {
+		left := max(1, time.Until(deadline).Milliseconds())
+		header[DeadlineHeader] = []string{strconv.FormatInt(left, 10)}
+	}
+}
--- a/entry/internal/forwarder/race.go
+++ b/entry/internal/forwarder/race.go
@@ -40,7 +40,11 @@
 	}
 	for range len(race.running) - 1 {
 		loser := <-race.results
-		race.settle(loser, loser.judge(race.run.request.Context()))
+		verdict := loser.judge(race.run.request.Context())
+		if verdict.kind == router.ConnectionLost && !verdict.fresh {
+			race.run.service.refund()
+		}
+		race.settle(loser, verdict)
 	}
 	return true
 }
--- a/entry/internal/forwarder/run.go
+++ b/entry/internal/forwarder/run.go
@@ -173,6 +173,8 @@
 		case <-timer.C:
 			if second := run.hedge(first); second != nil {
 				race.start(second)
+			} else {
+				timer.Reset(delay) // the budget may allow it later
 			}
 		}
 	}
@@ -195,10 +197,14 @@
 }
 
 func (run *run) call(leg *leg) exchanger.Call {
+	request := run.outgoing(leg.target, leg.id)
 	call := exchanger.Call{
-		Address: leg.target.Address.String(), Request: run.outgoing(leg.ctx, leg.target, leg.id),
+		Address: leg.target.Address.String(), Request: request,
 		Streamed: run.body.streamed(), StopBody: run.body.stopReading, FreshOnly: run.freshOnly,
-		BeforeWrite: run.recheck,
+		BeforeWrite: func() error {
+			run.setDeadline(request.Header)
+			return run.recheck()
+		},
 	}
 	if !run.policy.Idempotent {
 		call.ReuseWithin = provenWithin
--- a/entry/internal/forwarder/services.go
+++ b/entry/internal/forwarder/services.go
@@ -63,6 +63,12 @@
 	return service.budget.Withdraw()
 }
 
+func (service *service) refund() {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	service.budget.Refund()
+}
+
 func (service *service) observe(latency time.Duration) {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -96,7 +96,9 @@
 	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: rpc.NewServer()}
 	group.Go(func() { _ = peers.Run(work) })
 
-	callers := starter.callers()
+	sender := &exchanger.Exchanger{}
+	group.Go(func() { _ = sender.Run(work) })
+	callers := starter.callers(sender)
 	operators := &http.Server{Handler: starter.operators(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
 	group.Go(func() { failed <- callers.Serve(&server.Listener{Listener: listeners.callers}) })
@@ -130,13 +132,13 @@
 	return nil
 }
 
-func (starter *Starter) callers() *http.Server {
+func (starter *Starter) callers(sender *exchanger.Exchanger) *http.Server {
 	server := &server.Server{
 		VM:     starter.Settings.Name,
 		Tables: starter.syncer, Keys: alwaysKnown{}, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
 		Forwarder: &forwarder.Forwarder{
 			Picker:    router.New(router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}),
-			Exchanger: &exchanger.Exchanger{},
+			Exchanger: sender,
 		},
 		Log: starter.Log, Leaving: starter.leaving.Load,
 	}
