operator: tell regions that answered from those that did not

Cause: found by running the built programs on loopback: upstreams ended with "no VM answered" when one region had answered that nothing is ejected and another had not; and with the platform away no VM could be asked at all. Ruled out: asking a VM for all its peers (at 5,800 VMs each status would carry the whole list). Before: the false line above. After: regions without an answer are listed as not known, and --vm names VMs to ask instead of the platform's list. TestFleetSaysWhatIsNotKnown covers both. Conclusion: the command says nothing of regions that it has not heard.

--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -214,13 +214,17 @@
 		Since: time.Unix(990, 0), Until: time.Unix(1020, 0),
 		Evidence: []describer.Evidence{{VM: "vm-01", Good: 1, Failures: 9}},
 	}
-	bench.asker = statuses{"1": {Revision: 7, Ready: true, KeysKnown: true, Version: "0.1.0", Ejections: []describer.Ejection{ejection}}}
+	bench.asker = statuses{"1": {Name: "vm-01", Region: "r", DataCentre: "d", Revision: 7, Ready: true, KeysKnown: true, Version: "0.1.0", Ejections: []describer.Ejection{ejection}}}
 	bench.want(0, "vm-01  r/d  listed=live  revision=7  ready=true  leaving=false  keys-known=true  version=0.1.0\n"+
 		"vm-02  s/e  listed=leaving  no answer: silent\n", "", "vms")
 	bench.want(0, "r  /t/services/s/targets/a  out for 10s, for 20s more  reason=failures  by=vm-01\n"+
 		"    vm-01 saw good=1 failures=9 slow=0\ns: not known, no VM answered\n", "", "upstreams")
+	bench.asker = statuses{"1": {Name: "vm-01", Region: "r", DataCentre: "d"}}
+	bench.want(0, "no target is known to be kept out of use\ns: not known, no VM answered\n", "", "upstreams")
+	platform.SetFaults(faker.Faults{Outage: true, ListOutage: true})
+	bench.want(0, "vm-01  r/d  revision=0  ready=false  leaving=false  keys-known=false  version=\n", "", "vms", "--vm", "1")
 	bench.asker = statuses{}
-	bench.want(1, "", "operator: no VM answered; whether targets are out of use is not known (regions: r, s)\n", "upstreams")
+	bench.want(1, "", "operator: no VM answered; whether targets are out of use is not known\n", "upstreams", "--vm", "1")
 }
 
 func TestBurnReportTellsGaps(t *testing.T) {
--- a/operator/internal/commander/fleet.go
+++ b/operator/internal/commander/fleet.go
@@ -69,8 +69,21 @@
 	return answers
 }
 
-// list returns the platform's list of VMs.
-func (commander *Commander) list() ([]connector.VM, error) {
+// addressOption names VMs, for when the platform's list can't be read.
+type addressOption struct {
+	VMs []string `long:"vm" description:"ask the VM at this address for peers instead of those on the platform's list; may be given more than once" value-name:"ADDRESS"`
+}
+
+// list returns the VMs that the command line names, or else the platform's
+// list.
+func (commander *Commander) list(option addressOption) ([]connector.VM, error) {
+	var named []connector.VM
+	for _, address := range option.VMs {
+		named = append(named, connector.VM{Name: address, Peers: address})
+	}
+	if len(named) > 0 {
+		return named, nil
+	}
 	platform, err := commander.platform()
 	if err != nil {
 		return nil, err
@@ -87,7 +100,7 @@
 	Name       string `json:"name"`
 	Region     string `json:"region"`
 	DataCentre string `json:"data-centre"`
-	// Listed is what the platform says of the VM.
+	// Listed is what the platform says of the VM; empty if it was not asked.
 	Listed connector.VMState `json:"listed"`
 	// Answered is false if the VM could not be asked; the status is then unknown.
 	Answered bool              `json:"answered"`
@@ -97,7 +110,10 @@
 
 // line returns the VM as one line of text.
 func (vm knownVM) line() string {
-	place := fmt.Sprintf("%s  %s/%s  listed=%s", vm.Name, vm.Region, vm.DataCentre, vm.Listed)
+	place := fmt.Sprintf("%s  %s/%s", vm.Name, vm.Region, vm.DataCentre)
+	if vm.Listed != "" {
+		place += fmt.Sprintf("  listed=%s", vm.Listed)
+	}
 	if !vm.Answered {
 		return fmt.Sprintf("%s  no answer: %s\n", place, vm.Reason)
 	}
@@ -110,12 +126,13 @@
 type vmsCommand struct {
 	commander *Commander
 	certificateOptions
+	addressOption
 }
 
 // Execute asks each listed VM for its status.
 func (command *vmsCommand) Execute([]string) error {
 	commander := command.commander
-	vms, err := commander.list()
+	vms, err := commander.list(command.addressOption)
 	if err != nil {
 		return err
 	}
@@ -135,6 +152,7 @@
 			vm.Reason = answer.Err.Error()
 		} else {
 			vm.Status = &answer.Status
+			vm.Name, vm.Region, vm.DataCentre = answer.Status.Name, answer.Status.Region, answer.Status.DataCentre
 		}
 		known = append(known, vm)
 		text += vm.line()
--- a/operator/internal/commander/upstreams.go
+++ b/operator/internal/commander/upstreams.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -34,12 +35,13 @@
 type upstreamsCommand struct {
 	commander *Commander
 	certificateOptions
+	addressOption
 }
 
 // Execute asks a few VMs of each region which targets they keep out of use.
 func (command *upstreamsCommand) Execute([]string) error {
 	commander := command.commander
-	vms, err := commander.list()
+	vms, err := commander.list(command.addressOption)
 	if err != nil {
 		return err
 	}
@@ -48,10 +50,11 @@
 		return err
 	}
 	defer end()
-	result := summarize(commander.ask(asker, sample(vms)))
-	if len(result.Ejections) == 0 && len(result.Unknown) > 0 {
-		return fmt.Errorf("%w (regions: %s)", errNoAnswer, strings.Join(result.Unknown, ", "))
+	answers := commander.ask(asker, sample(vms))
+	if !slices.ContainsFunc(answers, func(answer answer) bool { return answer.Err == nil }) {
+		return errNoAnswer
 	}
+	result := summarize(answers)
 	return commander.print(result, result.text(commander.Now()))
 }
 
@@ -73,7 +76,7 @@
 	heard := make(map[string]bool)
 	seen := make(map[string]bool)
 	for _, answer := range answers {
-		region := answer.VM.Region
+		region := cmp.Or(answer.Status.Region, answer.VM.Region, answer.VM.Name)
 		if answer.Err != nil {
 			heard[region] = heard[region] || false
 			continue
@@ -109,7 +112,7 @@
 		}
 	}
 	if len(ejections.Ejections) == 0 {
-		text.WriteString("no target is kept out of use\n")
+		text.WriteString("no target is known to be kept out of use\n")
 	}
 	for _, region := range ejections.Unknown {
 		fmt.Fprintf(&text, "%s: not known, no VM answered\n", region)
--- a/shell/describer/describer.go
+++ b/shell/describer/describer.go
@@ -33,7 +33,7 @@
 	Leaving     bool   `json:"leaving"`
 	// KeysKnown is false while the VM can't know of withdrawn keys.
 	KeysKnown bool       `json:"keys-known"`
-	Ejections []Ejection `json:"ejections"`
+	Ejections []Ejection `json:"ejections,omitempty"`
 }
 
 // Ejection is a target that is kept out of use.
