operator: print a forecast bill, and how far a change is in force as JSON

Ruled out: a bill of zero where nothing is metered (it would be believed). Before: JSON without in-force, no report bill. After: JSON of apply, rollback and key withdraw has changes and in-force, printed after the wait; report bill prints a low, expected and high cost for each budget, and without metered traffic says so with code 1. With an empty table in place of that answer TestBillGivesTheBand fails, 'got 0 "TEAM FROM TO MONTH ..."'. Conclusion: the printing side stands; a Biller that reads metered traffic is still to come.

--- a/operator/internal/commander/apply.go
+++ b/operator/internal/commander/apply.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -105,11 +104,6 @@
 	return commander.print(results, text.String())
 }
 
-// waitOption bounds the wait for a revision to be in force.
-type waitOption struct {
-	Wait time.Duration `long:"wait" default:"30s" description:"how long to wait until the change is in force; 0s waits not at all"`
-}
-
 // applyCommand records declarations.
 type applyCommand struct {
 	commander *Commander
@@ -167,83 +161,55 @@
 	if !recorded {
 		return err
 	}
-	if printed := commander.report(results); printed != nil {
+	if printed := commander.report(applied{Changes: results}); printed != nil {
 		err = errors.Join(err, printed)
 	}
 	return &partialError{Cause: err}
 }
 
-// finish prints what has been recorded and waits until it is in force.
+// applied is the output of commands that change the configuration.
+type applied struct {
+	Changes []changed `json:"changes"`
+	// InForce is missing if the command failed before the wait.
+	InForce *force `json:"in-force,omitempty"`
+}
+
+// force says how far the newest revision is in force.
+type force struct {
+	Revision  uint64   `json:"revision"`
+	Known     bool     `json:"known"`
+	Confirmed int      `json:"confirmed"`
+	Missing   []string `json:"missing"`
+}
+
+// finish waits until what has been recorded is in force. Text is printed
+// before the wait, JSON after it.
 func (commander *Commander) finish(results []changed, wait time.Duration) error {
-	if err := commander.report(results); err != nil {
-		return err
-	}
 	var revision uint64
 	for _, result := range results {
 		revision = max(revision, result.Revision)
 	}
-	return commander.wait(revision, wait)
+	if commander.options.Output != outputJSON {
+		if err := commander.report(applied{Changes: results}); err != nil {
+			return err
+		}
+		_, err := commander.wait(revision, wait)
+		return err
+	}
+	report, failed := commander.wait(revision, wait)
+	inForce := &force{
+		Revision: revision, Known: report.InForce, Confirmed: report.Confirmed, Missing: append([]string{}, report.Missing...),
+	}
+	return errors.Join(failed, commander.report(applied{Changes: results, InForce: inForce}))
 }
 
-func (commander *Commander) report(results []changed) error {
+func (commander *Commander) report(output applied) error {
 	var text strings.Builder
-	for _, result := range results {
+	for _, result := range output.Changes {
 		text.WriteString(result.summary())
 		for _, path := range result.LeftOut {
 			fmt.Fprintf(&text, "left out: %s has been withdrawn\n", path)
 		}
 	}
-	return commander.print(results, text.String())
-}
-
-// wait returns a *notInForceError unless the revision is in force in time.
-func (commander *Commander) wait(revision uint64, limit time.Duration) error {
-	platform, err := commander.platform()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(commander.ctx, limit)
-	defer cancel()
-	progress := &progress{commander: commander}
-	report, err := commander.Waiter(platform).Wait(ctx, revision, progress.print)
-	if err != nil {
-		_, _ = fmt.Fprintln(commander.Err, "operator: wait until in force:", err)
-	}
-	report.Revision = revision
-	if err != nil || !report.InForce {
-		return &notInForceError{Report: report}
-	}
-	_, _ = fmt.Fprintf(commander.Err, "revision %d is in force, confirmed by %d\n", revision, report.Confirmed)
-	return nil
-}
-
-// namesShown bounds the names on a line of progress.
-const namesShown = 5
-
-// progressPeriod is how often an unchanged report is printed again.
-const progressPeriod = 5 * time.Second
-
-// progress prints reports that change, and others now and then.
-type progress struct {
-	commander *Commander
-	line      string
-	printed   time.Time
-}
-
-func (progress *progress) print(report Report) {
-	if report.InForce {
-		return
-	}
-	missing := strings.Join(report.Missing[:min(namesShown, len(report.Missing))], ", ")
-	if len(report.Missing) > namesShown {
-		missing += ", ..."
-	}
-	line := fmt.Sprintf("waiting for revision %d: confirmed by %d, missing %d: %s",
-		report.Revision, report.Confirmed, len(report.Missing), missing)
-	now := progress.commander.Now()
-	if line == progress.line && now.Sub(progress.printed) < progressPeriod {
-		return
-	}
-	progress.line, progress.printed = line, now
-	_, _ = fmt.Fprintln(progress.commander.Err, line)
+	return commander.print(output, text.String())
 }
--- a/operator/internal/commander/commander.go
+++ b/operator/internal/commander/commander.go
@@ -55,6 +55,8 @@
 	Waiter func(platform connector.Platform) Waiter
 	// Asker asks VMs; one with the certificates of the command line unless set.
 	Asker Asker
+	// Biller forecasts bills; without one there is no forecast.
+	Biller Biller
 	// Secret returns a new key; one from crypto/rand unless set.
 	Secret func() string
 	// NewID returns the ID of a change; one from crypto/rand unless set.
--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -29,6 +30,7 @@
 	directory string
 	report    commander.Report
 	asker     commander.Asker
+	biller    commander.Biller
 }
 
 func newBench(t *testing.T, platform connector.Platform, declarations string) *bench {
@@ -54,7 +56,7 @@
 func (bench *bench) run(arguments ...string) (code int, out, problems string) {
 	var first, second bytes.Buffer
 	command := &commander.Commander{
-		Out: &first, Err: &second, Author: "asha", Asker: bench.asker,
+		Out: &first, Err: &second, Author: "asha", Asker: bench.asker, Biller: bench.biller,
 		Open:   func(string) connector.Platform { return bench.platform },
 		Waiter: func(connector.Platform) commander.Waiter { return bench },
 		Secret: func() string { return "not-a-secret" },
@@ -127,6 +129,23 @@
 		bench.want(5, applied, "waiting for revision 1: confirmed by 1, missing 1: vm-02\n"+
 			"operator: revision 1 is recorded but not in force: confirmed by 1, missing 1: vm-02\n", "apply")
 	})
+	t.Run("not in force, as JSON", func(t *testing.T) {
+		is := is.New(t)
+		bench := newBench(t, faker.New(), organisation)
+		bench.report = commander.Report{Revision: 1, Confirmed: 1, Missing: []string{"vm-02"}}
+		code, out, _ := bench.run("apply", "--output", "json")
+		is.Equal(code, 5)
+		var output struct {
+			Changes []struct{ Recorded bool }
+			InForce struct {
+				Known   bool
+				Missing []string
+			} `json:"in-force"`
+		}
+		is.NoErr(json.Unmarshal([]byte(out), &output))
+		is.True(output.Changes[0].Recorded && !output.InForce.Known)
+		is.Equal(output.InForce.Missing, []string{"vm-02"})
+	})
 	t.Run("store away", func(t *testing.T) {
 		platform := faker.New()
 		platform.SetFaults(faker.Faults{Outage: true})
@@ -248,6 +267,30 @@
 	is.True(strings.HasPrefix(problems, "could not read burn/d/000/0: "))
 }
 
+// forecasts is a Biller with fixed forecasts.
+type forecasts []commander.Forecast
+
+// Forecast returns the forecasts.
+func (forecasts forecasts) Forecast(context.Context, connector.Platform, time.Time) ([]commander.Forecast, error) {
+	return forecasts, nil
+}
+
+func TestBillGivesTheBand(t *testing.T) {
+	bench := newBench(t, faker.New(), organisation)
+	const nothing = "operator: no metered traffic is recorded; a bill can't be forecast\n"
+	bench.want(1, "", nothing, "report", "bill")
+	month := time.Date(2027, 2, 1, 0, 0, 0, 0, time.UTC)
+	bench.biller = forecasts{
+		{Team: "t", From: "kutch", To: "charotar", Month: month, ThisMonth: 5e9, Low: 8e9, Expected: 1e10, High: 15e9, Price: 0.1},
+		{Team: "u", From: "kutch", To: "charotar", Month: month, Low: 1e9, Expected: 2e9, High: 3e9, Price: 1},
+	}
+	bench.want(0, "TEAM  FROM   TO        MONTH    GB SO FAR  GB EXPECTED  COST LOW  COST EXPECTED  COST HIGH\n"+
+		"t     kutch  charotar  2027-02  5.0        10.0         0.80      1.00           1.50\n"+
+		"u     kutch  charotar  2027-02  0.0        2.0          1.00      2.00           3.00\n"+
+		"all                                                     1.80      3.00           4.50\n", "", "report", "bill")
+	bench.want(1, "", nothing, "report", "bill", "--team", "v")
+}
+
 func TestSettingsPageListsEverySetting(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../../../docs/SETTINGS.md")
--- a/operator/internal/commander/commands.go
+++ b/operator/internal/commander/commands.go
@@ -44,6 +44,8 @@
 		{"report", "report on the fleet", "operator report burn --help", nil, []description{
 			{"burn", "report how fast services burn their error budgets",
 				"operator report burn --html burn.html", &burnCommand{commander: commander}, nil},
+			{"bill", "report what paid traffic between regions is expected to cost next month",
+				"operator report bill --team kundsetu", &billCommand{commander: commander}, nil},
 		}},
 		{"describe", "print the settings of declarations as tables in Markdown", "operator describe",
 			&describeCommand{commander: commander}, nil},
--- a/operator/internal/commander/key.go
+++ b/operator/internal/commander/key.go
@@ -61,7 +61,8 @@
 	if printed := commander.print(output, output.text()); printed != nil || err != nil {
 		return errors.Join(err, printed)
 	}
-	return commander.wait(result.Revision, command.Wait)
+	_, err = commander.wait(result.Revision, command.Wait)
+	return err
 }
 
 func (given given) text() string {
--- a/operator/internal/commander/printer.go
+++ b/operator/internal/commander/printer.go
@@ -42,9 +42,12 @@
 	return text.String()
 }
 
+// outputJSON is the form of the output for other programs.
+const outputJSON = "json"
+
 // print writes the value as JSON, or else the text.
 func (commander *Commander) print(value any, text string) error {
-	if commander.options.Output != "json" {
+	if commander.options.Output != outputJSON {
 		_, err := fmt.Fprint(commander.Out, text)
 		return err
 	}
--- /dev/null
+++ b/operator/internal/commander/wait.go
@@ -0,0 +1,65 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// waitOption bounds the wait for a revision to be in force.
+type waitOption struct {
+	Wait time.Duration `long:"wait" default:"30s" description:"how long to wait until the change is in force; 0s waits not at all"`
+}
+
+// wait returns a *notInForceError unless the revision is in force in time.
+func (commander *Commander) wait(revision uint64, limit time.Duration) (Report, error) {
+	platform, err := commander.platform()
+	if err != nil {
+		return Report{}, err
+	}
+	ctx, cancel := context.WithTimeout(commander.ctx, limit)
+	defer cancel()
+	progress := &progress{commander: commander}
+	report, err := commander.Waiter(platform).Wait(ctx, revision, progress.print)
+	if err != nil {
+		_, _ = fmt.Fprintln(commander.Err, "operator: wait until in force:", err)
+	}
+	report.Revision = revision
+	if err != nil || !report.InForce {
+		return report, &notInForceError{Report: report}
+	}
+	_, _ = fmt.Fprintf(commander.Err, "revision %d is in force, confirmed by %d\n", revision, report.Confirmed)
+	return report, nil
+}
+
+// namesShown bounds the names on a line of progress.
+const namesShown = 5
+
+// progressPeriod is how often an unchanged report is printed again.
+const progressPeriod = 5 * time.Second
+
+// progress prints reports that change, and others now and then.
+type progress struct {
+	commander *Commander
+	line      string
+	printed   time.Time
+}
+
+func (progress *progress) print(report Report) {
+	if report.InForce {
+		return
+	}
+	missing := strings.Join(report.Missing[:min(namesShown, len(report.Missing))], ", ")
+	if len(report.Missing) > namesShown {
+		missing += ", ..."
+	}
+	line := fmt.Sprintf("waiting for revision %d: confirmed by %d, missing %d: %s",
+		report.Revision, report.Confirmed, len(report.Missing), missing)
+	now := progress.commander.Now()
+	if line == progress.line && now.Sub(progress.printed) < progressPeriod {
+		return
+	}
+	progress.line, progress.printed = line, now
+	_, _ = fmt.Fprintln(progress.commander.Err, line)
+}
