starter: count requests for metrics and the burn report

Cause: nothing called the observer or the persister, so that report burn had no data from a running VM. Ruled out: counting a request whose caller went away against its service (the forwarder's Record could not tell it from an answer that broke off; it has CallerGone now). Before: no counters. Until the membership is wired each VM stores its own counters (alone).

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -56,6 +56,8 @@
 	Latency  time.Duration
 	// Whole is false if the caller was gone or its answer was cut.
 	Whole bool
+	// CallerGone is true if the caller went away before the end.
+	CallerGone bool
 }
 
 // Forwarder sends requests. It is safe for concurrent use.
--- a/entry/internal/forwarder/refusal.go
+++ b/entry/internal/forwarder/refusal.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -121,5 +123,6 @@
 	}
 	run.record.Attempts = run.attempts
 	run.record.Latency = time.Since(run.started)
+	run.record.CallerGone = errors.Is(run.request.Context().Err(), context.Canceled)
 	run.forwarder.Report(run.record)
 }
--- a/entry/internal/observer/observer_test.go
+++ b/entry/internal/observer/observer_test.go
@@ -11,6 +11,7 @@
 
 	"godwitramp.example/core/burner"
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/observer"
 )
 
@@ -58,6 +59,23 @@
 	}
 }
 
+func TestOutcomesOfRecords(t *testing.T) {
+	tests := []struct {
+		record forwarder.Record
+		want   observer.Outcome
+	}{
+		{forwarder.Record{Status: 200, Whole: true}, observer.Answered},
+		{forwarder.Record{Status: 200}, observer.Broken},
+		{forwarder.Record{Status: 200, CallerGone: true}, observer.Abandoned},
+		{forwarder.Record{Outcome: forwarder.Unknown, CallerGone: true}, observer.Abandoned},
+		{forwarder.Record{Status: 502, Outcome: forwarder.Unknown, Whole: true}, observer.Unknown},
+		{forwarder.Record{Status: 503, Outcome: forwarder.NotRun, Whole: true}, observer.NotRun},
+	}
+	for _, test := range tests {
+		is.New(t).Equal(observer.Of(test.record, nil).Outcome, test.want)
+	}
+}
+
 func TestLabelsAreBounded(t *testing.T) {
 	is := is.New(t)
 	set := metrics.NewSet()
--- /dev/null
+++ b/entry/internal/observer/record.go
@@ -0,0 +1,34 @@
+package observer
+
+import (
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/entry/internal/forwarder"
+)
+
+// Of returns what a forwarded request was like. The table gives its service
+// and organisation.
+func Of(record forwarder.Record, table *configurator.Table) Observation {
+	observation := Observation{
+		Status: record.Status, Outcome: outcomeOf(record), Latency: record.Latency, Attempts: record.Attempts,
+	}
+	if table != nil {
+		observation.Service = table.Service(record.Service)
+		observation.Organisation = table.Organisation(record.Organisation)
+	}
+	return observation
+}
+
+func outcomeOf(record forwarder.Record) Outcome {
+	switch {
+	case record.CallerGone:
+		return Abandoned
+	case record.Outcome == forwarder.NotRun:
+		return NotRun
+	case record.Outcome == forwarder.Unknown:
+		return Unknown
+	case record.Whole:
+		return Answered
+	default:
+		return Broken
+	}
+}
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -26,6 +26,7 @@
 	"godwitramp.example/entry/internal/exchanger"
 	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/loader"
+	"godwitramp.example/entry/internal/persister"
 	"godwitramp.example/entry/internal/server"
 	"godwitramp.example/entry/internal/syncer"
 	"godwitramp.example/shell/caller"
@@ -46,6 +47,8 @@
 
 	leaving atomic.Bool
 	syncer  *syncer.Syncer
+	// persister keeps the counters of the burn report.
+	persister *persister.Persister
 }
 
 // listeners are the sockets of a VM.
@@ -100,6 +103,9 @@
 	if err := services.Register(&describer.Describer{Source: starter.status}); err != nil {
 		return fmt.Errorf("register status: %w", err)
 	}
+	if err := starter.startBurn(work, &group, platform, tls, services); err != nil {
+		return err
+	}
 	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: services}
 	group.Go(func() { _ = peers.Run(work) })
 
@@ -133,6 +139,9 @@
 	if err := callers.Shutdown(limit); err != nil {
 		return fmt.Errorf("finish requests: %w", err)
 	}
+	if err := starter.persister.Stop(limit); err != nil {
+		starter.Log.WithError(err).Error("burn-counters-lost")
+	}
 	starter.Log.Info("stopped")
 	return nil
 }
@@ -144,6 +153,7 @@
 		Forwarder: &forwarder.Forwarder{
 			Picker:    router.New(router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}),
 			Exchanger: &exchanger.Exchanger{},
+			Report:    starter.observe(),
 		},
 		Log: starter.Log, Leaving: starter.leaving.Load,
 	}
--- a/operator/internal/commander/burn.go
+++ b/operator/internal/commander/burn.go
@@ -24,6 +24,9 @@
 	HTML      string `long:"html" description:"write the report with plots to this file" value-name:"FILE"`
 }
 
+// percent turns shares into parts of a hundred.
+const percent = 100
+
 // burnReport is the output of report burn.
 type burnReport struct {
 	Until  time.Time `json:"until"`
@@ -156,7 +159,7 @@
 	}
 	_, _ = fmt.Fprintln(out, strings.Join(slices.Concat(heads, []string{"ANSWERS"}), "\t"))
 	for _, row := range report.Rows {
-		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%g", row.Level, row.Service, row.Organisation, row.Objective)
+		_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%.6g%%", row.Level, row.Service, row.Organisation, row.Objective*percent)
 		for _, burn := range row.Burns {
 			_, _ = fmt.Fprintf(out, "\t%.2f", burn.Burn)
 		}
