observer: count requests that are not admitted, by reason

Cause: refusals by key, rate, form and route never reach the forwarder and stood in no metric. Ruled out: a label for the organisation (unbounded). Before: no count. After: godwitramp_refusals_total{reason}; the reasons are those of the answers. TestLabelsAreBounded checks the line; with the count taken out it fails, "not true" for that line. Conclusion: wrongful refusals can be watched by reason.

--- a/entry/internal/observer/observer.go
+++ b/entry/internal/observer/observer.go
@@ -48,6 +48,8 @@
 	Outcome      Outcome
 	// Latency is the time from the request's arrival to the end of its answer.
 	Latency time.Duration
+	// Reason says why the request was not admitted; empty if it was.
+	Reason string
 	// Attempts is how often the request was sent to an upstream.
 	Attempts int
 }
@@ -86,6 +88,9 @@
 	counted := observer.service(name)
 	counted.requests(observation.Status, observation.Outcome).Inc()
 	counted.duration.Update(observation.Latency.Seconds())
+	if observation.Reason != "" {
+		observer.Set.GetOrCreateCounter(fmt.Sprintf("godwitramp_refusals_total{reason=%q}", observation.Reason)).Inc()
+	}
 	if observation.Attempts > 1 {
 		counted.retries.Add(observation.Attempts - 1)
 	}
--- a/entry/internal/observer/observer_test.go
+++ b/entry/internal/observer/observer_test.go
@@ -85,7 +85,7 @@
 		observing.Observe(observer.Observation{Service: service(fmt.Sprint(i)), Organisation: organisation, Status: 200,
 			Outcome: observer.Answered, Attempts: 3})
 	}
-	observing.Observe(observer.Observation{Status: 404, Outcome: observer.NotRun})
+	observing.Observe(observer.OfRefusal(forwarder.Job{}, forwarder.Refusal{Status: 404, Reason: "no-route"}))
 	var text strings.Builder
 	set.WritePrometheus(&text)
 	is.Equal(strings.Count(text.String(), "godwitramp_retries_total"), 256+2)
@@ -95,6 +95,7 @@
 		`godwitramp_requests_total{service="other",class="2xx",outcome="answered"} 44`,
 		`godwitramp_requests_total{service="none",class="4xx",outcome="not-run"} 1`,
 		`godwitramp_retries_total{service="other"} 88`,
+		`godwitramp_refusals_total{reason="no-route"} 1`,
 	} {
 		is.True(strings.Contains(text.String(), line+"\n"))
 	}
--- a/entry/internal/observer/record.go
+++ b/entry/internal/observer/record.go
@@ -32,3 +32,10 @@
 		return Broken
 	}
 }
+
+// OfRefusal returns what a request that was not admitted was like.
+func OfRefusal(job forwarder.Job, refusal forwarder.Refusal) Observation {
+	return Observation{
+		Service: job.Service, Organisation: job.Organisation, Status: refusal.Status, Outcome: NotRun, Reason: refusal.Reason,
+	}
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -51,6 +51,9 @@
 	// Leaving reports whether the VM is about to stop. Then each answer tells
 	// the caller to close the connection. It may be nil.
 	Leaving func() bool
+	// Refused is called for each request that is not admitted, unless it is
+	// nil. The job may lack what was not found.
+	Refused func(job forwarder.Job, refusal forwarder.Refusal)
 	// MaxBodyBytes bounds the body of a request; it has a default if zero.
 	MaxBodyBytes int64
 }
@@ -102,6 +105,9 @@
 		}
 		refusal.RequestID = id
 		refusal.Write(writer)
+		if server.Refused != nil {
+			server.Refused(job, *refusal)
+		}
 		return
 	}
 	if request.Body != nil && request.ContentLength != 0 {
--- a/entry/internal/starter/burn.go
+++ b/entry/internal/starter/burn.go
@@ -20,7 +20,7 @@
 	"godwitramp.example/shell/connector"
 )
 
-// startBurn runs what keeps the counters of the burn report.
+// startBurn runs what counts requests and keeps the counters of the burn report.
 func (starter *Starter) startBurn(
 	ctx context.Context, group *sync.WaitGroup, platform connector.Platform, tls *tls.Config, services *rpc.Server,
 ) error {
@@ -38,6 +38,7 @@
 			Owner: burner.Source{VM: self.Name, Incarnation: self.Incarnation},
 		},
 	}
+	starter.observer = &observer.Observer{Set: metrics.GetDefaultSet(), Counter: starter.persister}
 	if err := services.RegisterName(persister.ServiceName, starter.persister.Receiver()); err != nil {
 		return fmt.Errorf("register counters: %w", err)
 	}
@@ -45,12 +46,14 @@
 	return nil
 }
 
-// observe returns what counts each request at its end.
-func (starter *Starter) observe() func(forwarder.Record) {
-	observing := &observer.Observer{Set: metrics.GetDefaultSet(), Counter: starter.persister}
-	return func(record forwarder.Record) {
-		observing.Observe(observer.Of(record, starter.syncer.Table()))
-	}
+// forwarded counts a request at its end.
+func (starter *Starter) forwarded(record forwarder.Record) {
+	starter.observer.Observe(observer.Of(record, starter.syncer.Table()))
+}
+
+// refused counts a request that was not admitted.
+func (starter *Starter) refused(job forwarder.Job, refusal forwarder.Refusal) {
+	starter.observer.Observe(observer.OfRefusal(job, refusal))
 }
 
 // alone is a fleet of one VM, which stores its own counters.
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -26,6 +26,7 @@
 	"godwitramp.example/entry/internal/exchanger"
 	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/loader"
+	"godwitramp.example/entry/internal/observer"
 	"godwitramp.example/entry/internal/persister"
 	"godwitramp.example/entry/internal/server"
 	"godwitramp.example/entry/internal/syncer"
@@ -49,6 +50,7 @@
 	syncer  *syncer.Syncer
 	// persister keeps the counters of the burn report.
 	persister *persister.Persister
+	observer  *observer.Observer
 }
 
 // listeners are the sockets of a VM.
@@ -153,9 +155,9 @@
 		Forwarder: &forwarder.Forwarder{
 			Picker:    router.New(router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}),
 			Exchanger: &exchanger.Exchanger{},
-			Report:    starter.observe(),
+			Report:    starter.forwarded,
 		},
-		Log: starter.Log, Leaving: starter.leaving.Load,
+		Log: starter.Log, Leaving: starter.leaving.Load, Refused: starter.refused,
 	}
 	return server.HTTP()
 }
