configurator: a withdrawal ends only its own team's keys

Cause: a team could declare a withdrawal with the hash of another team's key, which any operator can read, and so end that key. Ruled out: forbidding withdrawals in files (the rule would stand in the command only, not where changes are applied). Before: TestTeamCanNotWithdrawKeysOfOthers fails, "not true: valid(state, 1)". After: it passes; the table compares team and hash. Conclusion: each team changes only its own part, withdrawals included.

--- a/core/configurator/schema.go
+++ b/core/configurator/schema.go
@@ -136,7 +136,7 @@
 	},
 	KindWithdrawal: {
 		Name: "withdrawal", Form: "/<team>/withdrawals/<name>",
-		Doc: "A withdrawn key. It is recorded when a key is withdrawn and never deleted; no key with its hash is valid again.",
+		Doc: "A withdrawn key. It is recorded when a key is withdrawn and never deleted; no key of the team with its hash is valid again.",
 		Settings: []Setting{
 			{Name: "sha-256", Type: TypeHash, Required: true, Doc: "The SHA-256 of the withdrawn key, in hexadecimal."},
 		},
--- a/core/configurator/table.go
+++ b/core/configurator/table.go
@@ -65,15 +65,22 @@
 	return nil
 }
 
-// addKeys leaves out withdrawn keys, whatever else declares them.
+// teamKey is a key's hash as one team declares it.
+type teamKey struct {
+	team string
+	hash KeyHash
+}
+
+// addKeys leaves out the keys that their own team has withdrawn, whatever else
+// declares them.
 func (table *Table) addKeys(keys []Key, withdrawals []Withdrawal) []*Problem {
-	withdrawn := make(map[KeyHash]Path, len(withdrawals))
+	withdrawn := make(map[teamKey]Path, len(withdrawals))
 	for _, withdrawal := range withdrawals {
-		withdrawn[withdrawal.Hash] = withdrawal.Path
+		withdrawn[teamKey{withdrawal.Path.Team(), withdrawal.Hash}] = withdrawal.Path
 	}
 	var problems []*Problem
 	for i, key := range keys {
-		if path, ok := withdrawn[key.Hash]; ok {
+		if path, ok := withdrawn[teamKey{key.Path.Team(), key.Hash}]; ok {
 			message := fmt.Sprintf("has been withdrawn, see %s; give a new key", path)
 			problems = append(problems, &Problem{Path: key.Path, Field: "sha-256", Message: message})
 			continue
--- a/core/withdrawer/withdrawer_test.go
+++ b/core/withdrawer/withdrawer_test.go
@@ -53,6 +53,16 @@
 	is.True(!valid(state, 1) && !valid(state, 2))
 }
 
+func TestTeamCanNotWithdrawKeysOfOthers(t *testing.T) {
+	is := is.New(t)
+	state := configurator.NewState()
+	record(t, state, declared("declarations", 1))
+	foreign := configurator.Entry{Path: "/u/withdrawals/x", Fields: []configurator.Field{{Name: "sha-256", Value: hashOf(1)}}}
+	change := configurator.Change{Revision: state.Revision + 1, Team: "u", Puts: []configurator.Entry{foreign}}
+	is.NoErr(state.Apply(change))
+	is.True(valid(state, 1))
+}
+
 // TestWithdrawnKeyNeverReturns compares random histories of applied and rolled
 // back declarations with a plain list of the keys that have ended.
 func TestWithdrawnKeyNeverReturns(t *testing.T) {
