starter: hand counters to the uploaders of the membership

Cause: the membership runs now, and the counters had a fleet of one VM. Ruled out: a connection of the persister's own to each peer (the membership's are there already). Before: each VM stored its own counters; counters were not handed over if a planned stop took too long. After: the persister uses the gossiper's live VMs and its calls, and hands over in 5 s of its own before the VM says that it leaves. Conclusion: counters take the way they were designed for.

--- a/entry/internal/starter/burn.go
+++ b/entry/internal/starter/burn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"net/rpc"
 	"sync"
@@ -11,7 +10,6 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"godwitramp.example/core/burner"
-	"godwitramp.example/core/watcher"
 	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/observer"
 	"godwitramp.example/entry/internal/persister"
@@ -22,17 +20,11 @@
 
 // startBurn runs what counts requests and keeps the counters of the burn report.
 func (starter *Starter) startBurn(
-	ctx context.Context, group *sync.WaitGroup, platform connector.Platform, tls *tls.Config, services *rpc.Server,
+	ctx context.Context, group *sync.WaitGroup, platform connector.Platform, calls *caller.Caller, services *rpc.Server,
 ) error {
-	settings := starter.Settings
-	self := watcher.Peer{
-		Name: settings.Name, Region: settings.Region, DataCentre: settings.DataCentre, Address: settings.Peers,
-		Incarnation: uint64(time.Now().UnixNano()),
-	}
-	calls := &caller.Caller{TLS: tls}
-	context.AfterFunc(ctx, calls.Close)
+	self := starter.gossiper.Self
 	starter.persister = &persister.Persister{
-		Members: alone{self: self}, Caller: calls, Log: starter.Log,
+		Members: members{starter.gossiper}, Caller: calls, Log: starter.Log,
 		Archiver: &archiver.Archiver{
 			Platform: platform, DataCentre: self.DataCentre,
 			Owner: burner.Source{VM: self.Name, Incarnation: self.Incarnation},
@@ -46,6 +38,18 @@
 	return nil
 }
 
+// handOverLimit bounds the last handing over of counters at a planned stop.
+const handOverLimit = 5 * time.Second
+
+// handOverCounters brings the counters to the store or to a peer.
+func (starter *Starter) handOverCounters(ctx context.Context) {
+	limit, cancel := context.WithTimeout(ctx, handOverLimit)
+	defer cancel()
+	if err := starter.persister.Stop(limit); err != nil {
+		starter.Log.WithError(err).Error("burn-counters-lost")
+	}
+}
+
 // forwarded counts a request at its end.
 func (starter *Starter) forwarded(record forwarder.Record) {
 	starter.observer.Observe(observer.Of(record, starter.syncer.Table()))
@@ -55,12 +59,3 @@
 func (starter *Starter) refused(job forwarder.Job, refusal forwarder.Refusal) {
 	starter.observer.Observe(observer.OfRefusal(job, refusal))
 }
-
-// alone is a fleet of one VM, which stores its own counters.
-type alone struct{ self watcher.Peer }
-
-// Self returns the VM.
-func (alone alone) Self() watcher.Peer { return alone.self }
-
-// Live returns no other VM.
-func (alone alone) Live() []watcher.Peer { return nil }
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -25,6 +25,7 @@
 	"godwitramp.example/core/router"
 	"godwitramp.example/entry/internal/exchanger"
 	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/entry/internal/gossiper"
 	"godwitramp.example/entry/internal/loader"
 	"godwitramp.example/entry/internal/observer"
 	"godwitramp.example/entry/internal/persister"
@@ -46,8 +47,9 @@
 	Version string
 	Log     *logrus.Entry
 
-	leaving atomic.Bool
-	syncer  *syncer.Syncer
+	leaving  atomic.Bool
+	syncer   *syncer.Syncer
+	gossiper *gossiper.Gossiper
 	// persister keeps the counters of the burn report.
 	persister *persister.Persister
 	observer  *observer.Observer
@@ -101,11 +103,18 @@
 	platform := &connector.Client{Base: settings.Platform}
 	starter.syncer = &syncer.Syncer{Recorder: &recorder.Recorder{Platform: platform}, Log: starter.Log}
 	group.Go(func() { _ = starter.syncer.Run(work) })
+	calls := &caller.Caller{TLS: tls}
+	defer calls.Close()
 	services := rpc.NewServer()
+	starter.gossiper = starter.membership(calls, platform)
+	if err := services.RegisterName("Members", starter.gossiper.Service()); err != nil {
+		return fmt.Errorf("register membership: %w", err)
+	}
+	group.Go(func() { _ = starter.gossiper.Run(work) })
 	if err := services.Register(&describer.Describer{Source: starter.status}); err != nil {
 		return fmt.Errorf("register status: %w", err)
 	}
-	if err := starter.startBurn(work, &group, platform, tls, services); err != nil {
+	if err := starter.startBurn(work, &group, platform, calls, services); err != nil {
 		return err
 	}
 	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: services}
@@ -138,12 +147,12 @@
 	case <-limit.Done():
 	case <-time.After(starter.Settings.StopGrace):
 	}
-	if err := callers.Shutdown(limit); err != nil {
-		return fmt.Errorf("finish requests: %w", err)
-	}
-	if err := starter.persister.Stop(limit); err != nil {
-		starter.Log.WithError(err).Error("burn-counters-lost")
+	unfinished := callers.Shutdown(limit)
+	starter.handOverCounters(work)
+	if unfinished != nil {
+		return fmt.Errorf("finish requests: %w", unfinished)
 	}
+	starter.gossiper.Leave(limit)
 	starter.Log.Info("stopped")
 	return nil
 }
