--- a/core/withdrawer/withdrawer_test.go
+++ b/core/withdrawer/withdrawer_test.go
@@ -27,40 +27,62 @@
 	return entries
 }
 
+// recorded is a configuration with the table that VMs make of it step by step.
+type recorded struct {
+	*configurator.State
+	table *configurator.Table
+}
+
+func newRecorded() *recorded {
+	return &recorded{State: configurator.NewState(), table: &configurator.Table{}}
+}
+
 // record makes the state's team equal to the entries, as apply does.
-func record(t *testing.T, state *configurator.State, entries []configurator.Entry) {
+func record(t *testing.T, state *recorded, entries []configurator.Entry) {
 	t.Helper()
 	puts, deletes := configurator.Difference(state.Team("t"), entries)
 	puts, deletes = withdrawer.Complete(state.Team("t"), puts, deletes)
-	change := configurator.Change{Revision: state.Revision + 1, Team: "t", Puts: puts, Deletes: deletes}
+	state.apply(t, configurator.Change{Team: "t", Puts: puts, Deletes: deletes})
+}
+
+// apply makes the change as the next revision, and the next table from the
+// last one.
+func (state *recorded) apply(t *testing.T, change configurator.Change) {
+	t.Helper()
+	change.Revision = state.Revision + 1
+	state.table, _ = state.table.Update(state.State, change)
 	is.New(t).NoErr(state.Apply(change))
 }
 
-func valid(state *configurator.State, key int) bool {
-	table, _ := configurator.Compile(state.All())
-	return table.Key(configurator.KeyHash([]byte(strings.Repeat(string(rune(key)), 32)))) != nil
+// valid reports whether both a table made step by step and one made at once
+// have the key.
+func valid(t *testing.T, state *recorded, key int) bool {
+	t.Helper()
+	hash := configurator.KeyHash([]byte(strings.Repeat(string(rune(key)), 32)))
+	whole, _ := configurator.Compile(state.All())
+	is.New(t).Equal(whole.Key(hash) != nil, state.table.Key(hash) != nil)
+	return whole.Key(hash) != nil
 }
 
 func TestKeyGivenByCommandOutlivesApply(t *testing.T) {
 	is := is.New(t)
-	state := configurator.NewState()
+	state := newRecorded()
 	record(t, state, append(declared("declarations", 1), declared("command", 2)[1:]...))
 	record(t, state, declared("declarations", 1))
-	is.True(valid(state, 1) && valid(state, 2))
+	is.True(valid(t, state, 1) && valid(t, state, 2))
 	record(t, state, nil) // takes the organisation away too
-	is.True(!valid(state, 1) && !valid(state, 2))
+	is.True(!valid(t, state, 1) && !valid(t, state, 2))
 	record(t, state, declared("declarations", 1, 2))
-	is.True(!valid(state, 1) && !valid(state, 2))
+	is.True(!valid(t, state, 1) && !valid(t, state, 2))
 }
 
 func TestTeamCanNotWithdrawKeysOfOthers(t *testing.T) {
 	is := is.New(t)
-	state := configurator.NewState()
+	state := newRecorded()
 	record(t, state, declared("declarations", 1))
 	foreign := configurator.Entry{Path: "/u/withdrawals/x", Fields: []configurator.Field{{Name: "sha-256", Value: hashOf(1)}}}
-	change := configurator.Change{Revision: state.Revision + 1, Team: "u", Puts: []configurator.Entry{foreign}}
-	is.NoErr(state.Apply(change))
-	is.True(valid(state, 1))
+	state.apply(t, configurator.Change{Team: "u", Puts: []configurator.Entry{foreign}})
+	is.True(valid(t, state, 1))
 }
 
 // TestWithdrawnKeyNeverReturns compares random histories of applied and rolled
@@ -69,7 +91,7 @@
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(7, 7))
 	for range 50 {
-		state := configurator.NewState()
+		state := newRecorded()
 		var ended []int
 		var before []int
 		for range 20 {
@@ -84,7 +106,7 @@
 			}
 			before = slices.DeleteFunc(keys, func(key int) bool { return slices.Contains(ended, key) })
 			for key := range 6 {
-				is.Equal(valid(state, key), slices.Contains(before, key))
+				is.Equal(valid(t, state, key), slices.Contains(before, key))
 			}
 		}
 	}
--- a/operator/internal/commander/commander.go
+++ b/operator/internal/commander/commander.go
@@ -22,15 +22,11 @@
 	"godwitramp.example/shell/connector"
 	"godwitramp.example/shell/describer"
 	"godwitramp.example/shell/recorder"
+	"godwitramp.example/shell/waiter"
 )
 
 // Report says how far a revision is in force.
-type Report struct {
-	Revision  uint64   `json:"revision"`
-	InForce   bool     `json:"in-force"`
-	Confirmed int      `json:"confirmed"`
-	Missing   []string `json:"missing"`
-}
+type Report = waiter.Report
 
 // Waiter waits until a revision is in force on every VM.
 type Waiter interface {
@@ -51,7 +47,7 @@
 	Author string
 	// Open connects to the platform at an address.
 	Open func(address string) connector.Platform
-	// Waiter waits for revisions; without one, nothing is known to be in force.
+	// Waiter waits for revisions; a *waiter.Waiter unless set.
 	Waiter func(platform connector.Platform) Waiter
 	// Asker asks VMs; one with the certificates of the command line unless set.
 	Asker Asker
@@ -105,7 +101,7 @@
 		commander.Now = time.Now
 	}
 	if commander.Waiter == nil {
-		commander.Waiter = func(connector.Platform) Waiter { return unknowing{} }
+		commander.Waiter = func(platform connector.Platform) Waiter { return &waiter.Waiter{Platform: platform} }
 	}
 }
 
@@ -150,11 +146,3 @@
 	}
 	return tree, nil
 }
-
-// unknowing is the Waiter of a command that can't ask.
-type unknowing struct{}
-
-// Wait returns at once: nothing is known.
-func (unknowing) Wait(_ context.Context, revision uint64, _ func(Report)) (Report, error) {
-	return Report{Revision: revision}, nil
-}
--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -209,6 +209,24 @@
 	is.True(strings.Contains(out, `"comment": "key withdrawn"`))
 }
 
+func TestRollbackTellsWhatIsNoLongerOnRecord(t *testing.T) {
+	is := is.New(t)
+	platform := faker.New()
+	bench := newBench(t, platform, organisation)
+	for _, rate := range []string{"5", "6"} {
+		bench.declare(strings.Replace(organisation, "rate = 5", "rate = "+rate, 1))
+		code, _, _ := bench.run("apply")
+		is.Equal(code, 0)
+	}
+	bench.want(0, "t: revision 3 recorded, put 1, deleted 0\n", "revision 3 is in force, confirmed by 2\n", "rollback", "--team", "t", "--to", "1")
+	_, out, _ := bench.run("show", "/t/organisations/o")
+	is.True(strings.Contains(out, "rate = 5"))
+	_, err := platform.Transact(t.Context(), connector.Transaction{Deletes: []string{"config/change/000000000001"}})
+	is.NoErr(err)
+	bench.want(2, "", "operator: --to 2 is no longer on record; check its files out of version control and apply them\n",
+		"rollback", "--team", "t", "--to", "2")
+}
+
 // statuses answers for VMs by address.
 type statuses map[string]describer.Status
 
--- a/operator/internal/commander/history.go
+++ b/operator/internal/commander/history.go
@@ -149,15 +149,15 @@
 		message := fmt.Sprintf("--to %d is newer than the recorded configuration; allowed: 1 to %d", command.To, head.Revision)
 		return nil, &usageError{Message: message}
 	}
-	changes, err := recorder.Changes(ctx, 0, command.To, int(command.To))
-	if err != nil {
-		return nil, fmt.Errorf("read changes up to revision %d: %w", command.To, err)
+	state, err := recorder.At(ctx, command.To)
+	if isMissing(err) {
+		message := fmt.Sprintf("--to %d is no longer on record; check its files out of version control and apply them", command.To)
+		return nil, &usageError{Message: message}
 	}
-	state := configurator.NewState()
-	for _, change := range changes {
-		if err := state.Apply(change); err != nil {
-			return nil, fmt.Errorf("replay change %s: %w", change.ID, err)
-		}
+	if err != nil {
+		return nil, fmt.Errorf("read revision %d: %w", command.To, err)
 	}
 	return state.Team(command.Team), nil
 }
+
+func isMissing(err error) bool { return is[*recorder.MissingChangeError](err) }
--- a/operator/internal/commander/wait.go
+++ b/operator/internal/commander/wait.go
@@ -30,6 +30,10 @@
 		return report, &notInForceError{Report: report}
 	}
 	_, _ = fmt.Fprintf(commander.Err, "revision %d is in force, confirmed by %d\n", revision, report.Confirmed)
+	if report.Refusing {
+		_, _ = fmt.Fprintf(commander.Err, "these VMs refuse requests with keys until they have it: %s\n",
+			strings.Join(report.Missing, ", "))
+	}
 	return report, nil
 }
 
--- a/shell/recorder/snapshot.go
+++ b/shell/recorder/snapshot.go
@@ -121,3 +121,27 @@
 	}
 	return state, nil
 }
+
+// At returns the configuration at an older revision, or a
+// *MissingChangeError if it is no longer on record.
+func (recorder *Recorder) At(ctx context.Context, revision uint64) (*configurator.State, error) {
+	snapshots, err := recorder.Snapshots(ctx)
+	if err != nil {
+		return nil, err
+	}
+	state := configurator.NewState()
+	for _, start := range []uint64{snapshots.Older, snapshots.Newest} {
+		if start == 0 || start > revision {
+			continue
+		}
+		if state, err = recorder.loadSnapshot(ctx, start); err != nil {
+			return nil, err
+		}
+	}
+	for state.Revision < revision {
+		if err := recorder.advance(ctx, state, revision); err != nil {
+			return nil, err
+		}
+	}
+	return state, nil
+}
