operator: claim nothing when no VM is on record

Cause: found by running the built programs: before any VM has registered, the waiter's "none is missing" was printed as "in force, confirmed by 0", code 0, while two VMs were serving. Ruled out: asking the platform's list (it lags, and an empty list proves no more). Conclusion: in force needs at least one VM that has confirmed or is known to refuse.

--- a/operator/internal/commander/wait.go
+++ b/operator/internal/commander/wait.go
@@ -26,7 +26,10 @@
 		_, _ = fmt.Fprintln(commander.Err, "operator: wait until in force:", err)
 	}
 	report.Revision = revision
-	if err != nil || !report.InForce {
+	// Without a single VM on record nothing proves that none is serving.
+	unproven := report.Confirmed == 0 && len(report.Missing) == 0
+	if err != nil || !report.InForce || unproven {
+		report.InForce = false
 		return report, &notInForceError{Report: report}
 	}
 	_, _ = fmt.Fprintf(commander.Err, "revision %d is in force, confirmed by %d\n", revision, report.Confirmed)
