scanner: measure reading at three sizes

Cause: 380,000 organisations are checked from files in one go. Ruled out: nothing; no change is needed.

--- a/core/scanner/scanner_test.go
+++ b/core/scanner/scanner_test.go
@@ -1,6 +1,7 @@
 package scanner_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -74,3 +75,20 @@
 		}
 	})
 }
+
+func BenchmarkScan(b *testing.B) {
+	for _, sections := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("sections=%d", sections), func(b *testing.B) {
+			var text strings.Builder
+			for i := range sections {
+				fmt.Fprintf(&text, "[/kundsetu/organisations/o%d]\nrate = 50\nburst = 100\n", i)
+			}
+			for b.Loop() {
+				if _, problems := scanner.Scan("f.ini", []byte(text.String())); len(problems) > 0 {
+					b.Fatal(problems[0])
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(sections), "ns/section")
+		})
+	}
+}
