--- a/entry/internal/observer/observer_test.go
+++ b/entry/internal/observer/observer_test.go
@@ -11,6 +11,7 @@
 
 	"godwitramp.example/core/burner"
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/observer"
 )
 
@@ -58,6 +59,23 @@
 	}
 }
 
+func TestOutcomesOfRecords(t *testing.T) {
+	tests := []struct {
+		record forwarder.Record
+		want   observer.Outcome
+	}{
+		{forwarder.Record{Status: 200, Whole: true}, observer.Answered},
+		{forwarder.Record{Status: 200}, observer.Broken},
+		{forwarder.Record{Status: 200, CallerGone: true}, observer.Abandoned},
+		{forwarder.Record{Outcome: forwarder.Unknown, CallerGone: true}, observer.Abandoned},
+		{forwarder.Record{Status: 502, Outcome: forwarder.Unknown, Whole: true}, observer.Unknown},
+		{forwarder.Record{Status: 503, Outcome: forwarder.NotRun, Whole: true}, observer.NotRun},
+	}
+	for _, test := range tests {
+		is.New(t).Equal(observer.Of(test.record, nil).Outcome, test.want)
+	}
+}
+
 func TestLabelsAreBounded(t *testing.T) {
 	is := is.New(t)
 	set := metrics.NewSet()
@@ -67,7 +85,7 @@
 		observing.Observe(observer.Observation{Service: service(fmt.Sprint(i)), Organisation: organisation, Status: 200,
 			Outcome: observer.Answered, Attempts: 3})
 	}
-	observing.Observe(observer.Observation{Status: 404, Outcome: observer.NotRun})
+	observing.Observe(observer.OfRefusal(forwarder.Job{}, forwarder.Refusal{Status: 404, Reason: "no-route"}))
 	var text strings.Builder
 	set.WritePrometheus(&text)
 	is.Equal(strings.Count(text.String(), "godwitramp_retries_total"), 256+2)
@@ -77,6 +95,7 @@
 		`godwitramp_requests_total{service="other",class="2xx",outcome="answered"} 44`,
 		`godwitramp_requests_total{service="none",class="4xx",outcome="not-run"} 1`,
 		`godwitramp_retries_total{service="other"} 88`,
+		`godwitramp_refusals_total{reason="no-route"} 1`,
 	} {
 		is.True(strings.Contains(text.String(), line+"\n"))
 	}
@@ -97,3 +116,18 @@
 		})
 	}
 }
+
+// BenchmarkNaive names every metric anew for each request, as a baseline.
+func BenchmarkNaive(b *testing.B) {
+	for _, services := range []int{4, 200, 2100} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			set := metrics.NewSet()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				name := fmt.Sprintf("/t/services/%d", i%services)
+				set.GetOrCreateCounter(fmt.Sprintf("requests_total{service=%q,class=\"2xx\",outcome=\"answered\"}", name)).Inc()
+				set.GetOrCreateHistogram(fmt.Sprintf("duration_seconds{service=%q}", name)).Update(0.001)
+			}
+		})
+	}
+}
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -27,6 +27,8 @@
 	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/gossiper"
 	"godwitramp.example/entry/internal/loader"
+	"godwitramp.example/entry/internal/observer"
+	"godwitramp.example/entry/internal/persister"
 	"godwitramp.example/entry/internal/server"
 	"godwitramp.example/entry/internal/syncer"
 	"godwitramp.example/shell/caller"
@@ -48,6 +50,9 @@
 	leaving  atomic.Bool
 	syncer   *syncer.Syncer
 	gossiper *gossiper.Gossiper
+	// persister keeps the counters of the burn report.
+	persister *persister.Persister
+	observer  *observer.Observer
 }
 
 // listeners are the sockets of a VM.
@@ -109,6 +114,9 @@
 	if err := services.Register(&describer.Describer{Source: starter.status}); err != nil {
 		return fmt.Errorf("register status: %w", err)
 	}
+	if err := starter.startBurn(work, &group, platform, calls, services); err != nil {
+		return err
+	}
 	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: services}
 	group.Go(func() { _ = peers.Run(work) })
 
@@ -141,8 +149,10 @@
 	case <-limit.Done():
 	case <-time.After(starter.Settings.StopGrace):
 	}
-	if err := callers.Shutdown(limit); err != nil {
-		return fmt.Errorf("finish requests: %w", err)
+	unfinished := callers.Shutdown(limit)
+	starter.handOverCounters(work)
+	if unfinished != nil {
+		return fmt.Errorf("finish requests: %w", unfinished)
 	}
 	starter.gossiper.Leave(limit)
 	starter.Log.Info("stopped")
@@ -156,8 +166,9 @@
 		Forwarder: &forwarder.Forwarder{
 			Picker:    router.New(router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}),
 			Exchanger: sender,
+			Report:    starter.forwarded,
 		},
-		Log: starter.Log, Leaving: starter.leaving.Load,
+		Log: starter.Log, Leaving: starter.leaving.Load, Refused: starter.refused,
 	}
 	return server.HTTP()
 }
--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -29,6 +30,7 @@
 	directory string
 	report    commander.Report
 	asker     commander.Asker
+	biller    commander.Biller
 }
 
 func newBench(t *testing.T, platform connector.Platform, declarations string) *bench {
@@ -54,7 +56,7 @@
 func (bench *bench) run(arguments ...string) (code int, out, problems string) {
 	var first, second bytes.Buffer
 	command := &commander.Commander{
-		Out: &first, Err: &second, Author: "asha", Asker: bench.asker,
+		Out: &first, Err: &second, Author: "asha", Asker: bench.asker, Biller: bench.biller,
 		Open:   func(string) connector.Platform { return bench.platform },
 		Waiter: func(connector.Platform) commander.Waiter { return bench },
 		Secret: func() string { return "not-a-secret" },
@@ -127,6 +129,28 @@
 		bench.want(5, applied, "waiting for revision 1: confirmed by 1, missing 1: vm-02\n"+
 			"operator: revision 1 is recorded but not in force: confirmed by 1, missing 1: vm-02\n", "apply")
 	})
+	t.Run("no VM on record", func(t *testing.T) {
+		bench := newBench(t, faker.New(), organisation)
+		bench.report = commander.Report{InForce: true}
+		bench.want(5, applied, "operator: revision 1 is recorded; whether it is in force is not known\n", "apply")
+	})
+	t.Run("not in force, as JSON", func(t *testing.T) {
+		is := is.New(t)
+		bench := newBench(t, faker.New(), organisation)
+		bench.report = commander.Report{Revision: 1, Confirmed: 1, Missing: []string{"vm-02"}}
+		code, out, _ := bench.run("apply", "--output", "json")
+		is.Equal(code, 5)
+		var output struct {
+			Changes []struct{ Recorded bool }
+			InForce struct {
+				Known   bool
+				Missing []string
+			} `json:"in-force"`
+		}
+		is.NoErr(json.Unmarshal([]byte(out), &output))
+		is.True(output.Changes[0].Recorded && !output.InForce.Known)
+		is.Equal(output.InForce.Missing, []string{"vm-02"})
+	})
 	t.Run("store away", func(t *testing.T) {
 		platform := faker.New()
 		platform.SetFaults(faker.Faults{Outage: true})
@@ -190,6 +214,24 @@
 	is.True(strings.Contains(out, `"comment": "key withdrawn"`))
 }
 
+func TestRollbackTellsWhatIsNoLongerOnRecord(t *testing.T) {
+	is := is.New(t)
+	platform := faker.New()
+	bench := newBench(t, platform, organisation)
+	for _, rate := range []string{"5", "6"} {
+		bench.declare(strings.Replace(organisation, "rate = 5", "rate = "+rate, 1))
+		code, _, _ := bench.run("apply")
+		is.Equal(code, 0)
+	}
+	bench.want(0, "t: revision 3 recorded, put 1, deleted 0\n", "revision 3 is in force, confirmed by 2\n", "rollback", "--team", "t", "--to", "1")
+	_, out, _ := bench.run("show", "/t/organisations/o")
+	is.True(strings.Contains(out, "rate = 5"))
+	_, err := platform.Transact(t.Context(), connector.Transaction{Deletes: []string{"config/change/000000000001"}})
+	is.NoErr(err)
+	bench.want(2, "", "operator: --to 2 is no longer on record; check its files out of version control and apply them\n",
+		"rollback", "--team", "t", "--to", "2")
+}
+
 // statuses answers for VMs by address.
 type statuses map[string]describer.Status
 
@@ -214,13 +256,17 @@
 		Since: time.Unix(990, 0), Until: time.Unix(1020, 0),
 		Evidence: []describer.Evidence{{VM: "vm-01", Good: 1, Failures: 9}},
 	}
-	bench.asker = statuses{"1": {Revision: 7, Ready: true, KeysKnown: true, Version: "0.1.0", Ejections: []describer.Ejection{ejection}}}
+	bench.asker = statuses{"1": {Name: "vm-01", Region: "r", DataCentre: "d", Revision: 7, Ready: true, KeysKnown: true, Version: "0.1.0", Ejections: []describer.Ejection{ejection}}}
 	bench.want(0, "vm-01  r/d  listed=live  revision=7  ready=true  leaving=false  keys-known=true  version=0.1.0\n"+
 		"vm-02  s/e  listed=leaving  no answer: silent\n", "", "vms")
 	bench.want(0, "r  /t/services/s/targets/a  out for 10s, for 20s more  reason=failures  by=vm-01\n"+
 		"    vm-01 saw good=1 failures=9 slow=0\ns: not known, no VM answered\n", "", "upstreams")
+	bench.asker = statuses{"1": {Name: "vm-01", Region: "r", DataCentre: "d"}}
+	bench.want(0, "no target is known to be kept out of use\ns: not known, no VM answered\n", "", "upstreams")
+	platform.SetFaults(faker.Faults{Outage: true, ListOutage: true})
+	bench.want(0, "vm-01  r/d  revision=0  ready=false  leaving=false  keys-known=false  version=\n", "", "vms", "--vm", "1")
 	bench.asker = statuses{}
-	bench.want(1, "", "operator: no VM answered; whether targets are out of use is not known (regions: r, s)\n", "upstreams")
+	bench.want(1, "", "operator: no VM answered; whether targets are out of use is not known\n", "upstreams", "--vm", "1")
 }
 
 func TestBurnReportTellsGaps(t *testing.T) {
@@ -235,8 +281,8 @@
 	is.NoErr(uploader.Save(t.Context(), 0, []burner.Record{{Bucket: 3, Lines: []burner.Line{
 		{Pair: burner.Pair{Service: "/t/services/s", Organisation: "o"}, Counts: burner.Counts{Good: 80, Bad: 20}}}}}))
 	const rows = "LEVEL  SERVICE        ORGANISATION  OBJECTIVE  5m     30m    1h     6h     72h    ANSWERS\n" +
-		"page   /t/services/s  all           0.99       20.00  20.00  20.00  20.00  20.00  100\n" +
-		"page   /t/services/s  o             0.99       20.00  20.00  20.00  20.00  20.00  100\n"
+		"page   /t/services/s  all           99%        20.00  20.00  20.00  20.00  20.00  100\n" +
+		"page   /t/services/s  o             99%        20.00  20.00  20.00  20.00  20.00  100\n"
 	bench.want(0, empty+rows, "", "report", "burn")
 	is.NoErr(platform.PutObject(t.Context(), "burn/d/000/0", []byte("spoilt")))
 	code, out, problems := bench.run("report", "burn")
@@ -244,6 +290,30 @@
 	is.True(strings.HasPrefix(problems, "could not read burn/d/000/0: "))
 }
 
+// forecasts is a Biller with fixed forecasts.
+type forecasts []commander.Forecast
+
+// Forecast returns the forecasts.
+func (forecasts forecasts) Forecast(context.Context, connector.Platform, time.Time) ([]commander.Forecast, error) {
+	return forecasts, nil
+}
+
+func TestBillGivesTheBand(t *testing.T) {
+	bench := newBench(t, faker.New(), organisation)
+	const nothing = "operator: no metered traffic is recorded; a bill can't be forecast\n"
+	bench.want(1, "", nothing, "report", "bill")
+	month := time.Date(2027, 2, 1, 0, 0, 0, 0, time.UTC)
+	bench.biller = forecasts{
+		{Team: "t", From: "kutch", To: "charotar", Month: month, ThisMonth: 5e9, Low: 8e9, Expected: 1e10, High: 15e9, Price: 0.1},
+		{Team: "u", From: "kutch", To: "charotar", Month: month, Low: 1e9, Expected: 2e9, High: 3e9, Price: 1},
+	}
+	bench.want(0, "TEAM  FROM   TO        MONTH    GB SO FAR  GB EXPECTED  COST LOW  COST EXPECTED  COST HIGH\n"+
+		"t     kutch  charotar  2027-02  5.0        10.0         0.80      1.00           1.50\n"+
+		"u     kutch  charotar  2027-02  0.0        2.0          1.00      2.00           3.00\n"+
+		"all                                                     1.80      3.00           4.50\n", "", "report", "bill")
+	bench.want(1, "", nothing, "report", "bill", "--team", "v")
+}
+
 func TestSettingsPageListsEverySetting(t *testing.T) {
 	is := is.New(t)
 	page, err := os.ReadFile("../../../docs/SETTINGS.md")
