ejector: test merged evidence and bound ejections by permits

Cause: nothing told the fleet that a target fails while its health endpoint passes, and nothing bounded what many VMs leave out together. Now: a sequential test for each target on the evidence of all VMs of its region, errors and slowness apart, against the usual share at the service's other targets; one VM adds at most half of the threshold, and one that stays alone with its finding is ignored; where VMs beside the target report, half of the score must be theirs. A permit a target that may be out; its holder has a lease of 4 h, VMs obey an ejection for 15 s counted from before they asked for it, and a permit serves a second target only when nobody can obey the first any more. VMs obey only the permits that their own configuration allows, so a raised floor or removed targets are kept without any message.

--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -8,9 +8,10 @@
 //
 // # Usage
 //
-//	detector := ejector.NewDetector()
+//	detector := &ejector.Detector{Region: "kutch"}
+//	detector.Follow(service, now)
 //	detector.Add(batch, now)
-//	for _, verdict := range detector.Verdicts() {
+//	for _, verdict := range detector.Verdicts(now) {
 //		permit.Eject(verdict.Target, reading)
 //	}
 //	view.Take(statement, asked)
@@ -48,15 +49,17 @@
 	Good, Slow, Bad int
 }
 
-// Batch is what one VM has observed since its last batch.
+// Batch is what one VM has observed since its last batch at the targets of its
+// own region.
 type Batch struct {
-	VM      string
-	Tallies []Tally
+	VM         string
+	DataCentre string
+	Tallies    []Tally
 }
 
 // Verdict is a target that the evidence condemns.
 type Verdict struct {
 	Target configurator.Path
-	// Since is when the excursion of the test began.
+	// Since is when the evidence began to gather.
 	Since time.Duration
 }
--- /dev/null
+++ b/core/ejector/floor_test.go
@@ -0,0 +1,255 @@
+package ejector_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/ejector"
+	"godwitramp.example/core/timekeeper"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "1200", "rapid.steps": "250", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestAllowedKeepsTheFloor(t *testing.T) {
+	for _, test := range []struct {
+		floor   float64
+		slots   []int
+		leaving int
+		want    int
+	}{
+		{0.5, nil, 0, 0},
+		{0.5, []int{4}, 0, 0}, // the only target stays
+		{0, []int{4}, 0, 0},
+		{0.5, []int{4, 4}, 0, 1},
+		{0.51, []int{4, 4}, 0, 0},
+		{0, []int{4, 4}, 0, 1},
+		{0.5, []int{4, 4, 4, 4}, 0, 2},
+		{0.5, []int{4, 4, 4, 4}, 1, 1},
+		{0.5, []int{4, 4, 4, 4}, 3, 0},
+		{0.75, []int{4, 4, 4, 4}, 0, 1},
+		{0.07, slices.Repeat([]int{1}, 100), 0, 93}, // no rounding error
+		{0.5, []int{12, 2, 2, 2}, 0, 0},             // one target has most slots
+		{1, []int{4, 4, 4}, 0, 0},
+	} {
+		is := is.New(t)
+		is.Equal(ejector.Allowed(test.floor, test.slots, test.leaving), test.want) // see the row of floor and slots
+	}
+}
+
+const group = "/a/services/s"
+
+// declare returns a service of four slots a target with targets t0, t1, ...
+func declare(floor float64, count int) *configurator.ServiceTargets {
+	service := &configurator.ServiceTargets{Service: configurator.Service{Path: group, Floor: floor}}
+	for i := range count {
+		service.Targets = append(service.Targets, configurator.Target{Path: targetPath(i), Region: "r1", DataCentre: "r1-1", Slots: 4})
+	}
+	return service
+}
+
+func targetPath(i int) configurator.Path {
+	return configurator.Path(fmt.Sprintf("%s/targets/t%02d", group, i))
+}
+
+// row is the permit's row in the table service.
+type row struct {
+	version uint64
+	claim   ejector.Claim
+}
+
+// vm is one VM of the history: it holds a view, and claims every permit.
+type vm struct {
+	clocks   timekeeper.Reading
+	paused   bool
+	suspends bool
+	service  *configurator.ServiceTargets
+	view     ejector.View
+	claimers []*ejector.Claimer
+}
+
+func newVM(name int, service *configurator.ServiceTargets) *vm {
+	vm := &vm{service: service, clocks: timekeeper.Reading{Mono: time.Duration(name) * time.Hour}}
+	for i := range 3 {
+		permit := &ejector.Permit{Holder: fmt.Sprint("vm", name), ID: ejector.PermitID{Group: ejector.Group{Service: group, Region: "r1"}, Index: i}}
+		vm.claimers = append(vm.claimers, &ejector.Claimer{Permit: permit})
+	}
+	return vm
+}
+
+// obeyed returns the targets that the VM leaves out.
+func (vm *vm) obeyed() []configurator.Path {
+	var paths []configurator.Path
+	for _, obeyed := range vm.view.Obeyed(vm.service, "r1", 0, vm.clocks) {
+		paths = append(paths, obeyed.Target)
+	}
+	return paths
+}
+
+// pull is an answer on its way: statements as of when they were given, and
+// when they were asked for.
+type pull struct {
+	statements []ejector.Statement
+	asked      timekeeper.Reading
+	to         *vm
+}
+
+// TestFloorAgainstCounting runs random histories of claims, lost and late
+// answers, pauses, clock jumps, kills and changes of the configuration. The
+// naive version counts the targets that any VM leaves out.
+func TestFloorAgainstCounting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		service := declare(rapid.SampledFrom([]float64{0.5, 0.7, 0.7}).Draw(t, "floor"), 6)
+		fleet := []*vm{newVM(0, service), newVM(1, service), newVM(2, service)}
+		rows := make([]row, 3)
+		var late []pull
+		nonce := 0
+		any := func(t *rapid.T) *vm { return fleet[rapid.IntRange(0, len(fleet)-1).Draw(t, "vm")] }
+		rarely := func(t *rapid.T) bool { return rapid.IntRange(0, 9).Draw(t, "rarely") == 0 }
+		permit := func(t *rapid.T) int { return rapid.IntRange(0, 2).Draw(t, "permit") }
+		running := func(t *rapid.T) *vm {
+			chosen := any(t)
+			if chosen.paused {
+				chosen = fleet[0]
+			}
+			return chosen
+		}
+		eject := func(t *rapid.T) {
+			vm := running(t)
+			target := targetPath(rapid.IntRange(0, 5).Draw(t, "target"))
+			for _, claimer := range vm.claimers {
+				if claimer.Permit.Eject(target, time.Minute, 1, vm.clocks) {
+					return
+				}
+			}
+		}
+		ask := func(t *rapid.T) {
+			asker, asked := running(t), running(t)
+			for _, claimer := range asked.claimers {
+				if claimer.Permit.Held(asked.clocks) {
+					asked.view.Take(claimer.Permit.Statement(asked.clocks), asked.clocks)
+				}
+			}
+			statements := asked.view.Statements(asked.clocks)
+			if rapid.IntRange(0, 3).Draw(t, "late") == 0 {
+				late = append(late, pull{statements: statements, asked: asker.clocks, to: asker})
+				return
+			}
+			for _, statement := range statements {
+				asker.view.Take(statement, asker.clocks)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				vm, i := running(t), permit(t)
+				claimer := vm.claimers[i]
+				claimer.See(rows[i].version, rows[i].claim, vm.clocks)
+				if !claimer.Wants(vm.clocks) {
+					return
+				}
+				nonce++
+				claim := claimer.Begin(fmt.Sprint(nonce), vm.clocks)
+				fate := rapid.SampledFrom([]string{"done", "done", "answer lost", "write lost"}).Draw(t, "fate")
+				if fate != "write lost" {
+					rows[i] = row{version: rows[i].version + 1, claim: claim}
+				}
+				if fate == "done" {
+					claimer.See(rows[i].version, rows[i].claim, vm.clocks)
+				}
+			},
+			"release": func(t *rapid.T) {
+				vm, i := running(t), permit(t)
+				held := vm.claimers[i].Permit
+				if held.Held(vm.clocks) && held.Term() == rows[i].version {
+					held.Drop()
+					rows[i] = row{version: rows[i].version + 1, claim: ejector.Claim{Released: true}}
+				}
+			},
+			"eject": eject, "eject again": eject, "ask": ask, "ask again": ask,
+			"renew": func(t *rapid.T) {
+				vm := running(t)
+				for _, claimer := range vm.claimers {
+					claimer.Permit.Renew(vm.clocks)
+				}
+			},
+			"end": func(t *rapid.T) { running(t).claimers[permit(t)].Permit.Release() },
+			"answer": func(t *rapid.T) {
+				if len(late) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(late)-1).Draw(t, "answer")
+				if late[i].to.paused {
+					return
+				}
+				for _, statement := range late[i].statements {
+					late[i].to.view.Take(statement, late[i].asked)
+				}
+				late = slices.Delete(late, i, i+1)
+			},
+			"pause": func(t *rapid.T) {
+				vm := fleet[1+rapid.IntRange(0, 1).Draw(t, "vm")]
+				vm.paused, vm.suspends = !vm.paused && rarely(t), rapid.Bool().Draw(t, "monotonic clock stands still")
+			},
+			"jump": func(t *rapid.T) {
+				if vm := any(t); rarely(t) && !vm.paused {
+					vm.clocks.Wall += time.Duration(rapid.IntRange(-3, 3).Draw(t, "hours")) * time.Hour
+				}
+			},
+			"kill": func(t *rapid.T) {
+				if i := rapid.IntRange(0, 2).Draw(t, "vm"); rarely(t) {
+					clocks := fleet[i].clocks
+					fleet[i] = newVM(i, service)
+					fleet[i].clocks = clocks
+				}
+			},
+			"configure": func(t *rapid.T) {
+				if rarely(t) {
+					service = declare(rapid.SampledFrom([]float64{0.5, 0.7, 0.9}).Draw(t, "floor"), rapid.IntRange(4, 6).Draw(t, "targets"))
+				}
+				any(t).service = service
+			},
+			"time": func(t *rapid.T) {
+				passed := rapid.SampledFrom([]time.Duration{time.Second, 3 * time.Second, 18 * time.Second}).Draw(t, "passed")
+				if rarely(t) {
+					passed = rapid.SampledFrom([]time.Duration{time.Hour, 3 * time.Hour, 5 * time.Hour}).Draw(t, "long")
+				}
+				for _, vm := range fleet {
+					vm.clocks.Wall += passed
+					if !vm.paused || !vm.suspends {
+						vm.clocks.Mono += passed
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				out := make(map[configurator.Path]bool)
+				most := 0
+				for _, vm := range fleet {
+					if vm.paused {
+						continue
+					}
+					for _, target := range vm.obeyed() {
+						out[target] = true
+					}
+					most = max(most, ejector.AllowedIn(vm.service, "r1"))
+				}
+				if len(out) > most {
+					t.Fatalf("%d targets are out, the floor allows %d", len(out), most)
+				}
+			},
+		})
+	})
+}
