steward: exchange evidence, ejections and leaving targets between VMs

Cause: the decisions about ejection had no VM to run on: evidence stayed where it was seen, nobody claimed permits, and a target that said to one VM that it leaves went on getting requests from all others. Now: each VM claims the permits that fall to it on a hash ring of its region's VMs (table rows, lease of 4 h, renewed each 30 min); sends bad observations within 50 ms to the holders; passes on statements and leaves by notice and pull with three neighbours; probes the targets that fall to it, two VMs a target whatever the fleet's size; gives its permits back at a planned stop. Ruled out: - Pushing ejections: a message read late would stretch the lease. A VM asks, and counts the lease from before it asked. - Status 503 of the health endpoint alone as leaving: overloaded targets answer so too. The body has to begin with "leaving". Found on the way, each by a test that failed first: - A holder whose detector still had the evidence ejected the target again as soon as the other holder let it return: steward_test.go:182: 0 != 6. - An ejection that came before the VM's first request to the service was lost: steward_test.go:196: 1 != 0. Before: three VMs with evidence, three without: the latter sent on. After: no VM sends within 1 s in virtual time, with the store away since the permits were claimed, and also if each answer of the store had been lost. Seen failing on seeded mistakes: ejections not passed to the router: steward_test.go:180: 3 != 0 notices not followed: steward_test.go:180: 3 != 0 leaves not obeyed: steward_test.go:226: 5 != 0 own write not known again: steward_test.go:180: 3 != 0 permits not given back: steward_test.go:249: 0 != 2 every VM probes: prober_test.go:93: map[7000:200 ...] != map[7000:20 ...] any 503 means leaving: prober_test.go:94: t2:leaves Conclusion: works over net/rpc and fakes of members and platform. The starter knows no other VM yet, so a running VM decides alone until membership is wired.

--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -15,7 +15,7 @@
 //		permit.Eject(verdict.Target, reading)
 //	}
 //	view.Take(statement, asked)
-//	ejected := view.Ejected(group, allowed, reading)
+//	obeyed := view.Obeyed(service, region, leaving, reading)
 package ejector
 
 import (
@@ -35,11 +35,14 @@
 	Slow
 	// Bad is an error, a broken answer, or silence on a fresh connection.
 	Bad
+	// Left is an answer that says the target takes no new requests.
+	Left
 )
 
 // Observation is one attempt at a target.
 type Observation struct {
 	Target configurator.Path
+	Region string
 	Kind   Kind
 }
 
--- a/core/ejector/floor_test.go
+++ b/core/ejector/floor_test.go
@@ -144,7 +144,7 @@
 					asked.view.Take(claimer.Permit.Statement(asked.clocks), asked.clocks)
 				}
 			}
-			statements := asked.view.Statements(asked.clocks)
+			statements := asked.view.Since(0, asked.clocks)
 			if rapid.IntRange(0, 3).Draw(t, "late") == 0 {
 				late = append(late, pull{statements: statements, asked: asker.clocks, to: asker})
 				return
--- a/core/ejector/measure_test.go
+++ b/core/ejector/measure_test.go
@@ -305,7 +305,7 @@
 			ejections = append(ejections, router.Ejection{Target: one.Target, Until: fleet.now + one.Left})
 		}
 	}
-	node.router.Eject(fleet.service.Path, ejections, fleet.now)
+	node.router.Eject(fleet.service, ejections, fleet.now)
 }
 
 // check lets the stewards decide without new evidence.
--- /dev/null
+++ b/core/ejector/ring.go
@@ -0,0 +1,55 @@
+package ejector
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// pointsEach is the number of places that a VM has on a ring.
+const pointsEach = 8
+
+// Ring spreads permits and probes over VMs. A VM that comes or goes changes
+// only the places next to its own.
+type Ring struct {
+	points []point
+	vms    int
+}
+
+type point struct {
+	hash uint64
+	vm   string
+}
+
+// NewRing returns a ring of the VMs with the given names.
+func NewRing(vms []string) Ring {
+	ring := Ring{vms: len(vms)}
+	for _, vm := range vms {
+		for i := range pointsEach {
+			ring.points = append(ring.points, point{hash: xxhash.Sum64String(fmt.Sprint(vm, "#", i)), vm: vm})
+		}
+	}
+	slices.SortFunc(ring.points, func(a, b point) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.vm, b.vm))
+	})
+	return ring
+}
+
+// Next returns the first VMs after the place of the key, each once, at most
+// count.
+func (ring Ring) Next(key string, count int) []string {
+	count = min(count, ring.vms)
+	start, _ := slices.BinarySearchFunc(ring.points, xxhash.Sum64String(key), func(point point, hash uint64) int {
+		return cmp.Compare(point.hash, hash)
+	})
+	var vms []string
+	for i := 0; len(vms) < count; i++ {
+		vm := ring.points[(start+i)%len(ring.points)].vm
+		if !slices.Contains(vms, vm) {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
--- a/core/ejector/steward.go
+++ b/core/ejector/steward.go
@@ -141,6 +141,8 @@
 	out := condition.View.Obeyed(steward.service, steward.Group.Region, len(condition.Leaving), now)
 	for _, obeyed := range out {
 		steward.stays.Ended(obeyed.Target, obeyed.Strikes, now.Mono)
+		// What led to the ejection must not lead to another one after it.
+		steward.Detector.Clear(obeyed.Target)
 	}
 	for _, verdict := range steward.Detector.Verdicts(now.Mono) {
 		if !steward.serves(verdict.Target) || slices.Contains(condition.Leaving, verdict.Target) || steward.isOut(verdict.Target, out) {
--- a/core/ejector/view.go
+++ b/core/ejector/view.go
@@ -16,6 +16,7 @@
 // permits above the new number are not obeyed any more, whoever holds them.
 type View struct {
 	groups map[Group][]heard
+	leaves map[configurator.Path]heardLeave
 	// revision rises with each change.
 	revision uint64
 }
@@ -24,6 +25,8 @@
 type heard struct {
 	statement Statement
 	lease     timekeeper.Lease
+	// revision is the view's when the statement came.
+	revision uint64
 }
 
 // Obeyed is an ejection that the VM obeys.
@@ -41,21 +44,19 @@
 	}
 	news := heard{statement: statement, lease: timekeeper.Lease{Start: asked, Length: statement.Left}}
 	group := view.groups[statement.Permit.Group]
-	for i := range group {
-		if group[i].statement.Permit != statement.Permit {
-			continue
-		}
-		if !statement.newer(group[i].statement) {
-			return false
-		}
+	i := slices.IndexFunc(group, func(heard heard) bool { return heard.statement.Permit == statement.Permit })
+	if i >= 0 && !statement.newer(group[i].statement) {
+		return false
+	}
+	view.revision++
+	news.revision = view.revision
+	if i >= 0 {
 		group[i] = news
-		view.revision++
 		return true
 	}
 	group = append(group, news)
 	slices.SortFunc(group, func(a, b heard) int { return cmp.Compare(a.statement.Permit.Index, b.statement.Permit.Index) })
 	view.groups[statement.Permit.Group] = group
-	view.revision++
 	return true
 }
 
@@ -87,12 +88,15 @@
 	})
 }
 
-// Statements returns what the VM passes on: every statement, with what is left
-// of its lease. Those of permits that the table has no use for are dropped.
-func (view *View) Statements(now timekeeper.Reading) []Statement {
+// Since returns the statements that the VM has learned after the given
+// revision, with what is left of their leases.
+func (view *View) Since(revision uint64, now timekeeper.Reading) []Statement {
 	var statements []Statement
 	for _, group := range view.groups {
 		for _, heard := range group {
+			if heard.revision <= revision {
+				continue
+			}
 			statement := heard.statement
 			statement.Left = heard.lease.Left(now)
 			statements = append(statements, statement)
@@ -113,11 +117,13 @@
 	return addresses
 }
 
-// Groups returns the groups that the VM knows permits of.
-func (view *View) Groups() []Group {
+// Ejecting returns the groups of which the VM knows ejections that last.
+func (view *View) Ejecting(now timekeeper.Reading) []Group {
 	var groups []Group
-	for group := range view.groups {
-		groups = append(groups, group)
+	for group, statements := range view.groups {
+		if slices.ContainsFunc(statements, func(heard heard) bool { return heard.statement.Target != "" && !heard.lease.Lapsed(now) }) {
+			groups = append(groups, group)
+		}
 	}
 	return groups
 }
@@ -127,7 +133,11 @@
 	for group := range view.groups {
 		if table.Service(group.Service) == nil {
 			delete(view.groups, group)
-			view.revision++
+		}
+	}
+	for target := range view.leaves {
+		if table.Service(target.Parent()) == nil {
+			delete(view.leaves, target)
 		}
 	}
 }
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -107,10 +107,8 @@
 // Pick returns a target for one attempt and counts the attempt as in progress
 // until Done. It reports false if no target can take a request now.
 func (router *Router) Pick(ask Ask, random *rand.Rand) (configurator.Target, bool) {
-	service := router.service(ask.Service.Path)
-	service.mutex.Lock()
+	service := router.followed(ask.Service, ask.Now)
 	defer service.mutex.Unlock()
-	service.follow(ask.Service, router.Place, ask.Now)
 	best := service.pick(ask, random, router)
 	if best == nil {
 		return configurator.Target{}, false
@@ -185,13 +183,14 @@
 // may have gone silent.
 func (router *Router) Waiting(target configurator.Path, sofar time.Duration, fresh bool, now time.Duration) bool {
 	service := router.find(target)
-	if service == nil || !service.waiting(target, sofar, fresh, now) {
+	if service == nil {
 		return false
 	}
-	if router.Observer != nil {
-		router.Observer.Observe(ejector.Observation{Target: target, Kind: ejector.Slow})
+	observation, counts := service.waiting(target, sofar, fresh, now)
+	if counts && router.Observer != nil {
+		router.Observer.Observe(observation)
 	}
-	return true
+	return counts
 }
 
 // Wait returns how long it takes until a target of the service may be open
@@ -205,27 +204,25 @@
 
 // Load takes note of the share of its slots that a target reports as busy.
 func (router *Router) Load(path configurator.Path, busy float64, now time.Duration) {
-	router.update(path, func(target *target) {
+	service := router.find(path)
+	if service == nil {
+		return
+	}
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if target := service.targets[path]; target != nil {
 		target.reported = min(max(busy, 0), 1)
 		target.reportedAt = now
-	})
+	}
 }
 
 // Leave leaves out a target that says itself that it leaves, until the given
 // time.
-func (router *Router) Leave(path configurator.Path, until time.Duration) {
-	router.update(path, func(target *target) { target.leaveUntil = max(target.leaveUntil, until) })
-}
-
-func (router *Router) update(path configurator.Path, change func(*target)) {
-	service := router.find(path)
-	if service == nil {
-		return
-	}
-	service.mutex.Lock()
+func (router *Router) Leave(declared *configurator.ServiceTargets, path configurator.Path, until, now time.Duration) {
+	service := router.followed(declared, now)
 	defer service.mutex.Unlock()
 	if target := service.targets[path]; target != nil {
-		change(target)
+		target.leaveUntil = max(target.leaveUntil, until)
 	}
 }
 
@@ -236,9 +233,16 @@
 }
 
 // Eject replaces the ejections of the service that this VM obeys.
-func (router *Router) Eject(path configurator.Path, ejections []Ejection, now time.Duration) {
-	service := router.service(path)
-	service.mutex.Lock()
+func (router *Router) Eject(declared *configurator.ServiceTargets, ejections []Ejection, now time.Duration) {
+	service := router.followed(declared, now)
 	defer service.mutex.Unlock()
 	service.eject(ejections, now)
 }
+
+// followed returns the state of the service as declared, locked.
+func (router *Router) followed(declared *configurator.ServiceTargets, now time.Duration) *service {
+	service := router.service(declared.Path)
+	service.mutex.Lock()
+	service.follow(declared, router.Place, now)
+	return service
+}
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -99,7 +99,7 @@
 	picks(picker, service, random, 1, 0)
 	picker.Done(router.Result{Target: path("t0"), Kind: router.Leaving}, 0)
 	is.Equal(picks(picker, service, random, 100, 0)["t0"], 0)
-	picker.Leave(path("t1"), time.Minute)
+	picker.Leave(service, path("t1"), time.Minute, 0)
 	is.Equal(len(picks(picker, service, random, 10, 0)), 0)
 }
 
@@ -108,7 +108,7 @@
 	picker, random := start(false)
 	service := near(0.5, 2)
 	picks(picker, service, random, 1, 0)
-	picker.Eject(service.Path, []router.Ejection{{Target: path("t0"), Until: time.Minute}}, 0)
+	picker.Eject(service, []router.Ejection{{Target: path("t0"), Until: time.Minute}}, 0)
 	is.Equal(picks(picker, service, random, 1000, time.Minute-1)["t0"], 0)
 	last := 0
 	for _, passed := range []time.Duration{0, 3 * time.Second, 10 * time.Second} {
@@ -130,7 +130,7 @@
 		}
 	}
 	is.Equal(len(picks(picker, service, random, 1000, 0)), 2) // two of four are avoided
-	picker.Eject(service.Path, []router.Ejection{{Target: path("t3"), Until: time.Minute}}, 0)
+	picker.Eject(service, []router.Ejection{{Target: path("t3"), Until: time.Minute}}, 0)
 	is.Equal(len(picks(picker, service, random, 1000, 0)), 2) // an ejection takes the place of an avoidance
 }
 
--- a/core/router/service.go
+++ b/core/router/service.go
@@ -178,12 +178,19 @@
 	if !counts {
 		return ejector.Observation{}, false
 	}
-	if kind == ejector.Good {
+	switch kind {
+	case ejector.Good:
 		target.noteGood()
-	} else if target.noteBad() {
-		service.avoid(target, now)
+	case ejector.Slow, ejector.Bad:
+		if target.noteBad() {
+			service.avoid(target, now)
+		}
 	}
-	return ejector.Observation{Target: result.Target, Kind: kind}, !result.Waited
+	return target.observation(kind), !result.Waited
+}
+
+func (target *target) observation(kind ejector.Kind) ejector.Observation {
+	return ejector.Observation{Target: target.declared.Path, Region: target.declared.Region, Kind: kind}
 }
 
 // classify tells what a result says of the target's health. A connection that
@@ -206,23 +213,24 @@
 	case Shed:
 		target.noteShed(result.RetryAfter, now)
 	case Leaving:
-		target.leaveUntil = max(target.leaveUntil, now+leaveHold)
+		target.leaveUntil = max(target.leaveUntil, now+LeaveHold)
+		return ejector.Left, true
 	}
 	return ejector.Good, false
 }
 
-func (service *service) waiting(path configurator.Path, sofar time.Duration, fresh bool, now time.Duration) bool {
+func (service *service) waiting(path configurator.Path, sofar time.Duration, fresh bool, now time.Duration) (ejector.Observation, bool) {
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
 	target := service.targets[path]
 	if target == nil || !fresh || sofar < service.baseline.patience() {
-		return false
+		return ejector.Observation{}, false
 	}
 	target.noteLatency(sofar)
 	if target.noteBad() {
 		service.avoid(target, now)
 	}
-	return true
+	return target.observation(ejector.Slow), true
 }
 
 // avoid leaves a target out on this VM alone, if the floor allows one more.
--- a/core/router/target.go
+++ b/core/router/target.go
@@ -7,6 +7,10 @@
 	"godwitramp.example/core/configurator"
 )
 
+// LeaveHold is how long a target that says that it leaves gets nothing, unless
+// it says so again.
+const LeaveHold = 30 * time.Second
+
 const (
 	// Share of its requests that a new or returning target gets at first.
 	firstShare = 0.05
@@ -15,8 +19,6 @@
 	// Bound of the pause that a shed answer asks for.
 	maxShedPause = 30 * time.Second
 
-	leaveHold = 30 * time.Second
-
 	shedHalfLife  = time.Second
 	loadFreshness = 2 * time.Second
 	latencyWeight = 0.2
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -53,7 +53,7 @@
 	}
 	began := time.Now()
 	result := router.Result{Target: target.Path, Kind: router.ConnectionLost}
-	defer func() { forwarder.Router.Done(result, forwarder.now()) }()
+	defer func() { forwarder.Router.Done(result, Now()) }()
 	response, err := forwarder.Transport.RoundTrip(outgoing(ctx, request, target, job))
 	result.Latency = time.Since(began)
 	if err != nil {
@@ -79,11 +79,11 @@
 
 func (forwarder *Forwarder) pick(job Job) (configurator.Target, bool) {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return forwarder.Router.Pick(router.Ask{Service: job.Service, Now: forwarder.now()}, random)
+	return forwarder.Router.Pick(router.Ask{Service: job.Service, Now: Now()}, random)
 }
 
-// now is the router's clock.
-func (forwarder *Forwarder) now() time.Duration { return time.Since(started) }
+// Now is the router's clock: the time since the process started.
+func Now() time.Duration { return time.Since(started) }
 
 var started = time.Now()
 
--- /dev/null
+++ b/entry/internal/reporter/reporter.go
@@ -0,0 +1,174 @@
+// Package reporter collects what a VM observes at the targets of its region
+// and sends it to the VMs that hold the permits to eject them.
+//
+// Bad observations travel within a few tens of milliseconds, together with
+// all others of the same target; good ones alone wait for a second.
+//
+// # Usage
+//
+//	reporter := &reporter.Reporter{Self: self, Holders: steward, Caller: caller, Leave: steward.Leave}
+//	router.Observer = reporter
+//	go reporter.Run(ctx)
+package reporter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/ejector"
+	"godwitramp.example/core/watcher"
+)
+
+const (
+	coalesce    = 50 * time.Millisecond
+	goodPeriod  = time.Second
+	callTimeout = time.Second
+	// Method is the name of the call that takes reports.
+	Method = "Ejection.Report"
+	// Observations wait in a queue so that a request never waits for a lock of
+	// the reporter; those that find it full are dropped.
+	queueLength = 4096
+)
+
+// Report is the evidence of one VM for one holder, by group.
+type Report struct {
+	Groups []GroupBatch
+}
+
+// GroupBatch is the evidence about the targets of one group.
+type GroupBatch struct {
+	Group ejector.Group
+	Batch ejector.Batch
+}
+
+// Caller calls other VMs.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Holders knows who holds the permits of a group.
+type Holders interface {
+	// Holders returns the addresses of the VMs, each once.
+	Holders(group ejector.Group) []string
+}
+
+// Reporter implements router.Observer. Fields are set before Run.
+type Reporter struct {
+	Self    watcher.Peer
+	Holders Holders
+	Caller  Caller
+	// Leave is called for targets that say that they leave.
+	Leave func(target configurator.Path, region string)
+
+	once  sync.Once
+	queue chan ejector.Observation
+}
+
+func (reporter *Reporter) observations() chan ejector.Observation {
+	reporter.once.Do(func() { reporter.queue = make(chan ejector.Observation, queueLength) })
+	return reporter.queue
+}
+
+// Observe takes one observation; it never blocks.
+func (reporter *Reporter) Observe(observation ejector.Observation) {
+	select {
+	case reporter.observations() <- observation:
+	default:
+	}
+}
+
+// Run sends reports until the context ends.
+func (reporter *Reporter) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	tallies := make(tallies)
+	flush := time.NewTimer(goodPeriod)
+	defer flush.Stop()
+	urgent := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case observation := <-reporter.observations():
+			if observation.Kind == ejector.Left {
+				reporter.Leave(observation.Target, observation.Region)
+				continue
+			}
+			if observation.Region != reporter.Self.Region {
+				continue
+			}
+			tallies.add(observation)
+			if observation.Kind != ejector.Good && !urgent {
+				urgent = true
+				flush.Reset(coalesce)
+			}
+		case <-flush.C:
+			reporter.send(ctx, &group, tallies.batches(reporter.Self))
+			clear(tallies)
+			urgent = false
+			flush.Reset(goodPeriod)
+		}
+	}
+}
+
+// send makes one call for each holder.
+func (reporter *Reporter) send(ctx context.Context, group *sync.WaitGroup, batches []GroupBatch) {
+	reports := make(map[string]*Report)
+	for _, batch := range batches {
+		for _, address := range reporter.Holders.Holders(batch.Group) {
+			if reports[address] == nil {
+				reports[address] = &Report{}
+			}
+			reports[address].Groups = append(reports[address].Groups, batch)
+		}
+	}
+	for address, report := range reports {
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			// A lost report only delays the decision: the next ones follow.
+			_ = reporter.Caller.Call(ctx, address, Method, *report, new(bool))
+		})
+	}
+}
+
+// tallies are the counts by target.
+type tallies map[configurator.Path]*ejector.Tally
+
+func (tallies tallies) add(observation ejector.Observation) {
+	tally := tallies[observation.Target]
+	if tally == nil {
+		tally = &ejector.Tally{Target: observation.Target}
+		tallies[observation.Target] = tally
+	}
+	switch observation.Kind {
+	case ejector.Good:
+		tally.Good++
+	case ejector.Slow:
+		tally.Slow++
+	case ejector.Bad:
+		tally.Bad++
+	}
+}
+
+// batches sorts the counts by group.
+func (tallies tallies) batches(self watcher.Peer) []GroupBatch {
+	services := make(map[configurator.Path]int)
+	var batches []GroupBatch
+	for target, tally := range tallies {
+		service := target.Parent()
+		i, known := services[service]
+		if !known {
+			i = len(batches)
+			services[service] = i
+			batches = append(batches, GroupBatch{
+				Group: ejector.Group{Service: service, Region: self.Region},
+				Batch: ejector.Batch{VM: self.Name, DataCentre: self.DataCentre},
+			})
+		}
+		batches[i].Batch.Tallies = append(batches[i].Batch.Tallies, *tally)
+	}
+	return batches
+}
--- /dev/null
+++ b/entry/internal/starter/eject.go
@@ -0,0 +1,72 @@
+package starter
+
+import (
+	"context"
+	"fmt"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"godwitramp.example/core/router"
+	"godwitramp.example/core/timekeeper"
+	"godwitramp.example/core/watcher"
+	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/entry/internal/prober"
+	"godwitramp.example/entry/internal/reporter"
+	"godwitramp.example/entry/internal/steward"
+	"godwitramp.example/shell/caller"
+	"godwitramp.example/shell/connector"
+)
+
+// eject runs what routes round faulty targets: the router, the evidence, the
+// permits and the probes.
+func (starter *Starter) eject(
+	ctx context.Context, group *sync.WaitGroup, platform connector.Platform, services *rpc.Server, calls *caller.Caller,
+) error {
+	context.AfterFunc(ctx, calls.Close)
+	settings := starter.Settings
+	place := router.Place{Region: settings.Region, DataCentre: settings.DataCentre}
+	members := alone{watcher.Peer{
+		Name: settings.Name, Address: settings.Peers, Region: settings.Region, DataCentre: settings.DataCentre,
+		Incarnation: uint64(time.Now().UnixNano()), BesideStore: settings.BesideStore,
+	}}
+	starter.router = &router.Router{Place: place}
+	steward := &steward.Steward{
+		Platform: platform, Members: members, Caller: calls, Tables: starter.syncer, Router: starter.router,
+		Clock: clock{}, Log: starter.Log,
+	}
+	reporter := &reporter.Reporter{Self: members.Self(), Holders: steward, Caller: calls, Leave: steward.Leave}
+	starter.router.Observer = reporter
+	prober := &prober.Prober{
+		Members: members, Tables: starter.syncer, Router: starter.router, Steward: steward, Now: forwarder.Now,
+	}
+	if err := services.RegisterName("Ejection", steward.Service()); err != nil {
+		return fmt.Errorf("register calls of ejection: %w", err)
+	}
+	group.Go(func() { _ = steward.Run(ctx) })
+	group.Go(func() { _ = reporter.Run(ctx) })
+	group.Go(func() { _ = prober.Run(ctx) })
+	return nil
+}
+
+// alone is the fleet as a VM knows it that has heard of no other.
+type alone struct {
+	self watcher.Peer
+}
+
+// Self returns this VM.
+func (alone alone) Self() watcher.Peer { return alone.self }
+
+// Live returns no VM.
+func (alone) Live() []watcher.Peer { return nil }
+
+// clock tells the time of this process.
+type clock struct{}
+
+// Reading returns the instant on both clocks.
+func (clock) Reading() timekeeper.Reading {
+	return timekeeper.Reading{Mono: forwarder.Now(), Wall: time.Duration(time.Now().UnixNano())}
+}
+
+// Now returns the time that the router is asked with.
+func (clock) Now() time.Duration { return forwarder.Now() }
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -46,6 +46,7 @@
 
 	leaving atomic.Bool
 	syncer  *syncer.Syncer
+	router  *router.Router
 }
 
 // listeners are the sockets of a VM.
@@ -97,6 +98,9 @@
 	starter.syncer = &syncer.Syncer{Recorder: &recorder.Recorder{Platform: platform}, Log: starter.Log}
 	group.Go(func() { _ = starter.syncer.Run(work) })
 	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: rpc.NewServer()}
+	if err := starter.eject(work, &group, platform, peers.RPC, &caller.Caller{TLS: tls}); err != nil {
+		return err
+	}
 	group.Go(func() { _ = peers.Run(work) })
 
 	callers := starter.callers()
@@ -138,7 +142,7 @@
 		VM:     starter.Settings.Name,
 		Tables: starter.syncer, Keys: alwaysKnown{}, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
 		Forwarder: &forwarder.Forwarder{
-			Router:    &router.Router{Place: router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}},
+			Router:    starter.router,
 			Transport: &http.Transport{DisableCompression: true},
 		},
 		Log: starter.Log,
--- /dev/null
+++ b/entry/internal/steward/obey.go
@@ -0,0 +1,85 @@
+package steward
+
+import (
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/ejector"
+	"godwitramp.example/core/router"
+	"godwitramp.example/core/timekeeper"
+)
+
+// obeyAll tells the router about every group with ejections, so that a lease
+// that ended while the VM was paused ends there too.
+func (steward *Steward) obeyAll(now timekeeper.Reading) {
+	for group := range steward.obeyed {
+		steward.obey(group, now)
+	}
+	for _, group := range steward.view.Ejecting(now) {
+		if !steward.obeyed[group] {
+			steward.obey(group, now)
+		}
+	}
+}
+
+// obey tells the router the ejections of the group's service, of all regions.
+func (steward *Steward) obey(group ejector.Group, now timekeeper.Reading) {
+	if steward.table == nil {
+		return
+	}
+	service := steward.table.Service(group.Service)
+	if service == nil {
+		delete(steward.obeyed, group)
+		return
+	}
+	var ejections []router.Ejection
+	at := steward.Clock.Now()
+	for _, region := range regionsOf(service) {
+		for _, obeyed := range steward.obeyedIn(service, region, now) {
+			ejections = append(ejections, router.Ejection{Target: obeyed.Target, Until: at + obeyed.Left})
+		}
+	}
+	if len(ejections) > 0 {
+		steward.obeyed[group] = true
+	} else {
+		delete(steward.obeyed, group)
+	}
+	steward.Router.Eject(service, ejections, at)
+}
+
+func (steward *Steward) obeyedIn(service *configurator.ServiceTargets, region string, now timekeeper.Reading) []ejector.Obeyed {
+	leaving := len(steward.view.Leaving(service, region, now))
+	return steward.view.Obeyed(service, region, leaving, now)
+}
+
+// obeyedTargets returns the targets of a group that this VM leaves out.
+func (steward *Steward) obeyedTargets(group ejector.Group, now timekeeper.Reading) []configurator.Path {
+	if steward.table == nil || steward.table.Service(group.Service) == nil {
+		return nil
+	}
+	var targets []configurator.Path
+	for _, obeyed := range steward.obeyedIn(steward.table.Service(group.Service), group.Region, now) {
+		targets = append(targets, obeyed.Target)
+	}
+	return targets
+}
+
+func (steward *Steward) obeyLeave(leave ejector.Leave) {
+	if steward.table == nil {
+		return
+	}
+	if service := steward.table.Service(leave.Target.Parent()); service != nil {
+		now := steward.Clock.Now()
+		steward.Router.Leave(service, leave.Target, now+leave.Left, now)
+	}
+}
+
+func regionsOf(service *configurator.ServiceTargets) []string {
+	var regions []string
+	seen := make(map[string]bool)
+	for _, target := range service.Targets {
+		if !seen[target.Region] {
+			seen[target.Region] = true
+			regions = append(regions, target.Region)
+		}
+	}
+	return regions
+}
--- /dev/null
+++ b/entry/internal/steward/steward.go
@@ -0,0 +1,302 @@
+// Package steward holds a VM's part of the fleet's ejections: it claims
+// permits in the table service, decides with the evidence that arrives,
+// exchanges what it knows of ejections and leaving targets with a few peers,
+// and tells the router what to obey.
+//
+// The table service is needed only to claim and renew permits. Their leases
+// last for hours, so ejection goes on while the store is away.
+//
+// # Usage
+//
+//	steward := &steward.Steward{Platform: platform, Members: members, Caller: caller, Tables: syncer, Router: router, Clock: clock, Log: log}
+//	rpcServer.RegisterName("Ejection", steward.Service())
+//	go steward.Run(ctx)
+package steward
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/ejector"
+	"godwitramp.example/core/router"
+	"godwitramp.example/core/timekeeper"
+	"godwitramp.example/core/watcher"
+	"godwitramp.example/shell/connector"
+)
+
+const (
+	tickPeriod  = 250 * time.Millisecond
+	callTimeout = time.Second
+	// VMs that share the permits of a group.
+	holdersPerGroup = 3
+	stopTimeout     = 5 * time.Second
+)
+
+// Caller calls other VMs.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Tables gives the configuration in force.
+type Tables interface {
+	// Table returns the configuration, or nil before the first one.
+	Table() *configurator.Table
+}
+
+// Clock tells the time.
+type Clock interface {
+	// Reading returns the instant on both clocks.
+	Reading() timekeeper.Reading
+	// Now returns the time that the router is asked with.
+	Now() time.Duration
+}
+
+// Steward is safe for concurrent use once Run has been called. Fields are set
+// before Run.
+type Steward struct {
+	Platform connector.Platform
+	Members  watcher.Members
+	Caller   Caller
+	Tables   Tables
+	Router   *router.Router
+	Clock    Clock
+	Log      *logrus.Entry
+
+	mutex    sync.Mutex
+	view     ejector.View
+	table    *configurator.Table
+	claims   map[ejector.PermitID]*ejector.Claimer
+	stewards map[ejector.Group]*ejector.Steward
+	// obeyed are the groups of which the router was told ejections.
+	obeyed map[ejector.Group]bool
+	sick   map[configurator.Path]timekeeper.Reading
+	// wanted are the addresses of peers that have news.
+	wanted []string
+	pulled map[string]peerRevision
+	// news is true while peers have to be told of something.
+	news bool
+	wake chan struct{}
+	vms  []string
+}
+
+// Run works until the context ends, then gives the permits back.
+func (steward *Steward) Run(ctx context.Context) error {
+	steward.prepare()
+	var group sync.WaitGroup
+	group.Go(func() { steward.claim(ctx) })
+	group.Go(func() { steward.exchange(ctx) })
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		steward.tick()
+		select {
+		case <-ctx.Done():
+			group.Wait()
+			steward.giveBack(context.WithoutCancel(ctx))
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (steward *Steward) prepare() {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	if steward.claims != nil {
+		return
+	}
+	steward.claims = make(map[ejector.PermitID]*ejector.Claimer)
+	steward.stewards = make(map[ejector.Group]*ejector.Steward)
+	steward.obeyed = make(map[ejector.Group]bool)
+	steward.sick = make(map[configurator.Path]timekeeper.Reading)
+	steward.pulled = make(map[string]peerRevision)
+	steward.wake = make(chan struct{}, 1)
+}
+
+// tick takes over new configurations and members, and does what is due.
+func (steward *Steward) tick() {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	now := steward.Clock.Reading()
+	table := steward.Tables.Table()
+	if table == nil {
+		return
+	}
+	vms := steward.regionVMs()
+	if table != steward.table || !slices.Equal(vms, steward.vms) {
+		steward.follow(table, vms, now)
+	}
+	steward.view.Expire(now)
+	for target, since := range steward.sick {
+		if now.Longest(since) > sickTime {
+			delete(steward.sick, target)
+		}
+	}
+	for group := range steward.stewards {
+		steward.decide(group, now)
+	}
+	steward.obeyAll(now)
+}
+
+// regionVMs returns the names of the VMs of this region, sorted.
+func (steward *Steward) regionVMs() []string {
+	self := steward.Members.Self()
+	names := []string{self.Name}
+	for _, peer := range steward.Members.Live() {
+		if peer.Region == self.Region {
+			names = append(names, peer.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// follow takes over a configuration: it drops what the configuration has no
+// use for, and finds the permits that this VM is to claim.
+func (steward *Steward) follow(table *configurator.Table, vms []string, now timekeeper.Reading) {
+	changed := table != steward.table
+	steward.table, steward.vms = table, vms
+	ring := ejector.NewRing(vms)
+	self := steward.Members.Self()
+	wanted := make(map[ejector.PermitID]bool)
+	for service := range table.Services() {
+		group := ejector.Group{Service: service.Path, Region: self.Region}
+		holders := ring.Next(string(service.Path), holdersPerGroup)
+		for i := range ejector.AllowedIn(service, self.Region) {
+			if holders[i%len(holders)] == self.Name {
+				wanted[ejector.PermitID{Group: group, Index: i}] = true
+			}
+		}
+		if held := steward.stewards[group]; held != nil && changed {
+			held.Follow(service, now.Mono)
+		}
+	}
+	steward.want(wanted, now)
+	if !changed {
+		return
+	}
+	steward.view.Forget(table)
+	steward.Router.Forget(table)
+	for _, leave := range steward.view.LeavesSince(0, now) {
+		steward.obeyLeave(leave)
+	}
+}
+
+// want drops claims on permits that are neither wanted nor held, and begins
+// the new ones. A permit that another VM should hold is kept until its lease
+// ends, as long as the configuration has it.
+func (steward *Steward) want(wanted map[ejector.PermitID]bool, now timekeeper.Reading) {
+	for id, claimer := range steward.claims {
+		service := steward.table.Service(id.Group.Service)
+		useful := service != nil && id.Index < ejector.AllowedIn(service, id.Group.Region)
+		if wanted[id] || useful && claimer.Permit.Held(now) {
+			continue
+		}
+		delete(steward.claims, id)
+		if held := steward.stewards[id.Group]; held != nil {
+			held.Drop(claimer.Permit)
+			if len(held.Permits()) == 0 {
+				delete(steward.stewards, id.Group)
+			}
+		}
+	}
+	for id := range wanted {
+		if steward.claims[id] != nil {
+			continue
+		}
+		self := steward.Members.Self()
+		permit := &ejector.Permit{ID: id, Holder: self.Name, Address: self.Address}
+		steward.claims[id] = &ejector.Claimer{Permit: permit}
+		steward.group(id.Group, now).Hold(permit)
+	}
+}
+
+// group returns the decisions for a group, and begins them if needed.
+func (steward *Steward) group(group ejector.Group, now timekeeper.Reading) *ejector.Steward {
+	held := steward.stewards[group]
+	if held == nil {
+		held = &ejector.Steward{Group: group}
+		held.Follow(steward.table.Service(group.Service), now.Mono)
+		steward.stewards[group] = held
+	}
+	return held
+}
+
+// decide lets a group's permits act and passes on what is new.
+func (steward *Steward) decide(group ejector.Group, now timekeeper.Reading) {
+	held := steward.stewards[group]
+	service := steward.table.Service(group.Service)
+	condition := ejector.Condition{
+		View: &steward.view, Leaving: steward.view.Leaving(service, group.Region, now), Sick: steward.sickTargets(),
+	}
+	for _, statement := range held.Decide(condition, now) {
+		steward.learn(statement, now)
+	}
+}
+
+// learn takes over a statement of this VM.
+func (steward *Steward) learn(statement ejector.Statement, now timekeeper.Reading) {
+	if !steward.take(statement, now, now) {
+		return
+	}
+	steward.Log.WithFields(logrus.Fields{
+		"service": statement.Permit.Group.Service, "region": statement.Permit.Group.Region,
+		"permit": statement.Permit.Index, "target": statement.Target, "strikes": statement.Strikes,
+	}).Info("ejection-changed")
+	steward.notify()
+}
+
+// take learns a statement and reports whether it changes what this VM obeys.
+func (steward *Steward) take(statement ejector.Statement, asked, now timekeeper.Reading) bool {
+	group := statement.Permit.Group
+	before := steward.obeyedTargets(group, now)
+	if !steward.view.Take(statement, asked) {
+		return false
+	}
+	steward.obey(group, now)
+	return !slices.Equal(before, steward.obeyedTargets(group, now))
+}
+
+// Holders returns the addresses of the VMs that hold permits of the group.
+func (steward *Steward) Holders(group ejector.Group) []string {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	return steward.view.Holders(group)
+}
+
+// Leave takes note that a target says that it leaves, and tells the fleet.
+func (steward *Steward) Leave(target configurator.Path, region string) {
+	steward.prepare()
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	now := steward.Clock.Reading()
+	leave := ejector.Leave{Target: target, Region: region, Left: router.LeaveHold}
+	if steward.view.TakeLeave(leave, now, now) {
+		steward.Log.WithField("target", target).Info("target-leaves")
+		steward.obeyLeave(leave)
+		steward.notify()
+	}
+}
+
+const sickTime = 5 * time.Second
+
+// Sick takes note that the health endpoint of a target fails.
+func (steward *Steward) Sick(target configurator.Path) {
+	steward.prepare()
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	steward.sick[target] = steward.Clock.Reading()
+}
+
+func (steward *Steward) sickTargets() []configurator.Path {
+	var targets []configurator.Path
+	for target := range steward.sick {
+		targets = append(targets, target)
+	}
+	return targets
+}
