--- a/core/ejector/claim.go
+++ b/core/ejector/claim.go
@@ -1,6 +1,7 @@
 package ejector
 
 import (
+	"slices"
 	"time"
 
 	"godwitramp.example/core/timekeeper"
@@ -17,6 +18,9 @@
 	Holder string `json:"holder"`
 	// Nonce names the write, so that a lost answer is settled by reading back.
 	Nonce string `json:"nonce"`
+	// Boot names the boot of the holder's VM and the address that it listens
+	// on. Whoever listens there now, on the same boot, has outlived the holder.
+	Boot string `json:"boot"`
 	// Released is true when the holder has given the permit back.
 	Released bool `json:"released"`
 }
@@ -27,6 +31,8 @@
 // whole lease. It isn't safe for concurrent use.
 type Claimer struct {
 	Permit *Permit
+	// Boot is this VM's, or empty if it isn't known.
+	Boot string
 
 	version uint64
 	claim   Claim
@@ -91,7 +97,7 @@
 	switch {
 	case !claimer.known:
 		return false
-	case claimer.version == 0 || claimer.claim.Released:
+	case claimer.version == 0 || claimer.claim.Released || claimer.outlived():
 		return true
 	case claimer.version == claimer.Permit.Term() && claimer.Permit.Held(now):
 		return now.Longest(claimer.Permit.Lease().Start) >= renewAfter
@@ -101,11 +107,21 @@
 	}
 }
 
+// outlived reports whether the row is of an ended process that listened on
+// this VM's address.
+func (claimer *Claimer) outlived() bool {
+	if claimer.Boot == "" || claimer.claim.Boot != claimer.Boot {
+		return false
+	}
+	return !slices.ContainsFunc(claimer.attempts, func(attempt attempt) bool { return attempt.nonce == claimer.claim.Nonce }) &&
+		claimer.version != claimer.Permit.Term()
+}
+
 // Begin returns the claim for a write; now is a reading before it is sent.
 func (claimer *Claimer) Begin(nonce string, now timekeeper.Reading) Claim {
 	claimer.attempts = append(claimer.attempts, attempt{nonce: nonce, started: now})
 	if len(claimer.attempts) > maxAttempts {
 		claimer.attempts = claimer.attempts[1:]
 	}
-	return Claim{Holder: claimer.Permit.Holder, Nonce: nonce}
+	return Claim{Holder: claimer.Permit.Holder, Nonce: nonce, Boot: claimer.Boot}
 }
--- a/core/ejector/permit_test.go
+++ b/core/ejector/permit_test.go
@@ -43,6 +43,23 @@
 	is.True(claimer.Permit.Eject(targetPath(0), time.Minute, 1, timekeeper.At(free)))
 }
 
+func TestRestartOutlivesItsPredecessor(t *testing.T) {
+	for _, test := range []struct {
+		boot, row string
+		want      bool
+	}{
+		{"boot-1 127.0.0.1:9001", "boot-1 127.0.0.1:9001", true},
+		{"boot-2 127.0.0.1:9001", "boot-1 127.0.0.1:9001", false}, // another VM has the name now
+		{"", "", false}, // nothing is proved
+	} {
+		is := is.New(t)
+		claimer := newClaimer("vm-1")
+		claimer.Boot = test.boot
+		claimer.See(1, ejector.Claim{Holder: "vm-1", Nonce: "old", Boot: test.row}, timekeeper.At(0))
+		is.Equal(claimer.Wants(timekeeper.At(time.Minute)), test.want)
+	}
+}
+
 func TestFlappingLengthensTheStay(t *testing.T) {
 	is := is.New(t)
 	var stays ejector.Stays
--- a/core/router/service.go
+++ b/core/router/service.go
@@ -90,7 +90,8 @@
 		if best == nil {
 			continue
 		}
-		if random.Float64() >= best.pressure(ask.Now, service.baseline.usual()) {
+		// The spill has counted a request to another region as sent.
+		if tier == otherRegion || random.Float64() >= best.pressure(ask.Now, service.baseline.usual()) {
 			return best
 		}
 		if fallback == nil {
--- a/entry/internal/starter/eject.go
+++ b/entry/internal/starter/eject.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/rpc"
+	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,7 +35,7 @@
 	starter.router = &router.Router{Place: place}
 	steward := &steward.Steward{
 		Platform: platform, Members: members, Caller: calls, Tables: starter.syncer, Router: starter.router,
-		Clock: clock{}, Log: starter.Log,
+		Clock: clock{}, Boot: boot(settings.Peers), Log: starter.Log,
 	}
 	reporter := &reporter.Reporter{Self: members.Self(), Holders: steward, Caller: calls, Leave: steward.Leave}
 	starter.router.Observer = reporter
@@ -49,6 +51,16 @@
 	return nil
 }
 
+// boot names this boot of the VM and the address that the process listens on,
+// or is empty where the system doesn't tell.
+func boot(address string) string {
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(id)) + " " + address
+}
+
 // alone is the fleet as a VM knows it that has heard of no other.
 type alone struct {
 	self watcher.Peer
--- a/entry/internal/steward/claim.go
+++ b/entry/internal/steward/claim.go
@@ -36,6 +36,7 @@
 			return
 		case <-timer.C:
 		}
+		steward.giveBack(ctx)
 		steward.claimDue(ctx)
 		timer.Reset(claimPeriod)
 	}
@@ -135,40 +136,54 @@
 	return connector.Put{Key: key, Value: value}, connector.Condition{Key: key, Version: claimer.Version()}, true
 }
 
-// giveBack releases the permits at a planned stop. Permits whose row can't be
-// written are free again when their lease ends.
-func (steward *Steward) giveBack(ctx context.Context) {
+// stop ends the use of all permits and gives them back.
+func (steward *Steward) stop(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	for key, version := range steward.drop() {
-		value, err := json.Marshal(ejector.Claim{Holder: steward.Members.Self().Name, Released: true})
-		if err != nil {
-			return
-		}
-		_, err = steward.Platform.Transact(ctx, connector.Transaction{
-			ID: rand.Text(), Conditions: []connector.Condition{{Key: key, Version: version}},
-			Puts: []connector.Put{{Key: key, Value: value}},
-		})
-		if err != nil {
-			steward.Log.WithError(err).WithField("permit", key).Warn("permit-not-released")
-			return
-		}
-	}
+	steward.drop()
+	steward.giveBack(ctx)
 }
 
-// drop ends the use of all permits and returns the versions of their rows.
-func (steward *Steward) drop() map[string]uint64 {
+func (steward *Steward) drop() {
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
-	versions := make(map[string]uint64)
 	now := steward.Clock.Reading()
 	for id, claimer := range steward.claims {
 		if claimer.Permit.Held(now) {
-			versions[rowKey(id)] = claimer.Permit.Term()
+			steward.unused[rowKey(id)] = claimer.Permit.Term()
 		}
 		claimer.Permit.Drop()
 	}
 	clear(steward.claims)
 	clear(steward.stewards)
-	return versions
+}
+
+// giveBack releases the permits that are not used any more. Those whose row
+// can't be written are free again when their lease ends.
+func (steward *Steward) giveBack(ctx context.Context) {
+	steward.mutex.Lock()
+	unused := steward.unused
+	steward.unused = make(map[string]uint64)
+	steward.mutex.Unlock()
+	for key, version := range unused {
+		if err := steward.release(ctx, key, version); err != nil {
+			steward.Log.WithError(err).WithField("permit", key).Warn("permit-not-released")
+			return
+		}
+	}
+}
+
+func (steward *Steward) release(ctx context.Context, key string, version uint64) error {
+	value, err := json.Marshal(ejector.Claim{Holder: steward.Members.Self().Name, Released: true})
+	if err != nil {
+		return fmt.Errorf("encode permit: %w", err)
+	}
+	_, err = steward.Platform.Transact(ctx, connector.Transaction{
+		ID: rand.Text(), Conditions: []connector.Condition{{Key: key, Version: version}},
+		Puts: []connector.Put{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return fmt.Errorf("write permit: %w", err)
+	}
+	return nil
 }
--- a/entry/internal/steward/steward.go
+++ b/entry/internal/steward/steward.go
@@ -65,12 +65,17 @@
 	Tables   Tables
 	Router   *router.Router
 	Clock    Clock
-	Log      *logrus.Entry
+	// Boot names the boot of this VM and the address that the process listens
+	// on, so that a restart proves that its predecessor has ended.
+	Boot string
+	Log  *logrus.Entry
 
-	mutex    sync.Mutex
-	view     ejector.View
-	table    *configurator.Table
-	claims   map[ejector.PermitID]*ejector.Claimer
+	mutex  sync.Mutex
+	view   ejector.View
+	table  *configurator.Table
+	claims map[ejector.PermitID]*ejector.Claimer
+	// unused are the rows of permits to be given back, with their versions.
+	unused   map[string]uint64
 	stewards map[ejector.Group]*ejector.Steward
 	// obeyed are the groups of which the router was told ejections.
 	obeyed map[ejector.Group]bool
@@ -97,7 +102,7 @@
 		select {
 		case <-ctx.Done():
 			group.Wait()
-			steward.giveBack(context.WithoutCancel(ctx))
+			steward.stop(context.WithoutCancel(ctx))
 			return nil
 		case <-ticker.C:
 		}
@@ -110,6 +115,7 @@
 	if steward.claims != nil {
 		return
 	}
+	steward.unused = make(map[string]uint64)
 	steward.claims = make(map[ejector.PermitID]*ejector.Claimer)
 	steward.stewards = make(map[ejector.Group]*ejector.Steward)
 	steward.obeyed = make(map[ejector.Group]bool)
@@ -197,6 +203,10 @@
 		if wanted[id] || useful && claimer.Permit.Held(now) {
 			continue
 		}
+		if claimer.Permit.Held(now) {
+			steward.unused[rowKey(id)] = claimer.Permit.Term()
+		}
+		claimer.Permit.Drop()
 		delete(steward.claims, id)
 		if held := steward.stewards[id.Group]; held != nil {
 			held.Drop(claimer.Permit)
@@ -211,7 +221,7 @@
 		}
 		self := steward.Members.Self()
 		permit := &ejector.Permit{ID: id, Holder: self.Name, Address: self.Address}
-		steward.claims[id] = &ejector.Claimer{Permit: permit}
+		steward.claims[id] = &ejector.Claimer{Permit: permit, Boot: steward.Boot}
 		steward.group(id.Group, now).Hold(permit)
 	}
 }
