--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -73,7 +73,9 @@
 // startOfClock is the origin of the times that Picker gets.
 var startOfClock = time.Now()
 
-func sinceStart() time.Duration { return time.Since(startOfClock) }
+// Now is the clock that Picker is asked with: the time since the process
+// started.
+func Now() time.Duration { return time.Since(startOfClock) }
 
 var randoms = sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }}
 
--- a/entry/internal/forwarder/run.go
+++ b/entry/internal/forwarder/run.go
@@ -115,7 +115,7 @@
 func (run *run) pick(tried []configurator.Path) (configurator.Target, bool) {
 	random := randoms.Get().(*rand.Rand)
 	defer randoms.Put(random)
-	ask := router.Ask{Service: run.job.Service, Tried: tried, Now: sinceStart()}
+	ask := router.Ask{Service: run.job.Service, Tried: tried, Now: Now()}
 	return run.forwarder.Picker.Pick(ask, random)
 }
 
@@ -147,7 +147,7 @@
 		return nil
 	}
 	if verdict.attempt.Written && !run.service.withdraw(verdict) {
-		run.forwarder.Picker.Done(router.Result{Target: target.Path, Kind: router.Cancelled}, sinceStart())
+		run.forwarder.Picker.Done(router.Result{Target: target.Path, Kind: router.Cancelled}, Now())
 		return nil
 	}
 	return run.newLeg(target)
@@ -243,5 +243,5 @@
 	run.forwarder.Picker.Done(router.Result{
 		Target: leg.target.Path, Kind: verdict.kind, Latency: latency, RetryAfter: verdict.retryAfter,
 		FreshConnection: verdict.fresh,
-	}, sinceStart())
+	}, Now())
 }
--- a/entry/internal/gossiper/gossiper.go
+++ b/entry/internal/gossiper/gossiper.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	gossiper := &gossiper.Gossiper{Self: self, Caller: caller, Platform: platform, Log: log}
+//	gossiper := &gossiper.Gossiper{Peer: self, Caller: caller, Platform: platform, Log: log}
 //	services.RegisterName("Members", gossiper.Service())
 //	go gossiper.Run(ctx)
 //	peers := gossiper.Live()
@@ -31,7 +31,8 @@
 // Gossiper keeps the membership. It is safe for concurrent use once Run has
 // been called.
 type Gossiper struct {
-	Self   watcher.Peer
+	// Peer describes this VM.
+	Peer   watcher.Peer
 	Caller *caller.Caller
 	// Platform gives the list of VMs, which is a hint only.
 	Platform connector.Platform
@@ -50,7 +51,7 @@
 func (gossiper *Gossiper) init() {
 	gossiper.once.Do(func() {
 		gossiper.started = time.Now()
-		gossiper.watcher = watcher.New(gossiper.Self)
+		gossiper.watcher = watcher.New(gossiper.Peer)
 		gossiper.hint(nil)
 	})
 }
@@ -69,7 +70,7 @@
 func (gossiper *Gossiper) hint(vms []connector.VM) {
 	var peers []watcher.Peer
 	for _, seed := range gossiper.Seeds {
-		if seed != gossiper.Self.Address {
+		if seed != gossiper.Peer.Address {
 			peers = append(peers, watcher.Peer{Name: seed, Address: seed})
 		}
 	}
@@ -81,6 +82,13 @@
 	gossiper.watcher.Hint(peers)
 }
 
+// Self returns this VM. Its incarnation rises when it contradicts what others
+// say of a process before it.
+func (gossiper *Gossiper) Self() (self watcher.Peer) {
+	gossiper.locked(func(core *watcher.Watcher, _ time.Duration) { self = core.Self() })
+	return self
+}
+
 // Live returns the VMs that can be called, as watcher.Members says.
 func (gossiper *Gossiper) Live() (live []watcher.Peer) {
 	gossiper.locked(func(core *watcher.Watcher, _ time.Duration) { live = core.Live() })
--- a/entry/internal/gossiper/gossiper_test.go
+++ b/entry/internal/gossiper/gossiper_test.go
@@ -29,7 +29,7 @@
 	is.NoErr(err)
 	calls := &caller.Caller{TLS: config}
 	started := &gossiper.Gossiper{
-		Self:   watcher.Peer{Name: name, Region: "r", DataCentre: "r-1", Address: listener.Addr().String(), Incarnation: 1},
+		Peer:   watcher.Peer{Name: name, Region: "r", DataCentre: "r-1", Address: listener.Addr().String(), Incarnation: 1},
 		Caller: calls, Platform: platform, Seeds: seeds, Log: logger.New(io.Discard, "entry", name),
 	}
 	services := rpc.NewServer()
@@ -55,8 +55,8 @@
 	platform := faker.New()
 	platform.SetFaults(faker.Faults{Outage: true, ListOutage: true})
 	first := start(t, authority, platform, nil, "vm-01")
-	second := start(t, authority, platform, []string{first.Self.Address}, "vm-02")
-	third := start(t, authority, platform, []string{first.Self.Address}, "vm-03")
+	second := start(t, authority, platform, []string{first.Self().Address}, "vm-02")
+	third := start(t, authority, platform, []string{first.Self().Address}, "vm-03")
 	for _, vm := range []*gossiper.Gossiper{first, second, third} {
 		for len(vm.Live()) < 2 {
 			if t.Context().Err() != nil {
--- a/entry/internal/starter/burn.go
+++ b/entry/internal/starter/burn.go
@@ -22,9 +22,9 @@
 func (starter *Starter) startBurn(
 	ctx context.Context, group *sync.WaitGroup, platform connector.Platform, calls *caller.Caller, services *rpc.Server,
 ) error {
-	self := starter.gossiper.Self
+	self := starter.gossiper.Self()
 	starter.persister = &persister.Persister{
-		Members: members{starter.gossiper}, Caller: calls, Log: starter.Log,
+		Members: starter.gossiper, Caller: calls, Log: starter.Log,
 		Archiver: &archiver.Archiver{
 			Platform: platform, DataCentre: self.DataCentre,
 			Owner: burner.Source{VM: self.Name, Incarnation: self.Incarnation},
--- a/entry/internal/starter/membership.go
+++ b/entry/internal/starter/membership.go
@@ -20,14 +20,6 @@
 
 func (starter *Starter) membership(calls *caller.Caller, platform connector.Platform) *gossiper.Gossiper {
 	return &gossiper.Gossiper{
-		Self: starter.self(), Caller: calls, Platform: platform, Seeds: starter.Settings.Seeds, Log: starter.Log,
+		Peer: starter.self(), Caller: calls, Platform: platform, Seeds: starter.Settings.Seeds, Log: starter.Log,
 	}
 }
-
-// members is the membership as other parts use it.
-type members struct{ *gossiper.Gossiper }
-
-var _ watcher.Members = members{}
-
-// Self returns this VM.
-func (members members) Self() watcher.Peer { return members.Gossiper.Self }
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -50,6 +50,7 @@
 	leaving  atomic.Bool
 	syncer   *syncer.Syncer
 	gossiper *gossiper.Gossiper
+	router   *router.Router
 	// persister keeps the counters of the burn report.
 	persister *persister.Persister
 	observer  *observer.Observer
@@ -117,6 +118,9 @@
 	if err := starter.startBurn(work, &group, platform, calls, services); err != nil {
 		return err
 	}
+	if err := starter.eject(work, &group, platform, services, calls); err != nil {
+		return err
+	}
 	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: services}
 	group.Go(func() { _ = peers.Run(work) })
 
@@ -164,7 +168,7 @@
 		VM:     starter.Settings.Name,
 		Tables: starter.syncer, Keys: alwaysKnown{}, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
 		Forwarder: &forwarder.Forwarder{
-			Picker:    router.New(router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}),
+			Picker:    starter.router,
 			Exchanger: sender,
 			Report:    starter.forwarded,
 		},
