forwarder: bound held bodies, unread bodies and slow readers

Cause: 10000 slow callers could hold 640 MB of bodies; net/http waits without end for the unread body of a refused request; an upstream had no way to say in an answer that it is about to stop. Ruled out: ReadTimeout on the server (it would end long uploads inside their deadline). Before: with the test for held bodies written first, the run deadlocked in net/http.(*body).Close of a refused request. At most 64 MB of bodies are held; a refused request's body gets one second; an answer with Godwitramp-Leaving tells the router. Conclusion: slow callers cost neither slots nor unbounded memory.

--- a/entry/internal/forwarder/answer.go
+++ b/entry/internal/forwarder/answer.go
@@ -93,8 +93,6 @@
 	run.done(leg, verdict)
 	run.leave(loadOf(verdict))
 	if err != nil {
-		run.report()
-		run.body.stop()
 		panic(http.ErrAbortHandler) // ends the caller's connection in error
 	}
 	run.record.Whole = true
--- a/entry/internal/forwarder/body.go
+++ b/entry/internal/forwarder/body.go
@@ -15,8 +15,12 @@
 	// heldBodyBytes is how much of a body is read before a target is picked,
 	// so that slow callers hold no slots and short bodies can be sent again.
 	heldBodyBytes = 64 << 10
+	// maxHeldBytes bounds what all requests of a VM hold together.
+	maxHeldBytes = 64 << 20
 )
 
+var errHeldFull = errors.New("too many bodies are held")
+
 var heldBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // requestBody is the body of a caller's request.
@@ -26,6 +30,8 @@
 	rest io.ReadCloser
 	// length is negative if it is not known.
 	length int64
+	// reserved is counted among the bytes that all requests hold.
+	reserved int64
 	// err is why the rest can't be read. It is settled once no attempt runs.
 	err        error
 	controller *http.ResponseController
@@ -40,6 +46,9 @@
 		run.body.length = 0
 		return nil
 	}
+	if !run.reserve() {
+		return errHeldFull
+	}
 	controller := http.NewResponseController(run.writer)
 	deadline, _ := run.ctx.Deadline()
 	_ = controller.SetReadDeadline(deadline)
@@ -61,6 +70,15 @@
 	return nil
 }
 
+// reserve counts the bytes that the request may hold.
+func (run *run) reserve() bool {
+	run.body.reserved = heldBodyBytes
+	if length := run.request.ContentLength; length > 0 {
+		run.body.reserved = min(heldBodyBytes, length)
+	}
+	return run.forwarder.heldBytes.Add(run.body.reserved) <= maxHeldBytes
+}
+
 // streamed reports whether part of the body is still to come.
 func (body *requestBody) streamed() bool { return body.rest != nil }
 
@@ -99,19 +117,34 @@
 	}
 }
 
-// stop lets go of the memory. No attempt may use the body any more.
-func (body *requestBody) stop() {
+// releaseBody lets go of the memory. No attempt may use the body any more.
+func (run *run) releaseBody() {
+	body := &run.body
+	run.forwarder.heldBytes.Add(-body.reserved)
+	body.reserved = 0
 	if body.held != nil {
 		heldBuffers.Put(body.held)
 		body.held = nil
 	}
 }
 
+// unreadBodyTimeout is how long the rest of a body may take that nobody wants.
+const unreadBodyTimeout = time.Second
+
+// AbandonBody closes the caller's connection after the answer. Without a
+// deadline, net/http would wait for the rest of the body for ever.
+func AbandonBody(writer http.ResponseWriter) {
+	writer.Header().Set("Connection", "close")
+	_ = http.NewResponseController(writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 func (run *run) refuseBody(err error) {
 	outcome := run.outcome()
 	var tooLarge *http.MaxBytesError
-	run.writer.Header().Set("Connection", "close")
+	AbandonBody(run.writer)
 	switch {
+	case errors.Is(err, errHeldFull):
+		run.refuseOverload()
 	case errors.As(err, &tooLarge):
 		run.refuse(http.StatusRequestEntityTooLarge, outcome, "body-too-large",
 			fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit), 0)
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"godwitramp.example/core/configurator"
@@ -65,7 +66,8 @@
 	// Report is called at the end of each request unless it is nil.
 	Report func(Record)
 
-	services services
+	services  services
+	heldBytes atomic.Int64
 }
 
 // startOfClock is the origin of the times that Picker gets.
@@ -89,11 +91,11 @@
 	run := &run{forwarder: forwarder, writer: writer, request: request, job: job, ctx: ctx, started: started}
 	run.service = forwarder.services.get(job.Service.Path)
 	defer run.report()
+	defer run.releaseBody()
 	if err := run.readBody(); err != nil {
 		run.refuseBody(err)
 		return
 	}
-	defer run.body.stop()
 	run.serve()
 }
 
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -44,6 +44,7 @@
 	busy // runs the request all the same
 	shedTwice
 	slow
+	leaving
 )
 
 // fleet plays upstreams and the picker that picks them in turn.
@@ -150,6 +151,9 @@
 		return err == nil
 	case slow:
 		time.Sleep(300 * time.Millisecond)
+	case leaving:
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nGodwitramp-Leaving: yes\r\nContent-Length: 6\r\n\r\nwhole\n")
+		return err == nil
 	case busy:
 		_, err := io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
@@ -292,6 +296,17 @@
 	})
 }
 
+func TestLeavingUpstreamIsToldOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{leaving}}
+		answer := fleet.forward(t, fleet.forwarder(), httptest.NewRequest("GET", "/x", nil))
+		is.Equal(answer.StatusCode, 200)
+		is.Equal(fleet.results[0].Kind, router.Leaving)
+		is.Equal(answer.Header.Get(forwarder.LeavingHeader), "")
+	})
+}
+
 func TestAttemptsWhenAllShed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/entry/internal/forwarder/leg.go
+++ b/entry/internal/forwarder/leg.go
@@ -48,7 +48,9 @@
 	attempt retrier.Attempt
 	// retryAfter is what the upstream asked for.
 	retryAfter time.Duration
-	fresh      bool
+	// leaving is true if the upstream said that it is about to stop.
+	leaving bool
+	fresh   bool
 }
 
 // deliverable reports whether the leg has an answer for the caller.
@@ -69,6 +71,7 @@
 		}
 	}
 	verdict.retryAfter = retryAfter(response.Header)
+	verdict.leaving = len(response.Header[LeavingHeader]) > 0
 	status := response.StatusCode
 	shedding := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	switch {
--- a/entry/internal/forwarder/outgoing.go
+++ b/entry/internal/forwarder/outgoing.go
@@ -19,6 +19,9 @@
 	DeadlineHeader     = "Godwitramp-Deadline-Ms"
 )
 
+// LeavingHeader is set on its answers by an upstream that is about to stop.
+const LeavingHeader = "Godwitramp-Leaving"
+
 // ownPrefix is how the names of the system's own fields begin. Neither callers
 // nor upstreams can set them for the other side.
 const ownPrefix = "Godwitramp-"
--- a/entry/internal/forwarder/run.go
+++ b/entry/internal/forwarder/run.go
@@ -240,8 +240,12 @@
 	if verdict.kind == router.Good {
 		run.service.observe(latency)
 	}
+	kind := verdict.kind
+	if verdict.leaving {
+		kind = router.Leaving
+	}
 	run.forwarder.Picker.Done(router.Result{
-		Target: leg.target.Path, Kind: verdict.kind, Latency: latency, RetryAfter: verdict.retryAfter,
+		Target: leg.target.Path, Kind: kind, Latency: latency, RetryAfter: verdict.retryAfter,
 		FreshConnection: verdict.fresh,
 	}, sinceStart())
 }
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -101,7 +101,7 @@
 	job, refusal := server.admit(request, id)
 	if refusal != nil {
 		if request.ContentLength != 0 {
-			writer.Header().Set("Connection", "close") // the body isn't read
+			forwarder.AbandonBody(writer)
 		}
 		refusal.RequestID = id
 		refusal.Write(writer)
--- a/entry/internal/server/server_test.go
+++ b/entry/internal/server/server_test.go
@@ -36,6 +36,7 @@
 // fixture is a server between scripted callers and a scripted upstream.
 type fixture struct {
 	server   *server.Server
+	listener *server.Listener
 	callers  chan net.Conn
 	closed   chan struct{}
 	upstream func(conn net.Conn, reader *bufio.Reader)
@@ -139,7 +140,8 @@
 			MaxBodyBytes: 1 << 30,
 		}
 		callers := fixture.server.HTTP()
-		go func() { _ = callers.Serve(&server.Listener{Listener: fixture, Max: maxConnections}) }()
+		fixture.listener = &server.Listener{Listener: fixture, Max: maxConnections}
+		go func() { _ = callers.Serve(fixture.listener) }()
 		defer synctest.Wait()
 		defer sender.Close()
 		defer func() { _ = callers.Close() }()
@@ -241,6 +243,7 @@
 		{post + "Content-Length: 2000000000\r\n\r\n", "413", "body-too-large"},
 		{post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400", "body-malformed"},
 		{post + "Content-Length: 9\r\n\r\nslow", "408", "body-too-slow"},
+		{"POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nslow", "404", "no-route"},
 	}
 	for _, test := range tests {
 		t.Run(test.reason+" "+strings.Fields(test.raw)[1], func(t *testing.T) {
@@ -270,6 +273,55 @@
 	})
 }
 
+// Bodies that many callers send slowly are held up to a bound in all.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	run(t, ok, func(is *is.I, fixture *fixture) {
+		fixture.listener.Max = 2000
+		head := "POST /r HTTP/1.1\r\nHost: h\r\nContent-Length: 70000\r\nX-Api-Key: " + key + "\r\n\r\n"
+		var slow []net.Conn
+		for range 1024 { // of 64 KB each
+			conn := fixture.connect()
+			_, _ = io.WriteString(conn, head)
+			slow = append(slow, conn)
+		}
+		synctest.Wait()
+		answer := fixture.exchange(head)
+		is.True(strings.HasPrefix(answer, "HTTP/1.1 503"))
+		is.True(strings.Contains(answer, "Godwitramp-Outcome: not-run"))
+		is.True(strings.HasPrefix(fixture.exchange(get("/r", "X-Api-Key: "+key)), "HTTP/1.1 200 OK"))
+		for _, conn := range slow {
+			_ = conn.Close()
+		}
+		synctest.Wait()
+		small := strings.Replace(head, "70000", "1\r\nConnection: close", 1) + "x"
+		is.True(strings.HasPrefix(fixture.exchange(small), "HTTP/1.1 200 OK"))
+	})
+}
+
+// A caller that doesn't read its answer doesn't hold the upstream for ever.
+func TestSlowReaderIsCutOff(t *testing.T) {
+	var held time.Duration
+	upstream := func(conn net.Conn, reader *bufio.Reader) {
+		start := time.Now()
+		_, _ = http.ReadRequest(reader)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n")
+		_, _ = io.Copy(conn, zeros{})
+		held = time.Since(start)
+	}
+	run(t, upstream, func(is *is.I, fixture *fixture) {
+		var record forwarder.Record
+		fixture.server.Forwarder.Report = func(ended forwarder.Record) { record = ended }
+		conn := fixture.connect()
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, get("/r", "X-Api-Key: "+key))
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(held, 5*time.Second)
+		is.Equal(record.Latency, 5*time.Second)
+		is.True(!record.Whole)
+	})
+}
+
 func TestWholeAnswers(t *testing.T) {
 	field := "X-Api-Key: " + key
 	long := strings.Repeat("x", 100_000)
