operator: do not ask when told not to wait

Before: TestApplyTellsWhatIsKnown/not_asked failed: it got code 0 from a waiter that was asked. After: nothing is asked; code 5, "whether it is in force is not known". Ruled out: code 0 (it says "in force on every VM").

--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -129,6 +129,10 @@
 		bench.want(5, applied, "waiting for revision 1: confirmed by 1, missing 1: vm-02\n"+
 			"operator: revision 1 is recorded but not in force: confirmed by 1, missing 1: vm-02\n", "apply")
 	})
+	t.Run("not asked", func(t *testing.T) {
+		bench := newBench(t, faker.New(), organisation)
+		bench.want(5, applied, "operator: revision 1 is recorded; whether it is in force is not known\n", "apply", "--wait", "0s")
+	})
 	t.Run("no VM on record", func(t *testing.T) {
 		bench := newBench(t, faker.New(), organisation)
 		bench.report = commander.Report{InForce: true}
--- a/operator/internal/commander/key.go
+++ b/operator/internal/commander/key.go
@@ -40,7 +40,8 @@
 	commander := command.commander
 	path := configurator.Path(command.Organisation + "/keys/" + command.Name)
 	if configurator.KindOf(path) != configurator.KindKey {
-		return &usageError{Message: fmt.Sprintf("%q is not the path of a key; allowed: --organisation /<team>/organisations/<name> and a --name of lower-case letters, digits and hyphens", path)}
+		const allowed = "--organisation /<team>/organisations/<name> and a --name of lower-case letters, digits and hyphens"
+		return &usageError{Message: fmt.Sprintf("%q is not the path of a key; allowed: %s", path, allowed)}
 	}
 	applying, err := commander.applier("key given")
 	if err != nil {
--- a/operator/internal/commander/wait.go
+++ b/operator/internal/commander/wait.go
@@ -9,11 +9,14 @@
 
 // waitOption bounds the wait for a revision to be in force.
 type waitOption struct {
-	Wait time.Duration `long:"wait" default:"30s" description:"how long to wait until the change is in force; 0s waits not at all"`
+	Wait time.Duration `long:"wait" default:"30s" description:"how long to wait until the change is in force; 0s does not ask and ends with code 5"`
 }
 
 // wait returns a *notInForceError unless the revision is in force in time.
 func (commander *Commander) wait(revision uint64, limit time.Duration) (Report, error) {
+	if limit <= 0 {
+		return Report{}, &notInForceError{Report: Report{Revision: revision}}
+	}
 	platform, err := commander.platform()
 	if err != nil {
 		return Report{}, err
