operator: prove when a new key's secret is shown

Cause: a key whose recording is uncertain may be valid, so that its secret must not be lost; one that was refused must not be shown. Neither had a test. Ruled out: showing it before recording (a refused key would look given). Before: no test. After: TestSecretIsShownOnlyIfTheKeyMayExist; with the uncertain case treated as refused it fails, "not true: strings.Contains(out, "may or may not be recorded")". Conclusion: the secret is shown once, exactly when the key may exist.

--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -236,6 +236,23 @@
 		"rollback", "--team", "t", "--to", "2")
 }
 
+func TestSecretIsShownOnlyIfTheKeyMayExist(t *testing.T) {
+	is := is.New(t)
+	platform := &meddler{Platform: faker.New()}
+	bench := newBench(t, platform, organisation)
+	give := []string{"key", "give", "--organisation", "/t/organisations/o", "--name", "k"}
+	bench.want(2, "", "operator: edit team \"t\": organisation /t/organisations/o does not exist\n", give...)
+	code, _, _ := bench.run("apply")
+	is.Equal(code, 0)
+	platform.lose = true
+	code, out, problems := bench.run(give...)
+	is.Equal(code, 6)
+	is.True(strings.Contains(out, "may or may not be recorded") && strings.Contains(out, "not-a-secret"))
+	is.True(!strings.Contains(problems, "not-a-secret"))
+	platform.lose, platform.lost = false, false
+	bench.want(2, "", "operator: edit team \"t\": /t/organisations/o/keys/k exists already; allowed: another --name\n", give...)
+}
+
 // statuses answers for VMs by address.
 type statuses map[string]describer.Status
 
