server: name service and organisation of refused requests

Cause: a refusal before forwarding told the metrics neither service nor organisation, so that requests refused because a VM is cut off were missing from the burn report, although the caller had done nothing wrong. Ruled out: counting 401, 403, 404 and 429 as bad too (the caller earned them). Before: TestRefusalsNameTheirServiceAndOrganisation fails in keys-unconfirmed, key-unknown and key-missing, "false != true". Conclusion: the cost of refusing when cut off shows in the burn report.

--- /dev/null
+++ b/entry/internal/server/refused_test.go
@@ -0,0 +1,48 @@
+package server_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/entry/internal/server"
+)
+
+// cutOff is a VM that can't know of withdrawn keys.
+type cutOff struct{}
+
+// KeysKnown returns false.
+func (cutOff) KeysKnown() bool { return false }
+
+func TestRefusalsNameTheirServiceAndOrganisation(t *testing.T) {
+	tests := []struct {
+		path, key, reason     string
+		service, organisation bool
+	}{
+		{"/r", key, "keys-unconfirmed", true, true},
+		{"/r", "other-key-1", "key-unknown", true, false},
+		{"/r", "", "key-missing", true, false},
+		{"/x", key, "no-route", false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.reason, func(t *testing.T) {
+			is := is.New(t)
+			known := tables{table: table(t)}
+			refusals := 0
+			server := &server.Server{Tables: known, Keys: cutOff{}, Limits: known}
+			server.Refused = func(job forwarder.Job, refusal forwarder.Refusal) {
+				refusals++
+				is.Equal(refusal.Reason, test.reason)
+				is.Equal(job.Service != nil, test.service)
+				is.Equal(job.Organisation != nil, test.organisation)
+			}
+			request := httptest.NewRequest(http.MethodGet, test.path, nil)
+			request.Header.Set("X-Api-Key", test.key)
+			server.Handler().ServeHTTP(httptest.NewRecorder(), request)
+			is.Equal(refusals, 1)
+		})
+	}
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -141,12 +141,12 @@
 	}
 	ask := admitter.Request{Path: request.URL.Path, Key: key, KeysKnown: server.Keys.KeysKnown()}
 	admission, reason := admitter.Admit(table, ask)
-	if reason != admitter.Admitted {
-		return forwarder.Job{}, refusalFor(reason)
-	}
 	job := forwarder.Job{
 		Service: admission.Service, Route: admission.Route, Organisation: admission.Organisation, RequestID: id, Key: key,
 	}
+	if reason != admitter.Admitted {
+		return job, refusalFor(reason)
+	}
 	if admission.Organisation == nil {
 		return job, nil
 	}
