syncer: exchange changes and evidence between VMs

Cause: each VM polled the store four times a second (23,200 reads a second at 5,800 VMs against a limit of 2,000), followed nothing while the store was away, and trusted every key it had. Ruled out: one shared time limit for the head and the changes after it (a slow store answered each in time, but never both: TestLostAndSlowAnswers failed "not true: network.await(time.Minute, atLeast(revision)) < 4*time.Second"); confirmations to a random VM above (each reader's row came to hold every VM and was written again after each refresh: 1.6 writes/s at 160 VMs without a change, 0.9 with a lasting choice); calls without a wait group (they outlived Run: "deadlock: main bubble goroutine has exited"). Until membership is built, the platform's list stands for the live VMs.

--- a/core/arranger/arranger.go
+++ b/core/arranger/arranger.go
@@ -5,8 +5,8 @@
 // names: a few readers on level 0, and on each further level up to eight times
 // as many VMs as on the one above. A VM asks a random VM of the level above;
 // readers ask the store and the readers of other data centres. Now and then
-// each VM asks any VM at all, so that news and evidence get round a cut as
-// long as there is a path. The calls that a VM makes and answers don't grow
+// each VM asks one of a few others, drawn for it from the whole fleet, so that
+// news and evidence get round a cut as long as there is a path. The calls that a VM makes and answers don't grow
 // with the fleet.
 //
 // # Usage
@@ -33,8 +33,10 @@
 	ReadersPerDataCentre = 4
 	// FanOut is how many VMs ask one VM of the level above on average.
 	FanOut = 8
-	// wanderOdds is one in how many turns a VM asks any VM at all.
+	// wanderOdds is one in how many turns a VM asks one of the others.
 	wanderOdds = 4
+	// otherCount bounds the connections that a VM keeps open.
+	otherCount = 8
 )
 
 // Place is where a VM stands.
@@ -45,7 +47,9 @@
 	Above []watcher.Peer
 	// First is true for one VM of the data centre.
 	First bool
-	all   []watcher.Peer
+	// Others are a few VMs anywhere, other ones for each VM.
+	Others []watcher.Peer
+	hash   uint64
 }
 
 // Reader reports whether the VM reads the store.
@@ -55,7 +59,7 @@
 func Arrange(self watcher.Peer, live []watcher.Peer) Place {
 	own := order(append(within(live, self.DataCentre), self))
 	rank := slices.IndexFunc(own, func(peer watcher.Peer) bool { return peer.Name == self.Name })
-	place := Place{First: rank == 0, all: live}
+	place := Place{First: rank == 0, Others: others(self, live), hash: xxhash.Sum64String(self.Name)}
 	start, end := 0, ReadersPerDataCentre
 	for rank >= end {
 		place.Above = own[start:end]
@@ -87,6 +91,29 @@
 	return readers
 }
 
+// others returns the VMs with the highest hashes of both names.
+func others(self watcher.Peer, live []watcher.Peer) []watcher.Peer {
+	type scored struct {
+		score uint64
+		at    int
+	}
+	best := make([]scored, 0, otherCount+1)
+	for i, peer := range live {
+		next := scored{xxhash.Sum64String(self.Name + "\x00" + peer.Name), i}
+		if len(best) == otherCount && next.score <= best[otherCount-1].score {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, next, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+		best = slices.Insert(best, at, next)
+		best = best[:min(len(best), otherCount)]
+	}
+	found := make([]watcher.Peer, len(best))
+	for i, scored := range best {
+		found[i] = live[scored.at]
+	}
+	return found
+}
+
 func dataCentres(peers []watcher.Peer) []string {
 	names := make(map[string]bool)
 	for _, peer := range peers {
@@ -125,6 +152,18 @@
 	return sorted
 }
 
+// Upward returns the VM that gets this one's confirmations, and another one
+// after each failed attempt. It reports false if there is none.
+//
+// The choice lasts, so that only one reader's row holds a VM's confirmation
+// and a change costs a reader few writes.
+func (place Place) Upward(attempt uint64) (watcher.Peer, bool) {
+	if len(place.Above) == 0 {
+		return watcher.Peer{}, false
+	}
+	return place.Above[(place.hash+attempt)%uint64(len(place.Above))], true
+}
+
 // Next returns the VMs to ask in this turn, none twice.
 func (place Place) Next(random *rand.Rand) []watcher.Peer {
 	var next []watcher.Peer
@@ -142,7 +181,7 @@
 		add(place.Above)
 	}
 	if random.IntN(wanderOdds) == 0 || len(next) == 0 {
-		add(place.all)
+		add(place.Others)
 	}
 	return next
 }
--- a/core/follower/exchange.go
+++ b/core/follower/exchange.go
@@ -44,6 +44,7 @@
 	follower.compare(answer.Revision, answer.Digest)
 	return News{
 		PeerBehind: answer.Revision < follower.state.Revision && len(follower.recent.after(answer.Revision)) > 0,
+		PeerStale:  follower.guard.Helps(now, answer.Evidence),
 		Load:       answer.Revision > follower.state.Revision && len(answer.Changes) == 0,
 	}, err
 }
@@ -93,10 +94,18 @@
 	}
 }
 
-// KeysKnown reports whether the VM can know of withdrawn keys.
-func (follower *Follower) KeysKnown(now timekeeper.Reading) bool {
+// Trust returns the lease under which the VM may take its keys to be good. It
+// reports false if there is none.
+func (follower *Follower) Trust(now timekeeper.Reading) (timekeeper.Lease, bool) {
 	follower.observe(now)
-	return follower.table != nil && follower.guard.KeysKnown(now)
+	lease, ok := follower.guard.Trust(now)
+	return lease, ok && follower.table != nil
+}
+
+// KeysKnown reports whether the lease of Trust has not lapsed.
+func (follower *Follower) KeysKnown(now timekeeper.Reading) bool {
+	lease, ok := follower.Trust(now)
+	return ok && !lease.Lapsed(now)
 }
 
 // Confirmations returns what the VM nearer to the store has not been told.
--- a/core/follower/fleet_test.go
+++ b/core/follower/fleet_test.go
@@ -152,26 +152,30 @@
 }
 
 // hear lets the calling VM take in the answer, unless it has restarted, and
-// make its second call.
-func (fleet *fleet) hear(arrived flight) flight {
+// reports whether it makes a second call.
+func (fleet *fleet) hear(arrived flight) (offer flight, again bool) {
 	asker := fleet.vms[arrived.from]
 	if asker.Incarnation != arrived.incarnation {
-		return arrived
+		return arrived, false
 	}
 	asker.Delivered(arrived.message.Confirmations)
-	if _, err := asker.Hear(arrived.sent, fleet.reading(), arrived.answer); err != nil {
+	news, err := asker.Hear(arrived.sent, fleet.reading(), arrived.answer)
+	if err != nil {
 		panic(err)
 	}
-	offer := arrived
+	offer = arrived
 	offer.sent = fleet.reading()
 	offer.message = asker.Offer(fleet.reading(), arrived.answer)
-	return offer
+	return offer, news.PeerBehind || news.PeerStale
 }
 
-// exchange makes both calls at once.
+// exchange makes the calls of an exchange at once.
 func (fleet *fleet) exchange(from, to int) {
-	if !fleet.cut(from, to) {
-		fleet.serve(fleet.hear(fleet.serve(fleet.send(from, to))))
+	if fleet.cut(from, to) {
+		return
+	}
+	if offer, again := fleet.hear(fleet.serve(fleet.send(from, to))); again {
+		fleet.serve(offer)
 	}
 }
 
--- a/core/follower/follower_test.go
+++ b/core/follower/follower_test.go
@@ -52,7 +52,9 @@
 	case "hear":
 		if len(history.answered) > 0 {
 			chosen := rapid.SampledFrom(history.answered).Draw(history.t, "answer")
-			history.sent = append(history.sent, history.hear(chosen))
+			if offer, again := history.hear(chosen); again {
+				history.sent = append(history.sent, offer)
+			}
 		}
 	case "register":
 		history.register(history.vm("vm"))
--- a/core/follower/message.go
+++ b/core/follower/message.go
@@ -41,6 +41,8 @@
 type News struct {
 	// PeerBehind is true when the peer lacks changes that this VM holds.
 	PeerBehind bool
+	// PeerStale is true when this VM knows more of the store than the peer.
+	PeerStale bool
 	// Load is true when only a snapshot leads on.
 	Load bool
 }
--- a/core/guard/guard.go
+++ b/core/guard/guard.go
@@ -22,6 +22,7 @@
 package guard
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -35,6 +36,9 @@
 	// quietDataCentres is the number of data centres whose VMs must find the store
 	// silent.
 	quietDataCentres = 2
+	// helpFraction of the limit is by how much evidence must be younger than
+	// another VM's to be worth a call of its own.
+	helpFraction = 3
 	// keepFactor times the limit is how long old evidence is passed on.
 	keepFactor = 2
 )
@@ -149,24 +153,38 @@
 	}
 }
 
-// KeysKnown reports whether the VM's revision holds every withdrawal but for
-// those of the last moments.
-func (guard *Guard) KeysKnown(now timekeeper.Reading) bool {
-	if guard.current && now.Longest(guard.currentAsOf) <= guard.limit() {
-		return true
+// Trust returns the lease under which the VM's revision may be taken to hold
+// every withdrawal but for those of the last moments. It reports false if
+// there never was any evidence.
+func (guard *Guard) Trust(now timekeeper.Reading) (timekeeper.Lease, bool) {
+	current := timekeeper.Lease{Start: guard.currentAsOf, Length: guard.limit()}
+	quiet, ok := guard.quiet(now)
+	switch {
+	case !ok:
+		return current, guard.current
+	case guard.current && current.Left(now) > quiet.Left(now):
+		return current, true
+	default:
+		return quiet, true
 	}
-	return guard.newest <= guard.revision && guard.quiet(now)
 }
 
-// quiet reports whether the store is silent in enough data centres.
-func (guard *Guard) quiet(now timekeeper.Reading) bool {
-	fresh := 0
-	for _, known := range guard.silences {
-		if now.Longest(known.asOf) <= guard.limit() {
-			fresh++
-		}
+// KeysKnown reports whether there is a lease that has not lapsed.
+func (guard *Guard) KeysKnown(now timekeeper.Reading) bool {
+	lease, ok := guard.Trust(now)
+	return ok && !lease.Lapsed(now)
+}
+
+// quiet returns the lease during which the store is silent in enough data
+// centres, unless the VM knows that it is behind.
+func (guard *Guard) quiet(now timekeeper.Reading) (timekeeper.Lease, bool) {
+	if guard.newest > guard.revision || len(guard.silences) < quietDataCentres {
+		return timekeeper.Lease{}, false
 	}
-	return fresh >= quietDataCentres
+	slices.SortFunc(guard.silences, func(a, b silence) int {
+		return cmp.Compare(now.Longest(a.asOf), now.Longest(b.asOf))
+	})
+	return timekeeper.Lease{Start: guard.silences[quietDataCentres-1].asOf, Length: guard.limit()}, true
 }
 
 // Evidence returns what other VMs may be told now.
@@ -184,3 +202,17 @@
 	slices.SortFunc(evidence.Silences, func(a, b Silence) int { return strings.Compare(a.DataCentre, b.DataCentre) })
 	return evidence
 }
+
+// Helps reports whether this VM's evidence is worth telling a VM that has the
+// given evidence.
+func (guard *Guard) Helps(now timekeeper.Reading, other Evidence) bool {
+	own, gap := guard.Evidence(now), guard.limit()/helpFraction
+	if own.HeadKnown && own.HeadAge <= guard.limit() && !(other.HeadKnown && other.HeadAge <= own.HeadAge+gap) {
+		return true
+	}
+	return slices.ContainsFunc(own.Silences, func(known Silence) bool {
+		return known.Age <= guard.limit() && !slices.ContainsFunc(other.Silences, func(theirs Silence) bool {
+			return theirs.DataCentre == known.DataCentre && theirs.Age <= known.Age+gap
+		})
+	})
+}
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -94,9 +94,16 @@
 	defer stopWork()
 
 	platform := &connector.Client{Base: settings.Platform}
-	starter.syncer = &syncer.Syncer{Recorder: &recorder.Recorder{Platform: platform}, Log: starter.Log}
-	group.Go(func() { _ = starter.syncer.Run(work) })
+	members := newListed(settings, platform)
+	group.Go(func() { members.run(work) })
+	calls := &caller.Caller{TLS: tls}
+	defer calls.Close()
+	starter.syncer = &syncer.Syncer{Recorder: starter.recorder(platform), Members: members, Calls: calls, Log: starter.Log}
 	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: rpc.NewServer()}
+	if err := starter.syncer.Register(peers.RPC); err != nil {
+		return fmt.Errorf("register configuration service: %w", err)
+	}
+	group.Go(func() { _ = starter.syncer.Run(work) })
 	group.Go(func() { _ = peers.Run(work) })
 
 	callers := starter.callers()
@@ -129,6 +136,9 @@
 	if err := callers.Shutdown(limit); err != nil {
 		return fmt.Errorf("finish requests: %w", err)
 	}
+	if err := starter.syncer.Leave(limit); err != nil {
+		starter.Log.WithError(err).Warn("deregistration-failed")
+	}
 	starter.Log.Info("stopped")
 	return nil
 }
@@ -136,7 +146,7 @@
 func (starter *Starter) callers() *http.Server {
 	server := &server.Server{
 		VM:     starter.Settings.Name,
-		Tables: starter.syncer, Keys: alwaysKnown{}, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
+		Tables: starter.syncer, Keys: starter.syncer, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
 		Forwarder: &forwarder.Forwarder{
 			Router:    router.New(router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}),
 			Transport: &http.Transport{DisableCompression: true},
@@ -148,6 +158,12 @@
 	}
 }
 
+func (starter *Starter) recorder(platform connector.Platform) *recorder.Recorder {
+	return &recorder.Recorder{Platform: platform, OnDamage: func(revision uint64, cause error) {
+		starter.Log.WithError(cause).WithField("revision", revision).Error("snapshot-damaged")
+	}}
+}
+
 // operators answers health checks and metrics.
 func (starter *Starter) operators() http.Handler {
 	mux := http.NewServeMux()
@@ -167,12 +183,6 @@
 	return mux
 }
 
-// alwaysKnown trusts every key that the configuration has.
-type alwaysKnown struct{}
-
-// KeysKnown returns true.
-func (alwaysKnown) KeysKnown() bool { return true }
-
 // localLimits counts the requests of this VM alone.
 type localLimits struct {
 	mutex   sync.Mutex
--- /dev/null
+++ b/entry/internal/syncer/network_test.go
@@ -0,0 +1,286 @@
+package syncer_test
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/follower"
+	"godwitramp.example/core/watcher"
+	"godwitramp.example/entry/internal/syncer"
+	"godwitramp.example/shell/connector"
+	"godwitramp.example/shell/faker"
+	"godwitramp.example/shell/recorder"
+)
+
+const (
+	centres = 6
+	regions = 3
+	// latency is the way from one region to another and back.
+	latency = 8 * time.Millisecond
+)
+
+var errCut = errors.New("the network is cut")
+
+// network is a fleet whose VMs call one another in memory.
+type network struct {
+	t        *testing.T
+	is       *is.I
+	platform *faker.Platform
+	records  *recorder.Recorder
+	vms      []*vm
+	bytes    atomic.Int64
+	mutex    sync.Mutex
+	links    map[[2]int]*gob.Encoder
+	faults   atomic.Pointer[faults]
+}
+
+// faults say which calls to VMs and to the store get no answer.
+type faults struct {
+	cut  func(from, to int) bool
+	deaf func(vm int) bool
+}
+
+// whole is the network without faults.
+var whole = faults{cut: func(int, int) bool { return false }, deaf: func(int) bool { return false }}
+
+// isolated cuts one VM off.
+func isolated(vm int) *faults {
+	return &faults{
+		cut:  func(from, to int) bool { return from == vm || to == vm },
+		deaf: func(other int) bool { return other == vm },
+	}
+}
+
+// vm is one VM and the end of its process.
+type vm struct {
+	*syncer.Syncer
+	service *syncer.Service
+	peer    watcher.Peer
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func newNetwork(t *testing.T, size int) *network {
+	network := &network{
+		t: t, is: is.New(t), platform: faker.New(), links: make(map[[2]int]*gob.Encoder),
+	}
+	network.faults.Store(&whole)
+	network.records = &recorder.Recorder{Platform: network.platform}
+	network.vms = make([]*vm, size)
+	for i := range size {
+		centre := i % centres
+		network.vms[i] = &vm{peer: watcher.Peer{
+			Name: fmt.Sprintf("vm-%03d", i), Region: fmt.Sprint(centre * regions / centres), DataCentre: fmt.Sprint(centre),
+			Address: fmt.Sprint(i), BesideStore: centre*regions/centres == 0,
+		}}
+	}
+	return network
+}
+
+// start starts the process of a VM.
+func (network *network) start(i int) {
+	vm := network.vms[i]
+	vm.peer.Incarnation++
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(network.t.Context())
+	vm.Syncer = &syncer.Syncer{
+		Recorder: &recorder.Recorder{Platform: &gate{network, i, network.platform}},
+		Members:  &members{network, i}, Calls: &calls{network, i}, Log: logrus.NewEntry(log),
+	}
+	vm.stop, vm.done = cancel, make(chan struct{})
+	service := vm.Service()
+	network.mutex.Lock()
+	vm.service = service
+	network.mutex.Unlock()
+	go func() {
+		defer close(vm.done)
+		_ = vm.Run(ctx)
+	}()
+}
+
+func (network *network) startAll() {
+	for i := range network.vms {
+		network.start(i)
+	}
+}
+
+func (network *network) kill(i int) {
+	network.mutex.Lock()
+	network.vms[i].service = nil
+	network.mutex.Unlock()
+	network.vms[i].stop()
+	<-network.vms[i].done
+}
+
+func (network *network) stopAll() {
+	for i, vm := range network.vms {
+		if vm.stop != nil {
+			network.kill(i)
+		}
+	}
+}
+
+// record makes changes as an operator does, and returns the newest revision.
+func (network *network) record(count int, edit func(*configurator.Change)) uint64 {
+	var revision uint64
+	for range count {
+		head, err := network.records.Head(network.t.Context())
+		network.is.NoErr(err)
+		team, err := network.records.Team(network.t.Context(), "a")
+		network.is.NoErr(err)
+		revision = head.Revision + 1
+		change := configurator.Change{ID: fmt.Sprint("change-", revision), Revision: revision, Team: "a"}
+		edit(&change)
+		network.is.NoErr(network.records.Record(network.t.Context(), head, team, change))
+	}
+	return revision
+}
+
+// organisation is a change that puts one of many organisations.
+func organisation(change *configurator.Change) {
+	change.Puts = []configurator.Entry{{
+		Path:   configurator.Path(fmt.Sprintf("/a/organisations/o%d", change.Revision%100)),
+		Fields: []configurator.Field{{Name: "burst", Value: "5"}, {Name: "rate", Value: fmt.Sprint(change.Revision)}},
+	}}
+}
+
+// await sleeps until the condition holds or the limit has passed, and returns
+// how long that took.
+func (network *network) await(limit time.Duration, condition func(*vm) bool) time.Duration {
+	begin := time.Now()
+	for time.Since(begin) < limit {
+		met := true
+		for _, vm := range network.vms {
+			met = met && (vm.Syncer == nil || condition(vm))
+		}
+		if met {
+			return time.Since(begin)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return limit
+}
+
+func atLeast(revision uint64) func(*vm) bool {
+	return func(vm *vm) bool { return vm.Revision() >= revision }
+}
+
+// members are all VMs of the network that have been started.
+type members struct {
+	network *network
+	self    int
+}
+
+func (members *members) Self() watcher.Peer { return members.network.vms[members.self].peer }
+
+func (members *members) Live() []watcher.Peer {
+	members.network.mutex.Lock()
+	defer members.network.mutex.Unlock()
+	var live []watcher.Peer
+	for i, vm := range members.network.vms {
+		if i != members.self && vm.service != nil {
+			live = append(live, vm.peer)
+		}
+	}
+	return live
+}
+
+// calls are the calls of one VM.
+type calls struct {
+	network *network
+	from    int
+}
+
+func (calls *calls) Call(ctx context.Context, address, method string, args, reply any) error {
+	var to int
+	_, _ = fmt.Sscan(address, &to)
+	network := calls.network
+	if network.faults.Load().cut(calls.from, to) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(latency)
+	network.mutex.Lock()
+	service := network.vms[to].service
+	network.mutex.Unlock()
+	if service == nil {
+		return errCut
+	}
+	network.count([2]int{calls.from, to}, args)
+	defer func() { network.count([2]int{to, calls.from}, reply) }()
+	if method == "Config.Exchange" {
+		return service.Exchange(args.(follower.Message), reply.(*follower.Answer))
+	}
+	return service.Snapshot(args.(syncer.SnapshotRequest), reply.(*syncer.SnapshotPart))
+}
+
+// count adds the size of a value as sent on the connection of two VMs.
+func (network *network) count(link [2]int, value any) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	encoder := network.links[link]
+	if encoder == nil {
+		encoder = gob.NewEncoder(&counter{&network.bytes})
+		network.links[link] = encoder
+	}
+	if err := encoder.Encode(value); err != nil {
+		panic(err)
+	}
+}
+
+type counter struct{ bytes *atomic.Int64 }
+
+func (counter *counter) Write(data []byte) (int, error) {
+	counter.bytes.Add(int64(len(data)))
+	return len(data), nil
+}
+
+// gate is the platform as one VM reaches it.
+type gate struct {
+	network *network
+	vm      int
+	connector.Platform
+}
+
+func (gate *gate) block(ctx context.Context) error {
+	if !gate.network.faults.Load().deaf(gate.vm) {
+		return nil
+	}
+	<-ctx.Done()
+	return &connector.UnknownError{Cause: ctx.Err()}
+}
+
+func (gate *gate) Row(ctx context.Context, key string) (connector.Row, error) {
+	if err := gate.block(ctx); err != nil {
+		return connector.Row{}, err
+	}
+	return gate.Platform.Row(ctx, key)
+}
+
+func (gate *gate) Scan(ctx context.Context, prefix string, limit int) ([]connector.Row, error) {
+	if err := gate.block(ctx); err != nil {
+		return nil, err
+	}
+	return gate.Platform.Scan(ctx, prefix, limit)
+}
+
+func (gate *gate) Transact(ctx context.Context, transaction connector.Transaction) (connector.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	if err := gate.block(ctx); err != nil {
+		return connector.Outcome{}, err
+	}
+	return gate.Platform.Transact(ctx, transaction)
+}
