syncer: forget VMs that have ended

Ruled out: forgetting by silence (a VM that is cut off is silent too and may vouch for others); a lease on each registration (renewals, and every VM would refuse after an outage). After: a VM that the platform has left off its list for 10 minutes in a row is forgotten; one that lives all the same registers anew within 5 minutes and vouches for nothing until then. Cost: one row a VM read each 5 minutes, 19 reads/s at 5,800 VMs by arithmetic. Conclusion: the registry holds live VMs and those of the last minutes. It takes the platform's word that a VM off the list has ended.

--- a/core/follower/exchange.go
+++ b/core/follower/exchange.go
@@ -83,6 +83,13 @@
 	follower.reads.since = now
 }
 
+// Unregistered says that the store no longer has the VM's registration, so
+// that nobody may rely on it.
+func (follower *Follower) Unregistered() {
+	follower.reads.registered = false
+	follower.reads.witness = false
+}
+
 // observe adds the VM's own evidence that the store is silent.
 func (follower *Follower) observe(now timekeeper.Reading) {
 	reads := follower.reads
--- a/entry/internal/syncer/store.go
+++ b/entry/internal/syncer/store.go
@@ -51,8 +51,10 @@
 	syncer.every(ctx, registerPeriod, syncer.random(1), try)
 }
 
-// Leave takes back the VM's registration.
+// Leave takes back the VM's registration. The VM must serve no request after
+// that.
 func (syncer *Syncer) Leave(ctx context.Context) error {
+	syncer.left.Store(true)
 	if err := syncer.Recorder.Deregister(ctx, syncer.registration()); err != nil {
 		return fmt.Errorf("deregister: %w", err)
 	}
@@ -148,7 +150,7 @@
 		}
 		batch := syncer.confirmed(place)
 		unchanged := reflect.DeepEqual(batch, written) && time.Since(at) < confirmAgain
-		if len(batch) == 0 || unchanged {
+		if len(batch) == 0 || unchanged || syncer.left.Load() {
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -57,6 +57,8 @@
 	loading atomic.Bool
 	// stuck is true while the VM can't write its confirmations.
 	stuck atomic.Bool
+	// left is true once the VM has taken back its registration.
+	left atomic.Bool
 	// attempt counts failed calls to VMs that confirmations go to.
 	attempt   atomic.Uint64
 	table     atomic.Pointer[configurator.Table]
@@ -101,6 +103,7 @@
 	syncer.prepare()
 	for _, loop := range []func(context.Context){
 		syncer.registerLoop, syncer.readLoop, syncer.exchangeLoop, syncer.confirmLoop, syncer.snapshotLoop,
+		syncer.reapLoop, syncer.checkLoop,
 	} {
 		syncer.group.Go(func() { loop(ctx) })
 	}
--- a/entry/internal/syncer/syncer_test.go
+++ b/entry/internal/syncer/syncer_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/shell/connector"
 	"godwitramp.example/shell/faker"
 	"godwitramp.example/shell/waiter"
 )
@@ -211,3 +212,33 @@
 		is.Equal(report, waiter.Report{Revision: revision, InForce: true, Refusing: true, Confirmed: 39, Missing: []string{"vm-009"}})
 	})
 }
+
+// TestEndedVMIsForgotten proves that the registration of a VM which died is
+// taken back once the platform no longer lists it, and that a VM which lives
+// registers anew.
+func TestEndedVMIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := newNetwork(t, 6)
+		defer network.stopAll()
+		network.record(1, organisation)
+		network.startAll()
+		network.platform.SetVMs([]connector.VM{{Name: "vm-000"}, {Name: "vm-001"}, {Name: "vm-002"}})
+		time.Sleep(9 * time.Minute)
+		network.kill(5) // dies; the list leaves out vm-003 and vm-004 by mistake
+		registered := func() []string {
+			var names []string
+			registrations, err := network.records.Registrations(t.Context())
+			is.NoErr(err)
+			for _, registration := range registrations {
+				names = append(names, registration.VM)
+			}
+			return names
+		}
+		is.Equal(len(registered()), 6)
+		time.Sleep(3 * time.Minute)
+		network.platform.SetVMs([]connector.VM{{Name: "vm-000"}, {Name: "vm-001"}, {Name: "vm-002"}, {Name: "vm-003"}, {Name: "vm-004"}})
+		time.Sleep(6 * time.Minute)
+		is.Equal(registered(), []string{"vm-000", "vm-001", "vm-002", "vm-003", "vm-004"})
+	})
+}
--- a/shell/recorder/registry.go
+++ b/shell/recorder/registry.go
@@ -27,6 +27,13 @@
 	return recorder.put(ctx, vmPrefix+registration.VM, registration)
 }
 
+// Registered reports whether the registration is on record.
+func (recorder *Recorder) Registered(ctx context.Context, registration confirmer.Registration) (bool, error) {
+	var found confirmer.Registration
+	_, err := recorder.read(ctx, vmPrefix+registration.VM, &found)
+	return found == registration, err
+}
+
 // Deregister takes back the registration of a VM that stops, unless the VM
 // has registered anew meanwhile.
 func (recorder *Recorder) Deregister(ctx context.Context, registration confirmer.Registration) error {
