syncer: take in the exchange between VMs

Cause: the shell of the configuration was built apart. Conclusion: configuration, confirmations and evidence run in the program.

--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -102,8 +102,6 @@
 	defer stopWork()
 
 	platform := &connector.Client{Base: settings.Platform}
-	starter.syncer = &syncer.Syncer{Recorder: &recorder.Recorder{Platform: platform}, Log: starter.Log}
-	group.Go(func() { _ = starter.syncer.Run(work) })
 	calls := &caller.Caller{TLS: tls}
 	defer calls.Close()
 	services := rpc.NewServer()
@@ -112,6 +110,13 @@
 		return fmt.Errorf("register membership: %w", err)
 	}
 	group.Go(func() { _ = starter.gossiper.Run(work) })
+	starter.syncer = &syncer.Syncer{
+		Recorder: starter.recorder(platform), Members: starter.gossiper, Calls: calls, Log: starter.Log,
+	}
+	if err := starter.syncer.Register(services); err != nil {
+		return fmt.Errorf("register configuration service: %w", err)
+	}
+	group.Go(func() { _ = starter.syncer.Run(work) })
 	if err := services.Register(&describer.Describer{Source: starter.status}); err != nil {
 		return fmt.Errorf("register status: %w", err)
 	}
@@ -158,6 +163,9 @@
 	if unfinished != nil {
 		return fmt.Errorf("finish requests: %w", unfinished)
 	}
+	if err := starter.syncer.Leave(limit); err != nil {
+		starter.Log.WithError(err).Warn("deregistration-failed")
+	}
 	starter.gossiper.Leave(limit)
 	starter.Log.Info("stopped")
 	return nil
@@ -166,7 +174,7 @@
 func (starter *Starter) callers(sender *exchanger.Exchanger) *http.Server {
 	server := &server.Server{
 		VM:     starter.Settings.Name,
-		Tables: starter.syncer, Keys: alwaysKnown{}, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
+		Tables: starter.syncer, Keys: starter.syncer, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
 		Forwarder: &forwarder.Forwarder{
 			Picker:    starter.router,
 			Exchanger: sender,
@@ -186,10 +194,16 @@
 	return describer.Status{
 		Name: starter.Settings.Name, Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre,
 		Version: starter.Version, Revision: starter.syncer.Revision(), Ready: starter.ready(),
-		Leaving: starter.leaving.Load(), KeysKnown: alwaysKnown{}.KeysKnown(),
+		Leaving: starter.leaving.Load(), KeysKnown: starter.syncer.KeysKnown(),
 	}
 }
 
+func (starter *Starter) recorder(platform connector.Platform) *recorder.Recorder {
+	return &recorder.Recorder{Platform: platform, OnDamage: func(revision uint64, cause error) {
+		starter.Log.WithError(cause).WithField("revision", revision).Error("snapshot-damaged")
+	}}
+}
+
 // operators answers health checks and metrics.
 func (starter *Starter) operators() http.Handler {
 	mux := http.NewServeMux()
@@ -209,12 +223,6 @@
 	return mux
 }
 
-// alwaysKnown trusts every key that the configuration has.
-type alwaysKnown struct{}
-
-// KeysKnown returns true.
-func (alwaysKnown) KeysKnown() bool { return true }
-
 // localLimits counts the requests of this VM alone.
 type localLimits struct {
 	mutex   sync.Mutex
--- a/standin/internal/prober/prober.go
+++ b/standin/internal/prober/prober.go
@@ -57,7 +57,7 @@
 		prober.check(ctx, "read with the right key", http.MethodGet, prober.Read+"/anand", prober.Key, http.StatusOK, ""),
 		prober.check(ctx, "booking with the right key", http.MethodPost, prober.Book+"/"+marker, prober.Key, http.StatusOK, ""),
 		prober.check(ctx, "read without a key", http.MethodGet, prober.Read, "", http.StatusUnauthorized, "not-run"),
-		prober.check(ctx, "read with an unknown key", http.MethodGet, prober.Read, "guess", http.StatusUnauthorized, "not-run"),
+		prober.check(ctx, "read with an unknown key", http.MethodGet, prober.Read, "sample-key-unknown", http.StatusUnauthorized, "not-run"),
 		prober.checkRecord(ctx, marker),
 	)
 }
