ejector: find faults sooner, look twice at returning targets, spread permits

Good observations were assumed at the pace of the past even while bad ones arrived in their place, and the least usual share (0.2 %) made a threshold of 16 necessary. A target that came back at 5 % of its requests needed the whole evidence again. A VM that had started alone kept all permits. Now: bad observations are taken off the assumed good ones; threshold 14 with a least usual share of 0.3 %; half of the evidence is enough for 30 s after an ejection; a permit that the ring gives to another VM moves after a minute, once it ejects nothing.

--- a/core/ejector/detector.go
+++ b/core/ejector/detector.go
@@ -33,6 +33,10 @@
 
 	// Slowness of a new target says nothing while it is cold.
 	coldTime = 15 * time.Second
+
+	// Time after an ejection in which half of the evidence is enough, since a
+	// returning target gets few requests.
+	probationTime = 30 * time.Second
 )
 
 // Detector merges the evidence of VMs about the targets of one group. It isn't
@@ -54,12 +58,15 @@
 	slowness symptom
 	pace     pace
 	settled  time.Duration
-	// credit is how many good observations were assumed before they arrived.
-	credit    float64
-	reporters map[string]time.Duration
-	ignored   map[string]time.Duration
-	nearSeen  time.Duration
-	coldUntil time.Duration
+	// credit is how many good observations were assumed before they arrived,
+	// and debt how many bad ones arrived in place of assumed good ones.
+	credit, debt float64
+	reporters    map[string]time.Duration
+	ignored      map[string]time.Duration
+	nearSeen     time.Duration
+	coldUntil    time.Duration
+	// probation is until when less evidence is enough, after an ejection.
+	probation time.Duration
 }
 
 // symptom is one way in which a target may be faulty.
@@ -120,7 +127,7 @@
 	trial.report(batch, now)
 	errors := oddsFor(detector.usual(trial, errorsOf, now))
 	slowness := oddsFor(detector.usual(trial, slownessOf, now))
-	trial.settle(tally.Good, errors, slowness, now)
+	trial.settle(tally, errors, slowness, now)
 	beside := batch.DataCentre == trial.target.DataCentre
 	trial.raise(&trial.errors, batch.VM, tally.Bad, errors, beside, now)
 	if now >= trial.coldUntil {
@@ -182,15 +189,20 @@
 }
 
 // settle lowers the sequences by the good observations. VMs report them
-// late, bad ones at once; so they are assumed at the pace of the past, and
-// reported ones count only as far as they exceed that.
-func (trial *trial) settle(good int, errors, slowness odds, now time.Duration) {
+// late, bad ones at once; so they are assumed at the pace of the past, less
+// the bad ones, and reported ones count only as far as they exceed that.
+func (trial *trial) settle(tally Tally, errors, slowness odds, now time.Duration) {
+	bad, good := tally.Bad+tally.Slow, float64(tally.Good)
 	assumed := trial.pace.now(now) * (now - trial.settled).Seconds()
 	trial.settled = now
-	trial.pace.add(good, now)
+	trial.pace.add(tally.Good+bad, now)
+	trial.debt += float64(bad)
+	paid := min(trial.debt, assumed)
+	trial.debt -= paid
+	assumed -= paid
 	trial.credit += assumed
-	extra := max(0, float64(good)-trial.credit)
-	trial.credit = max(0, trial.credit-float64(good))
+	extra := max(0, good-trial.credit)
+	trial.credit = max(0, trial.credit-good)
 	trial.errors.sequence.lower(-errors.good * (assumed + extra))
 	trial.slowness.sequence.lower(-slowness.good * (assumed + extra))
 }
@@ -221,20 +233,24 @@
 }
 
 // condemned reports whether the score is high enough. Where VMs beside the
-// target have lately reported about it, one of them must have found it bad:
-// else the path between two data centres is at fault.
+// target have lately reported about it, half of the score must be theirs: else
+// the path between two data centres is at fault.
 func (trial *trial) condemned(sequence *sequence, now time.Duration) bool {
-	if sequence.score < threshold || len(sequence.added) < 2 {
+	limit := threshold
+	if now < trial.probation {
+		limit /= 2
+	}
+	if sequence.score < limit || len(sequence.added) < 2 {
 		return false
 	}
-	return sequence.near >= threshold/2 || now-trial.nearSeen > nearTime
+	return sequence.near >= limit/2 || now-trial.nearSeen > nearTime
 }
 
-// Clear forgets the evidence against a target, when it has been ejected or
-// comes back.
-func (detector *Detector) Clear(target configurator.Path) {
+// Clear forgets the evidence against a target that is ejected or comes back.
+func (detector *Detector) Clear(target configurator.Path, now time.Duration) {
 	if trial := detector.trials[target]; trial != nil {
 		trial.errors.sequence.restart()
 		trial.slowness.sequence.restart()
+		trial.probation = now + probationTime
 	}
 }
--- a/core/ejector/sequence.go
+++ b/core/ejector/sequence.go
@@ -7,11 +7,11 @@
 
 const (
 	// Score at which a sequence condemns its target.
-	threshold = 16.0
+	threshold = 14.0
 	// Share of bad observations that a sequence looks for.
 	faultyShare = 0.3
 	// Bounds of the share that counts as usual.
-	minUsualShare = 0.002
+	minUsualShare = 0.003
 	maxUsualShare = 0.15
 	// Usual shares are this many times the measured ones.
 	usualMargin = 2
--- a/core/ejector/steward.go
+++ b/core/ejector/steward.go
@@ -109,7 +109,7 @@
 		}
 		permit.Release()
 		steward.stays.Ended(target, permit.strikes, now.Mono)
-		steward.Detector.Clear(target)
+		steward.Detector.Clear(target, now.Mono)
 	}
 }
 
@@ -142,7 +142,7 @@
 	for _, obeyed := range out {
 		steward.stays.Ended(obeyed.Target, obeyed.Strikes, now.Mono)
 		// What led to the ejection must not lead to another one after it.
-		steward.Detector.Clear(obeyed.Target)
+		steward.Detector.Clear(obeyed.Target, now.Mono)
 	}
 	for _, verdict := range steward.Detector.Verdicts(now.Mono) {
 		if !steward.serves(verdict.Target) || slices.Contains(condition.Leaving, verdict.Target) || steward.isOut(verdict.Target, out) {
@@ -159,7 +159,7 @@
 		}
 		stay, strikes := steward.stays.Next(verdict.Target, now.Mono)
 		permit.Eject(verdict.Target, stay, strikes, now)
-		steward.Detector.Clear(verdict.Target)
+		steward.Detector.Clear(verdict.Target, now.Mono)
 	}
 	steward.pending = condemned
 }
--- a/entry/internal/steward/claim.go
+++ b/entry/internal/steward/claim.go
@@ -148,14 +148,9 @@
 	steward.mutex.Lock()
 	defer steward.mutex.Unlock()
 	now := steward.Clock.Reading()
-	for id, claimer := range steward.claims {
-		if claimer.Permit.Held(now) {
-			steward.unused[rowKey(id)] = claimer.Permit.Term()
-		}
-		claimer.Permit.Drop()
+	for id := range steward.claims {
+		steward.abandon(id, now)
 	}
-	clear(steward.claims)
-	clear(steward.stewards)
 }
 
 // giveBack releases the permits that are not used any more. Those whose row
--- a/entry/internal/steward/steward.go
+++ b/entry/internal/steward/steward.go
@@ -74,6 +74,8 @@
 	view   ejector.View
 	table  *configurator.Table
 	claims map[ejector.PermitID]*ejector.Claimer
+	// extra are the permits held that other VMs should hold, since when.
+	extra map[ejector.PermitID]timekeeper.Reading
 	// unused are the rows of permits to be given back, with their versions.
 	unused   map[string]uint64
 	stewards map[ejector.Group]*ejector.Steward
@@ -115,6 +117,7 @@
 	if steward.claims != nil {
 		return
 	}
+	steward.extra = make(map[ejector.PermitID]timekeeper.Reading)
 	steward.unused = make(map[string]uint64)
 	steward.claims = make(map[ejector.PermitID]*ejector.Claimer)
 	steward.stewards = make(map[ejector.Group]*ejector.Steward)
@@ -137,6 +140,7 @@
 	if table != steward.table || !slices.Equal(vms, steward.vms) {
 		steward.follow(table, vms, now)
 	}
+	steward.handOver(now)
 	steward.view.Expire(now)
 	for target, since := range steward.sick {
 		if now.Longest(since) > sickTime {
@@ -162,81 +166,6 @@
 	return names
 }
 
-// follow takes over a configuration: it drops what the configuration has no
-// use for, and finds the permits that this VM is to claim.
-func (steward *Steward) follow(table *configurator.Table, vms []string, now timekeeper.Reading) {
-	changed := table != steward.table
-	steward.table, steward.vms = table, vms
-	ring := ejector.NewRing(vms)
-	self := steward.Members.Self()
-	wanted := make(map[ejector.PermitID]bool)
-	for service := range table.Services() {
-		group := ejector.Group{Service: service.Path, Region: self.Region}
-		holders := ring.Next(string(service.Path), holdersPerGroup)
-		for i := range ejector.AllowedIn(service, self.Region) {
-			if holders[i%len(holders)] == self.Name {
-				wanted[ejector.PermitID{Group: group, Index: i}] = true
-			}
-		}
-		if held := steward.stewards[group]; held != nil && changed {
-			held.Follow(service, now.Mono)
-		}
-	}
-	steward.want(wanted, now)
-	if !changed {
-		return
-	}
-	steward.view.Forget(table)
-	steward.Router.Forget(table)
-	for _, leave := range steward.view.LeavesSince(0, now) {
-		steward.obeyLeave(leave)
-	}
-}
-
-// want drops claims on permits that are neither wanted nor held, and begins
-// the new ones. A permit that another VM should hold is kept until its lease
-// ends, as long as the configuration has it.
-func (steward *Steward) want(wanted map[ejector.PermitID]bool, now timekeeper.Reading) {
-	for id, claimer := range steward.claims {
-		service := steward.table.Service(id.Group.Service)
-		useful := service != nil && id.Index < ejector.AllowedIn(service, id.Group.Region)
-		if wanted[id] || useful && claimer.Permit.Held(now) {
-			continue
-		}
-		if claimer.Permit.Held(now) {
-			steward.unused[rowKey(id)] = claimer.Permit.Term()
-		}
-		claimer.Permit.Drop()
-		delete(steward.claims, id)
-		if held := steward.stewards[id.Group]; held != nil {
-			held.Drop(claimer.Permit)
-			if len(held.Permits()) == 0 {
-				delete(steward.stewards, id.Group)
-			}
-		}
-	}
-	for id := range wanted {
-		if steward.claims[id] != nil {
-			continue
-		}
-		self := steward.Members.Self()
-		permit := &ejector.Permit{ID: id, Holder: self.Name, Address: self.Address}
-		steward.claims[id] = &ejector.Claimer{Permit: permit, Boot: steward.Boot}
-		steward.group(id.Group, now).Hold(permit)
-	}
-}
-
-// group returns the decisions for a group, and begins them if needed.
-func (steward *Steward) group(group ejector.Group, now timekeeper.Reading) *ejector.Steward {
-	held := steward.stewards[group]
-	if held == nil {
-		held = &ejector.Steward{Group: group}
-		held.Follow(steward.table.Service(group.Service), now.Mono)
-		steward.stewards[group] = held
-	}
-	return held
-}
-
 // decide lets a group's permits act and passes on what is new.
 func (steward *Steward) decide(group ejector.Group, now timekeeper.Reading) {
 	held := steward.stewards[group]
--- a/entry/internal/steward/steward_test.go
+++ b/entry/internal/steward/steward_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"errors"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/core/ejector"
 	"godwitramp.example/core/router"
 	"godwitramp.example/core/timekeeper"
 	"godwitramp.example/core/watcher"
@@ -28,7 +30,7 @@
 
 const (
 	service = "/a/services/s"
-	size    = 6
+	usual   = 6 // VMs
 )
 
 // fleet is some VMs of one region before a service of four targets.
@@ -40,6 +42,22 @@
 	started  time.Time
 	mutex    sync.Mutex
 	cut      map[string]bool // calls that don't arrive, as "from>to"
+	clients  map[string]*rpc.Client
+	calls    int
+	bytes    int
+}
+
+// counted counts the bytes that are written at one end of a connection.
+type counted struct {
+	net.Conn
+	fleet *fleet
+}
+
+func (counted counted) Write(data []byte) (int, error) {
+	counted.fleet.mutex.Lock()
+	counted.fleet.bytes += len(data)
+	counted.fleet.mutex.Unlock()
+	return counted.Conn.Write(data)
 }
 
 type node struct {
@@ -49,14 +67,18 @@
 	reporter *reporter.Reporter
 	services *rpc.Server
 	stop     context.CancelFunc
+	alone    bool // knows of no other VM
+	stopped  bool
 }
 
 func (node *node) Self() watcher.Peer { return node.peer }
 
 func (node *node) Live() []watcher.Peer {
 	var peers []watcher.Peer
+	node.fleet.mutex.Lock()
+	defer node.fleet.mutex.Unlock()
 	for _, other := range node.fleet.nodes {
-		if other != node {
+		if other != node && !node.alone && !other.stopped {
 			peers = append(peers, other.peer)
 		}
 	}
@@ -71,29 +93,36 @@
 
 // Call carries a call over net/rpc, unless the way is cut.
 func (node *node) Call(ctx context.Context, address, method string, args, reply any) error {
-	node.fleet.mutex.Lock()
-	cut := node.fleet.cut[node.peer.Address+">"+address]
-	node.fleet.mutex.Unlock()
+	client, cut := node.fleet.client(node.peer.Address, address)
 	if cut {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	for _, other := range node.fleet.nodes {
-		if other.peer.Address == address {
-			near, far := net.Pipe()
-			go other.services.ServeConn(far)
-			client := rpc.NewClient(near)
-			defer func() { _ = client.Close() }()
-			return client.Call(method, args, reply)
-		}
+	return client.Call(method, args, reply)
+}
+
+// client returns the connection between two VMs, or that the way is cut.
+func (fleet *fleet) client(from, to string) (client *rpc.Client, cut bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.calls++
+	pair := from + ">" + to
+	if fleet.cut[pair] {
+		return nil, true
 	}
-	return errors.New("no such VM")
+	if fleet.clients[pair] == nil {
+		near, far := net.Pipe()
+		called := slices.IndexFunc(fleet.nodes, func(node *node) bool { return node.peer.Address == to })
+		go fleet.nodes[called].services.ServeConn(counted{far, fleet})
+		fleet.clients[pair] = rpc.NewClient(counted{near, fleet})
+	}
+	return fleet.clients[pair], false
 }
 
 // start runs the fleet until the test ends, and waits until permits are held.
-func start(t *testing.T, faults faker.Faults) *fleet {
+func start(t *testing.T, size int, faults faker.Faults) *fleet {
 	t.Helper()
-	fleet := &fleet{platform: faker.New(), random: rand.New(rand.NewPCG(1, 1)), started: time.Now().Add(-time.Hour), cut: make(map[string]bool)}
+	fleet := &fleet{platform: faker.New(), random: rand.New(rand.NewPCG(1, 1)), started: time.Now().Add(-time.Hour), cut: make(map[string]bool), clients: make(map[string]*rpc.Client)}
 	fleet.platform.SetFaults(faults)
 	entries := []configurator.Entry{{Path: service}}
 	for i := range 4 {
@@ -123,6 +152,11 @@
 		go func() { _ = node.reporter.Run(ctx) }()
 		t.Cleanup(cancel)
 	}
+	t.Cleanup(func() {
+		for _, client := range fleet.clients {
+			_ = client.Close()
+		}
+	})
 	time.Sleep(time.Minute)
 	return fleet
 }
@@ -161,6 +195,29 @@
 	return count
 }
 
+// cost returns the calls and bytes so far.
+func (fleet *fleet) cost() (calls, bytes int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.calls, fleet.bytes
+}
+
+func (fleet *fleet) stop(node *node) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	node.stopped = true
+	node.stop()
+}
+
+// setAlone lets the VMs that aren't named know of no other, or of all.
+func (fleet *fleet) setAlone(named map[string]bool, alone bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	for _, node := range fleet.nodes {
+		node.alone = alone && !named[node.peer.Name]
+	}
+}
+
 func (fleet *fleet) setCut(pair string) {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
@@ -172,14 +229,14 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				fleet := start(t, faults)
+				fleet := start(t, usual, faults)
 				fleet.platform.SetFaults(faker.Faults{Outage: true}) // not needed from here on
 				fleet.serve(fleet.nodes, 5*time.Second, router.Good)
-				is.Equal(fleet.uses(fleet.nodes), size)
+				is.Equal(fleet.uses(fleet.nodes), usual)
 				fleet.serve(fleet.nodes[:3], time.Second, router.Failed)
 				is.Equal(fleet.uses(fleet.nodes), 0) // the other three have no evidence of their own
 				time.Sleep(15 * time.Second)
-				is.Equal(fleet.uses(fleet.nodes), size) // it comes back
+				is.Equal(fleet.uses(fleet.nodes), usual) // it comes back
 			})
 		})
 	}
@@ -188,9 +245,9 @@
 func TestCutOffVMObeysOnlyUntilItsLeaseEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fleet := start(t, faker.Faults{})
+		fleet := start(t, usual, faker.Faults{})
 		fleet.serve(fleet.nodes[:3], time.Second, router.Failed)
-		for i := range size - 1 { // vm-5 is heard, but hears nothing
+		for i := range usual - 1 { // vm-5 is heard, but hears nothing
 			fleet.setCut(fmt.Sprint("peer-5>peer-", i))
 		}
 		is.Equal(fleet.uses(fleet.nodes[5:]), 0)
@@ -202,7 +259,7 @@
 func TestEjectionEndsWithItsHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fleet := start(t, faker.Faults{})
+		fleet := start(t, usual, faker.Faults{})
 		fleet.serve(fleet.nodes[:3], time.Second, router.Failed)
 		is.Equal(fleet.uses(fleet.nodes), 0)
 		for _, from := range fleet.nodes { // nobody hears anybody
@@ -211,15 +268,15 @@
 			}
 		}
 		time.Sleep(15 * time.Second)
-		is.Equal(fleet.uses(fleet.nodes), size)
+		is.Equal(fleet.uses(fleet.nodes), usual)
 	})
 }
 
 func TestLeavingTargetGetsNothingFromAnyVM(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fleet := start(t, faker.Faults{})
-		is.Equal(fleet.uses(fleet.nodes), size)
+		fleet := start(t, 40, faker.Faults{})
+		is.Equal(fleet.uses(fleet.nodes), 40)
 		target := configurator.Path(service + "/targets/t0")
 		fleet.nodes[0].router.Done(router.Result{Target: target, Kind: router.Leaving}, fleet.nodes[0].Now())
 		time.Sleep(3 * time.Second) // one VM has heard it
@@ -227,10 +284,43 @@
 	})
 }
 
+func TestPermitsMoveToTheirVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := start(t, usual, faker.Faults{})
+		holders := func() map[string]bool {
+			rows, err := fleet.platform.Scan(t.Context(), "ejection/", 10)
+			is.NoErr(err)
+			names := make(map[string]bool)
+			for _, row := range rows {
+				var claim ejector.Claim
+				is.NoErr(json.Unmarshal(row.Value, &claim))
+				names[claim.Holder] = !claim.Released
+			}
+			return names
+		}
+		before := holders()
+		is.Equal(len(before), 2) // two of four targets may be out
+		fleet.setAlone(before, true)
+		time.Sleep(30 * time.Second)
+		is.Equal(holders(), before) // a VM that knows no other takes nothing that is held
+		for _, node := range fleet.nodes {
+			if before[node.peer.Name] {
+				fleet.stop(node)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		is.Equal(len(holders()), 1) // the first one that looked took both
+		fleet.setAlone(before, false)
+		time.Sleep(5 * time.Minute)
+		is.Equal(len(holders()), 2) // the ring spreads them
+	})
+}
+
 func TestStoppedVMGivesItsPermitsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fleet := start(t, faker.Faults{})
+		fleet := start(t, usual, faker.Faults{})
 		holders := func() string {
 			rows, err := fleet.platform.Scan(t.Context(), "ejection/", 10)
 			is.NoErr(err)
@@ -243,9 +333,33 @@
 		before := holders()
 		is.Equal(strings.Count(before, `"released":false`), 2) // two of four targets may be out
 		for _, node := range fleet.nodes {
-			node.stop()
+			fleet.stop(node)
 		}
 		time.Sleep(10 * time.Second)
 		is.Equal(strings.Count(holders(), `"released":true`), 2)
 	})
 }
+
+// TestMeasureCalls prints what the exchange costs each VM, without and with an
+// ejection, beside the size of the fleet.
+func TestMeasureCalls(t *testing.T) {
+	t.Log("VMs | idle: calls and bytes a VM and second | with traffic and an ejection")
+	for _, size := range []int{10, 20, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			fleet := start(t, size, faker.Faults{})
+			count := func(run func()) (calls, bytes float64) {
+				began := fleet.nodes[0].Now()
+				before, sent := fleet.cost()
+				run()
+				after, sentAfter := fleet.cost()
+				seconds := (fleet.nodes[0].Now() - began).Seconds() * float64(size)
+				return float64(after-before) / seconds, float64(sentAfter-sent) / seconds
+			}
+			calls, bytes := count(func() { time.Sleep(20 * time.Second) })
+			busyCalls, busyBytes := count(func() { fleet.serve(fleet.nodes[:3], 8*time.Second, router.Failed) })
+			t.Logf("%d | %.1f %.0f | %.1f %.0f", size, calls, bytes, busyCalls, busyBytes)
+			is.True(calls < 5) // three pulls in a second, whatever the size
+		})
+	}
+}
