--- a/core/ejector/bench_test.go
+++ b/core/ejector/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -24,11 +25,20 @@
 	}
 }
 
-// BenchmarkView takes renewals of all permits in turn.
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// BenchmarkView takes renewals of all permits in turn. A permit's bytes are
+// those of the view and of one copy of its statement.
 func BenchmarkView(b *testing.B) {
 	for _, permits := range []int{100, 1000, 25_000} {
 		b.Run(fmt.Sprint(permits, "-permits"), func(b *testing.B) {
 			var view ejector.View
+			before := heapBytes()
 			statements := make([]ejector.Statement, permits)
 			for i := range statements {
 				service := configurator.Path(fmt.Sprintf("/team/services/s%04d", i/12))
@@ -37,12 +47,14 @@
 				}}
 				view.Take(statements[i], timekeeper.At(0))
 			}
+			perPermit := float64(heapBytes()-before) / float64(permits)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				statement := &statements[i%permits]
 				statement.Sequence++
 				view.Take(*statement, timekeeper.At(time.Duration(i)))
 			}
+			b.ReportMetric(perPermit, "B/permit")
 		})
 	}
 }
--- a/core/router/bench_test.go
+++ b/core/router/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -28,20 +29,30 @@
 	return all
 }
 
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 func BenchmarkPick(b *testing.B) {
 	for _, size := range []struct{ services, targets int }{{4, 12}, {100, 52}, {2100, 52}, {1, 110_000}} {
 		b.Run(fmt.Sprint(size.services*size.targets, "-targets-", size.services, "-services"), func(b *testing.B) {
 			services := fleet(size.services, size.targets)
 			picker, random := start(true)
+			before := heapBytes()
 			for _, service := range services {
 				picks(picker, service, random, 1, 0)
 			}
+			perTarget := float64(heapBytes()-before) / float64(size.services*size.targets)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now := time.Duration(i) * time.Microsecond
 				target, _ := picker.Pick(router.Ask{Service: services[i%len(services)], Now: now}, random)
 				picker.Done(router.Result{Target: target.Path, Latency: 20 * time.Millisecond}, now)
 			}
+			b.ReportMetric(perTarget, "B/target")
 		})
 	}
 }
--- a/entry/internal/reporter/reporter.go
+++ b/entry/internal/reporter/reporter.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/ejector"
 	"godwitramp.example/core/watcher"
@@ -32,6 +34,8 @@
 	queueLength = 4096
 )
 
+var dropped = metrics.GetOrCreateCounter("godwitramp_observations_dropped_total")
+
 // Report is the evidence of one VM for one holder, by group.
 type Report struct {
 	Groups []GroupBatch
@@ -76,6 +80,7 @@
 	select {
 	case reporter.observations() <- observation:
 	default:
+		dropped.Inc()
 	}
 }
 
--- a/entry/internal/steward/steward.go
+++ b/entry/internal/steward/steward.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/configurator"
@@ -37,6 +38,12 @@
 	stopTimeout     = 5 * time.Second
 )
 
+var (
+	ejections = metrics.GetOrCreateCounter("godwitramp_ejections_total")
+	returns   = metrics.GetOrCreateCounter("godwitramp_ejections_ended_total")
+	leaves    = metrics.GetOrCreateCounter("godwitramp_targets_leaving_total")
+)
+
 // Caller calls other VMs.
 type Caller interface {
 	Call(ctx context.Context, address, method string, args, reply any) error
@@ -187,6 +194,11 @@
 		"service": statement.Permit.Group.Service, "region": statement.Permit.Group.Region,
 		"permit": statement.Permit.Index, "target": statement.Target, "strikes": statement.Strikes,
 	}).Info("ejection-changed")
+	if statement.Target != "" {
+		ejections.Inc()
+	} else {
+		returns.Inc()
+	}
 	steward.notify()
 }
 
@@ -208,6 +220,14 @@
 	return steward.view.Holders(group)
 }
 
+// Ejected returns the targets of the group that this VM leaves out because a
+// holder of a permit says so.
+func (steward *Steward) Ejected(group ejector.Group) []configurator.Path {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	return steward.obeyedTargets(group, steward.Clock.Reading())
+}
+
 // Leave takes note that a target says that it leaves, and tells the fleet.
 func (steward *Steward) Leave(target configurator.Path, region string) {
 	steward.prepare()
@@ -217,6 +237,7 @@
 	leave := ejector.Leave{Target: target, Region: region, Left: router.LeaveHold}
 	if steward.view.TakeLeave(leave, now, now) {
 		steward.Log.WithField("target", target).Info("target-leaves")
+		leaves.Inc()
 		steward.obeyLeave(leave)
 		steward.notify()
 	}
