steward: start the VMs of the tests apart from each other

Cause: all VMs of the tests started in the same instant of virtual time, so their timers ended together and the scheduler chose whose claim came first: TestPermitsMoveToTheirVMs failed once under the race detector on a busy machine (steward_test.go:105: 2 != 1), by the test, not the code. Ruled out: expecting either outcome, which would no longer show that permits move. Now: 7 ms lie between two starts.

--- a/entry/internal/steward/fleet_test.go
+++ b/entry/internal/steward/fleet_test.go
@@ -148,6 +148,7 @@
 		node.stop = cancel
 		go func() { _ = steward.Run(ctx) }()
 		go func() { _ = node.reporter.Run(ctx) }()
+		time.Sleep(7 * time.Millisecond) // timers of two VMs never end at the same instant
 		t.Cleanup(cancel)
 	}
 	t.Cleanup(func() {
