limiter, lender: hold rates over the whole fleet by lent fractions

Cause: each VM counted an organisation's requests alone, so that N VMs admitted N times the rate and burst. Ruled out: a static 1/N split (refuses 11 to 20 % of requests that are inside the rate, all of those of a rate of 5/s over 40 VMs); a store write for each request or each few seconds (the store may be away for hours); short leases on parts (refuse everything through an outage); one token for each request only (a burst far below the rate then bounds the throughput by the round trip). Built: parts of 1/40 under leases of 6 h, offered to the shard's collector for 12 s at a time, lent on as fractions by demand for 3 s or as single tokens for 100 ms. Tokens that the pool mints within 200 ms can be reserved, so that a request waits briefly instead of being refused. Before: no limit over the fleet.

--- a/core/limiter/limiter.go
+++ b/core/limiter/limiter.go
@@ -1,55 +1,22 @@
 // Package limiter decides which requests are inside their organisation's rate
 // and burst.
 //
+// Rate and burst count over the whole fleet. A Borrower holds a fraction of
+// both for each organisation that sends requests through its VM, lent by the
+// organisation's collector (package lender) for a few seconds at a time. It
+// mints tokens by that fraction. A request that finds no token waits for one
+// answer of the collector, which grants single tokens besides.
+//
+// Whatever is lost, doubled or late, tokens may be lost but never made: an
+// answer takes effect at most once and only for the latest ask; leases count
+// from before the ask; a fraction starts with the tokens that came with it.
+//
 // # Usage
 //
-//	bucket := limiter.Bucket{Rate: 50, Burst: 100}
-//	if !bucket.Take(now, 1) {
-//		wait := bucket.Wait(now, 1)
+//	verdict := borrower.Take(id, limit, now)
+//	if verdict.Wait {
+//		asks := borrower.Asks(now) // send them, then
+//		borrower.Apply(collector, sent, grants, now)
+//		verdict = borrower.Retry(id, now)
 //	}
 package limiter
-
-import "time"
-
-// Bucket is a token bucket. A new one is empty.
-type Bucket struct {
-	// Rate is in tokens a second.
-	Rate float64
-	// Burst is the most tokens that the bucket holds.
-	Burst float64
-
-	tokens float64
-	filled time.Duration
-}
-
-// Fill mints the tokens of the time since the last call. Time that runs
-// backwards mints nothing.
-func (bucket *Bucket) Fill(now time.Duration) {
-	if now <= bucket.filled {
-		return
-	}
-	if bucket.filled > 0 {
-		bucket.tokens += bucket.Rate * (now - bucket.filled).Seconds()
-	}
-	bucket.tokens = min(bucket.tokens, bucket.Burst)
-	bucket.filled = now
-}
-
-// Take removes n tokens if there are as many.
-func (bucket *Bucket) Take(now time.Duration, n float64) bool {
-	bucket.Fill(now)
-	if bucket.tokens < n {
-		return false
-	}
-	bucket.tokens -= n
-	return true
-}
-
-// Wait returns how long it takes until the bucket holds n tokens.
-func (bucket *Bucket) Wait(now time.Duration, n float64) time.Duration {
-	bucket.Fill(now)
-	if bucket.tokens >= n || bucket.Rate <= 0 {
-		return 0
-	}
-	return time.Duration((n - bucket.tokens) / bucket.Rate * float64(time.Second))
-}
