lender: claim parts, lend and borrow between VMs

Cause: the core's ledgers had no store, network or requests. Ruled out: a call for each request (one call with asks is under way to each VM, what comes up meanwhile goes with the next); refusing at once when the VM has no token (a request waits for the collector's answer, at most 400 ms). Before: localLimits counts each VM alone. After: go test ./internal/lender passes: the burst counts over three VMs, a VM that starts while the store is away borrows, lost answers of claims are found out, a planned stop hands parts over within two minutes. server.Limits.Admit gets the request's context. Conclusion: ready to be wired once the fleet's members are known.

--- /dev/null
+++ b/entry/internal/lender/lender_test.go
@@ -0,0 +1,211 @@
+package lender_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/configurator"
+	corelender "godwitramp.example/core/lender"
+	"godwitramp.example/core/watcher"
+	"godwitramp.example/entry/internal/lender"
+	"godwitramp.example/shell/faker"
+)
+
+// fleet is a few VMs in one process, with a network in memory.
+type fleet struct {
+	platform *faker.Platform
+	mutex    sync.Mutex
+	services map[string]*lender.Service
+	peers    []watcher.Peer
+	table    *configurator.Table
+	stops    map[string]context.CancelFunc
+	group    sync.WaitGroup
+}
+
+var small = &configurator.Organisation{Path: "/kundsetu/organisations/bhuj-crews", Rate: 5, Burst: 5}
+
+func newFleet(t *testing.T) *fleet {
+	fields := []configurator.Field{{Name: "burst", Value: "5"}, {Name: "rate", Value: "5"}}
+	entries := []configurator.Entry{{Path: small.Path, Fields: fields}}
+	table, problems := configurator.Compile(slices.Values(entries))
+	is.New(t).Equal(len(problems), 0)
+	return &fleet{
+		platform: faker.New(), services: make(map[string]*lender.Service), table: table,
+		stops: make(map[string]context.CancelFunc),
+	}
+}
+
+// Table returns the configuration.
+func (fleet *fleet) Table() *configurator.Table { return fleet.table }
+
+// Revision returns the revision of the configuration.
+func (fleet *fleet) Revision() uint64 { return 1 }
+
+// member is one VM's view of the fleet.
+type member struct {
+	*fleet
+	self watcher.Peer
+}
+
+// Self returns this VM.
+func (member member) Self() watcher.Peer { return member.self }
+
+// Live returns the VMs that run.
+func (member member) Live() []watcher.Peer {
+	member.mutex.Lock()
+	defer member.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(member.peers), func(peer watcher.Peer) bool { return peer == member.self })
+}
+
+// Call calls the service of another VM.
+func (member member) Call(ctx context.Context, address, method string, args, reply any) error {
+	member.mutex.Lock()
+	service := member.services[address]
+	member.mutex.Unlock()
+	if service == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(2 * time.Millisecond)
+	switch method {
+	case "Lender.Borrow":
+		return service.Borrow(args.(*lender.BorrowRequest), reply.(*lender.BorrowReply))
+	case "Lender.Offer":
+		return service.Offer(args.(*lender.OfferRequest), reply.(*corelender.OfferReply))
+	}
+	return errors.New("no such method")
+}
+
+// add starts a VM.
+func (fleet *fleet) add(t *testing.T, number int) *lender.Lender {
+	name := fmt.Sprintf("vm-%02d", number)
+	member := member{fleet: fleet, self: watcher.Peer{Name: name, Address: name, Incarnation: 1}}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	added := &lender.Lender{Members: member, Caller: member, Platform: fleet.platform, Tables: fleet, Log: logrus.NewEntry(log)}
+	ctx, cancel := context.WithCancel(t.Context())
+	fleet.mutex.Lock()
+	fleet.services[name] = added.Service()
+	fleet.peers = append(fleet.peers, member.self)
+	fleet.stops[name] = cancel
+	fleet.mutex.Unlock()
+	fleet.group.Go(func() { _ = added.Run(ctx) })
+	return added
+}
+
+// remove ends a VM.
+func (fleet *fleet) remove(name string) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.stops[name]()
+	delete(fleet.services, name)
+	fleet.peers = slices.DeleteFunc(fleet.peers, func(peer watcher.Peer) bool { return peer.Name == name })
+}
+
+func (fleet *fleet) stop() {
+	for _, cancel := range fleet.stops {
+		cancel()
+	}
+	fleet.group.Wait()
+}
+
+// admitted counts how many of n requests at once are inside.
+func admitted(t *testing.T, on *lender.Lender, n int) int {
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	count := 0
+	for range n {
+		group.Go(func() {
+			inside, retryAfter := on.Admit(t.Context(), small)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if inside {
+				count++
+			} else if retryAfter <= 0 {
+				t.Error("a refusal says when to come back")
+			}
+		})
+	}
+	group.Wait()
+	return count
+}
+
+func TestBurstCountsOverAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(t)
+		defer fleet.stop()
+		var vms []*lender.Lender
+		for i := range 3 {
+			vms = append(vms, fleet.add(t, i))
+		}
+		time.Sleep(70 * time.Second)
+		total := 0
+		for _, vm := range vms {
+			total += admitted(t, vm, 10)
+		}
+		// The burst, and what the rate mints while the last requests wait.
+		is.True(total >= 5)
+		is.True(total <= 8)
+	})
+}
+
+// A VM that starts while the store is away borrows from the others.
+func TestVMStartedWhileStoreIsAwayBorrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(t)
+		defer fleet.stop()
+		for i := range 3 {
+			fleet.add(t, i)
+		}
+		time.Sleep(70 * time.Second)
+		fleet.platform.SetFaults(faker.Faults{Outage: true})
+		late := fleet.add(t, 3)
+		time.Sleep(20 * time.Second)
+		is.Equal(admitted(t, late, 5), 5)
+	})
+}
+
+// Writes whose answers were lost are found out at the next look.
+func TestClaimsWhoseAnswersWereLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(t)
+		defer fleet.stop()
+		fleet.platform.SetFaults(faker.Faults{LoseAnswers: true})
+		vm := fleet.add(t, 0)
+		time.Sleep(30 * time.Second)
+		is.Equal(admitted(t, vm, 5), 0)
+		fleet.platform.SetFaults(faker.Faults{})
+		time.Sleep(60 * time.Second)
+		is.Equal(admitted(t, vm, 5), 5)
+	})
+}
+
+// The parts of a VM that stops as planned go to the others in a minute, not
+// when its lease ends.
+func TestPlannedStopHandsPartsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(t)
+		defer fleet.stop()
+		first := fleet.add(t, 0)
+		time.Sleep(70 * time.Second) // the first holds everything
+		second := fleet.add(t, 1)
+		first.Leave(t.Context())
+		fleet.remove("vm-00")
+		time.Sleep(2 * time.Minute)
+		is.Equal(admitted(t, second, 5), 5)
+	})
+}
--- /dev/null
+++ b/entry/internal/lender/offer.go
@@ -0,0 +1,65 @@
+package lender
+
+import (
+	"context"
+	"sync"
+
+	"godwitramp.example/core/lender"
+	"godwitramp.example/core/limiter"
+	"godwitramp.example/core/watcher"
+)
+
+// offer renews the loans to the collectors and recalls those to former ones.
+func (lent *Lender) offer(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	for _, batch := range lent.offers() {
+		calls.Go(func() { lent.sendOffers(ctx, batch) })
+	}
+}
+
+// batch is what goes to one VM.
+type batch struct {
+	peer   watcher.Peer
+	offers []lender.Offer
+}
+
+func (lent *Lender) offers() []batch {
+	vms := lent.members()
+	lent.lending.Lock()
+	defer lent.lending.Unlock()
+	now := lent.Now()
+	lent.holder.Expire(now)
+	shards := make(map[watcher.Peer][]limiter.Shard)
+	for _, shard := range lent.holder.Shards() {
+		peer := lent.collectorOf(shard, vms)
+		shards[peer] = append(shards[peer], shard)
+	}
+	batches := make([]batch, 0, len(shards))
+	for peer, shards := range shards {
+		collector := incarnation(peer)
+		batches = append(batches, batch{peer: peer, offers: lent.holder.Offers(shards, collector, now)})
+		for former, offers := range lent.holder.Recalls(shards, collector, now) {
+			if peer, ok := vms.named(former); ok {
+				batches = append(batches, batch{peer: peer, offers: offers})
+			}
+		}
+	}
+	return batches
+}
+
+func (lent *Lender) sendOffers(ctx context.Context, batch batch) {
+	request := OfferRequest{
+		Holder: incarnation(lent.Members.Self()), Collector: incarnation(batch.peer), Offers: batch.offers,
+	}
+	var reply lender.OfferReply
+	if err := lent.call(ctx, batch.peer, "Offer", &request, &reply); err != nil {
+		if ctx.Err() == nil {
+			lent.Log.WithError(err).WithField("peer", batch.peer.Name).Warn("offer-failed")
+		}
+		return
+	}
+	lent.lending.Lock()
+	defer lent.lending.Unlock()
+	lent.holder.Replied(batch.offers, reply)
+}
--- /dev/null
+++ b/entry/internal/lender/service.go
@@ -0,0 +1,67 @@
+package lender
+
+import (
+	"fmt"
+
+	"godwitramp.example/core/lender"
+	"godwitramp.example/core/limiter"
+)
+
+// Service answers the calls of other VMs.
+type Service struct {
+	lender *Lender
+}
+
+// BorrowRequest carries asks of all organisations that one VM collects for.
+type BorrowRequest struct {
+	// Borrower is the incarnation of the VM that asks.
+	Borrower string
+	Asks     []limiter.Ask
+}
+
+// BorrowReply answers a BorrowRequest.
+type BorrowReply struct {
+	// Collector is the incarnation of the VM that answers.
+	Collector string
+	Grants    []limiter.Grant
+}
+
+// OfferRequest carries the offers of all shards that one VM collects for.
+type OfferRequest struct {
+	// Holder is the incarnation of the VM that offers.
+	Holder string
+	// Collector is the incarnation that the offers are meant for.
+	Collector string
+	Offers    []lender.Offer
+}
+
+// Borrow lends to another VM.
+func (service *Service) Borrow(request *BorrowRequest, reply *BorrowReply) error {
+	lent := service.lender
+	lent.lending.Lock()
+	defer lent.lending.Unlock()
+	reply.Collector = lent.collector.Incarnation
+	reply.Grants = lent.collector.Lend(request.Borrower, request.Asks, lent.Now())
+	return nil
+}
+
+// Offer takes what another VM holds.
+func (service *Service) Offer(request *OfferRequest, reply *lender.OfferReply) error {
+	lent := service.lender
+	lent.lending.Lock()
+	defer lent.lending.Unlock()
+	*reply = lent.collector.Offered(request.Holder, request.Collector, request.Offers, lent.Now())
+	return nil
+}
+
+// local answers a call of this VM to itself.
+func (service *Service) local(args, reply any) error {
+	switch args := args.(type) {
+	case *BorrowRequest:
+		return service.Borrow(args, reply.(*BorrowReply))
+	case *OfferRequest:
+		return service.Offer(args, reply.(*lender.OfferReply))
+	default:
+		return fmt.Errorf("call with %T: no such method", args)
+	}
+}
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -8,6 +8,7 @@
 package server
 
 import (
+	"context"
 	"crypto/rand"
 	"net/http"
 	"strings"
@@ -35,8 +36,8 @@
 // Limits counts requests against the rate of their organisation.
 type Limits interface {
 	// Admit reports whether the request is inside the rate, and if not, when
-	// the caller should come back.
-	Admit(organisation *configurator.Organisation) (inside bool, retryAfter time.Duration)
+	// the caller should come back. It may wait a moment for a token.
+	Admit(ctx context.Context, organisation *configurator.Organisation) (inside bool, retryAfter time.Duration)
 }
 
 // Server answers callers.
@@ -94,7 +95,7 @@
 	if admission.Organisation == nil {
 		return job, nil
 	}
-	inside, retryAfter := server.Limits.Admit(admission.Organisation)
+	inside, retryAfter := server.Limits.Admit(request.Context(), admission.Organisation)
 	if !inside {
 		return job, refuse(http.StatusTooManyRequests, string(admitter.OverRate), "the organisation is over its rate", retryAfter)
 	}
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -180,7 +180,7 @@
 }
 
 // Admit takes a token of the organisation's bucket.
-func (limits *localLimits) Admit(organisation *configurator.Organisation) (bool, time.Duration) {
+func (limits *localLimits) Admit(_ context.Context, organisation *configurator.Organisation) (bool, time.Duration) {
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
 	now := time.Duration(time.Now().UnixNano())
