lender: spill budget, hand-over on a planned stop, wiring

Cause: (1) nothing bounded the bytes that leave a region; (2) a planned stop of a collector refused requests until its leases had ended; (3) nothing used the lender. Built: a leaving collector lends on while holders recall their parts; a collector that has nothing says so, and asks go to the next one at once; parts are given back at the end of the stop. Budgets are limits in bytes held like rates; Spent counts for the bill and charges what the estimate fell short of. The starter runs a lender once its members are set; until then each VM counts alone, as before.

--- a/core/configurator/table.go
+++ b/core/configurator/table.go
@@ -152,6 +152,19 @@
 	}
 }
 
+// AllBudgets returns all budgets in no order.
+func (table *Table) AllBudgets() iter.Seq[*Budget] {
+	return func(yield func(*Budget) bool) {
+		for _, budgets := range table.budgets {
+			for _, budget := range budgets {
+				if !yield(budget) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Budgets returns the budgets for traffic from one region to another.
 func (table *Table) Budgets(pair RegionPair) []*Budget { return table.budgets[pair] }
 
--- a/core/lender/collector.go
+++ b/core/lender/collector.go
@@ -28,7 +28,9 @@
 type shard struct {
 	pieces map[string]*piece
 	// cover is the fraction that lasts for the horizon at least.
-	cover    float64
+	cover float64
+	// grown is when the cover last became larger.
+	grown    timekeeper.Reading
 	accrued  float64 // seconds of the whole rate, minted since cover began
 	updated  timekeeper.Reading
 	accounts map[limiter.ID]*account
@@ -49,17 +51,38 @@
 	return &Collector{Incarnation: incarnation, shards: make(map[limiter.Shard]*shard)}
 }
 
-// Leave begins the hand-over of a planned stop: nothing is lent any more, and
-// each shard is given back to its holders once no borrower uses it.
+// Leave begins the hand-over of a planned stop: the answers to offers tell the
+// holders to recall their parts. What isn't recalled yet is lent on.
 func (collector *Collector) Leave() { collector.leaving = true }
 
+// Empty reports whether borrowers should ask another collector: the holders
+// have left this one, or are about to turn to it.
+func (collector *Collector) Empty(asks []limiter.Ask, now timekeeper.Reading) bool {
+	for _, ask := range asks {
+		if shard := collector.shards[ask.ID.Shard()]; shard != nil && shard.ready(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// ready reports whether the shard has most parts, or has had what it has for
+// as long as it takes holders to turn to a collector.
+func (shard *shard) ready(now timekeeper.Reading) bool {
+	const most = 0.5
+	if shard.cover >= most {
+		return true
+	}
+	return shard.cover > 0 && now.Longest(shard.grown) >= 2*OfferPeriod
+}
+
 // Cover returns the fraction of a shard that the collector lends from.
 func (collector *Collector) Cover(id limiter.Shard, now timekeeper.Reading) float64 {
 	found := collector.shards[id]
 	if found == nil {
 		return 0
 	}
-	found.refresh(now, collector.leaving)
+	found.refresh(now)
 	return found.cover
 }
 
@@ -84,22 +107,22 @@
 // Offered takes the offers of a holder and answers them. Offers that are
 // addressed to an earlier incarnation lend nothing.
 func (collector *Collector) Offered(holder, addressed string, offers []Offer, now timekeeper.Reading) OfferReply {
-	reply := OfferReply{Collector: collector.Incarnation, Since: now}
+	reply := OfferReply{Collector: collector.Incarnation, Since: now, Leaving: collector.leaving}
 	if addressed != collector.Incarnation {
 		return reply
 	}
 	for _, offer := range offers {
 		shard := collector.shard(offer.Shard)
-		if offer.Recall || collector.leaving {
+		if offer.Recall {
 			shard.pieces[holder] = &piece{sequence: offer.Sequence, ignored: now}
-			shard.refresh(now, collector.leaving)
+			shard.refresh(now)
 			if shard.fits(now) {
 				reply.Released = append(reply.Released, offer.Shard)
 			}
 			continue
 		}
 		shard.offered(holder, offer)
-		shard.refresh(now, false)
+		shard.refresh(now)
 	}
 	return reply
 }
@@ -119,7 +142,7 @@
 }
 
 // refresh works out the cover and fits the accounts to it.
-func (shard *shard) refresh(now timekeeper.Reading, leaving bool) {
+func (shard *shard) refresh(now timekeeper.Reading) {
 	parts := 0
 	for holder, piece := range shard.pieces {
 		if piece.lease.Left(now) >= horizon {
@@ -131,13 +154,13 @@
 		}
 	}
 	cover := min(1, float64(parts)/Parts)
-	if leaving {
-		cover = 0
-	}
 	shard.accrue(now, cover)
 	if cover == shard.cover {
 		return
 	}
+	if cover > shard.cover {
+		shard.grown = now
+	}
 	shard.cover = cover
 	for _, account := range shard.accounts {
 		account.fit(cover, now.Mono)
@@ -190,7 +213,7 @@
 		shard := collector.shard(id)
 		if !refreshed[id] {
 			refreshed[id] = true
-			shard.refresh(now, collector.leaving)
+			shard.refresh(now)
 			shard.sweep(now)
 		}
 		if grant, ok := shard.account(ask, now.Mono).lend(borrower, ask, now); ok {
--- a/core/lender/fleet_test.go
+++ b/core/lender/fleet_test.go
@@ -367,7 +367,7 @@
 	holder := vm.id()
 	vm.call(to, len(offers), func() func() {
 		reply := to.collector.Offered(holder, addressed, offers, to.read())
-		return func() { vm.holder.Replied(offers, reply) }
+		return func() { vm.holder.Replied(offers, reply, vm.read()) }
 	}, func() {})
 }
 
--- a/core/lender/holder.go
+++ b/core/lender/holder.go
@@ -12,10 +12,25 @@
 // concurrent use.
 type Holder struct {
 	shards     map[limiter.Shard]map[int]*heldPart
-	collectors map[string]timekeeper.Reading
+	collectors map[string]contact
 	sequence   uint64
 }
 
+// contact is what a holder knows of a collector.
+type contact struct {
+	// since is the collector's reading, heard the holder's when it came.
+	since, heard timekeeper.Reading
+}
+
+// maxContactAge is how old a collector's reading may be to lend by it: leases
+// count from it.
+const maxContactAge = 2 * OfferPeriod
+
+// fresh reports whether the collector's reading is recent.
+func (contact contact) fresh(now timekeeper.Reading) bool {
+	return contact.heard != (timekeeper.Reading{}) && now.Longest(contact.heard) <= maxContactAge
+}
+
 // heldPart is a part with the loan that it is under.
 type heldPart struct {
 	lease     timekeeper.Lease
@@ -29,7 +44,7 @@
 func NewHolder() *Holder {
 	return &Holder{
 		shards:     make(map[limiter.Shard]map[int]*heldPart),
-		collectors: make(map[string]timekeeper.Reading),
+		collectors: make(map[string]contact),
 	}
 }
 
@@ -88,8 +103,10 @@
 	return slices.Sorted(maps.Keys(holder.shards))
 }
 
-// Expire drops the parts whose lease has lapsed.
+// Expire drops the parts whose lease has lapsed, and what is known of
+// collectors that haven't been heard lately.
 func (holder *Holder) Expire(now timekeeper.Reading) {
+	maps.DeleteFunc(holder.collectors, func(_ string, contact contact) bool { return !contact.fresh(now) })
 	for _, part := range holder.Parts() {
 		if holder.shards[part.Shard][part.Index].lease.Lapsed(now) {
 			delete(holder.shards[part.Shard], part.Index)
@@ -108,13 +125,17 @@
 // Offers lends the parts of the given shards to a collector, as far as they
 // aren't lent to another one and the holder's lease outlasts the loan.
 func (holder *Holder) Offers(shards []limiter.Shard, collector string, now timekeeper.Reading) []Offer {
-	since, known := holder.collectors[collector]
+	contact := holder.collectors[collector]
+	fresh := contact.fresh(now)
+	if !fresh {
+		contact.since = timekeeper.Reading{}
+	}
 	offers := make([]Offer, 0, len(shards))
 	for _, shard := range shards {
 		holder.sequence++
-		offer := Offer{Shard: shard, Sequence: holder.sequence, Since: since}
+		offer := Offer{Shard: shard, Sequence: holder.sequence, Since: contact.since}
 		for _, held := range holder.shards[shard] {
-			if known && held.lend(collector, holder.sequence, now) {
+			if fresh && held.lend(collector, holder.sequence, now) {
 				offer.Parts++
 			}
 		}
@@ -156,17 +177,20 @@
 	return recalls
 }
 
-// Replied takes note of a collector's reply to a batch of offers.
-func (holder *Holder) Replied(offers []Offer, reply OfferReply) {
+// Replied takes note of a collector's reply to a batch of offers. It reports
+// whether more can be offered now.
+func (holder *Holder) Replied(offers []Offer, reply OfferReply, now timekeeper.Reading) (more bool) {
 	last := holder.collectors[reply.Collector]
-	if reply.Since.Mono > last.Mono {
-		holder.collectors[reply.Collector] = reply.Since
+	stale := !last.fresh(now)
+	if reply.Since.Mono > last.since.Mono {
+		holder.collectors[reply.Collector] = contact{since: reply.Since, heard: now}
 	}
 	for _, offer := range offers {
 		if slices.Contains(reply.Released, offer.Shard) {
 			holder.released(offer, reply.Collector)
 		}
 	}
+	return stale || len(reply.Released) > 0
 }
 
 // released takes back the parts of a loan that hasn't been renewed since.
@@ -177,6 +201,3 @@
 		}
 	}
 }
-
-// Forget drops what the holder knows of a collector that is gone.
-func (holder *Holder) Forget(collector string) { delete(holder.collectors, collector) }
--- a/core/lender/holder_test.go
+++ b/core/lender/holder_test.go
@@ -37,10 +37,12 @@
 			holder := lender.NewHolder()
 			lease := timekeeper.Lease{Start: lent, Length: lender.PartLength}
 			holder.Hold(lender.Part{Shard: shard}, lease, true, lent)
-			for _, collector := range []string{"a/1", "b/1"} {
-				holder.Replied(nil, lender.OfferReply{Collector: collector, Since: timekeeper.At(time.Second)})
+			hello := func(collector string, now timekeeper.Reading) {
+				holder.Replied(nil, lender.OfferReply{Collector: collector, Since: now}, now)
 			}
+			hello("a/1", lent)
 			is.Equal(holder.Offers([]limiter.Shard{shard}, "a/1", lent)[0].Parts, 1)
+			hello(test.other, test.now)
 			is.Equal(holder.Offers([]limiter.Shard{shard}, test.other, test.now)[0].Parts, test.parts)
 		})
 	}
@@ -53,9 +55,10 @@
 	now := timekeeper.At(time.Hour)
 	part := lender.Part{Shard: 7}
 	holder.Hold(part, timekeeper.Lease{Start: now, Length: lender.PartLength}, false, now)
-	holder.Replied(nil, lender.OfferReply{Collector: "a/1", Since: now})
+	holder.Replied(nil, lender.OfferReply{Collector: "a/1", Since: now}, now)
 	is.Equal(holder.Offers([]limiter.Shard{7}, "a/1", now)[0].Parts, 0)
 	now = now.Add(lender.PieceLength + timekeeper.Drift)
+	holder.Replied(nil, lender.OfferReply{Collector: "a/1", Since: now}, now)
 	is.Equal(holder.Offers([]limiter.Shard{7}, "a/1", now)[0].Parts, 1)
 }
 
@@ -66,7 +69,7 @@
 	now := timekeeper.At(time.Hour)
 	part, shards := lender.Part{Shard: 7}, []limiter.Shard{7}
 	holder.Hold(part, timekeeper.Lease{Start: now, Length: lender.PartLength}, true, now)
-	holder.Replied(nil, collector.Offered("h/1", "a/1", nil, now))
+	holder.Replied(nil, collector.Offered("h/1", "a/1", nil, now), now)
 	late := holder.Offers(shards, "a/1", now)
 	collector.Offered("h/1", "a/1", late, now)
 	is.Equal(collector.Cover(7, now), 1.0/lender.Parts)
@@ -74,7 +77,7 @@
 	reply := collector.Offered("h/1", "a/1", recall, now.Add(time.Second))
 	is.Equal(reply.Released, shards)
 	renewed := holder.Offers(shards, "a/1", now)
-	holder.Replied(recall, reply)
+	holder.Replied(recall, reply, now)
 	is.True(!holder.Drop(part, now)) // it was lent again after the recall
 	collector.Offered("h/1", "a/1", late, now.Add(time.Second))
 	collector.Offered("h/1", "a/1", renewed, now.Add(time.Second))
--- a/core/lender/lender.go
+++ b/core/lender/lender.go
@@ -23,7 +23,7 @@
 //
 //	offers := holder.Offers(shards, collectorID, now) // to the collector
 //	reply := collector.Offered(holderID, collectorID, offers, now) // on the collector
-//	holder.Replied(offers, reply)
+//	holder.Replied(offers, reply, now)
 //	grants := collector.Lend(borrowerID, asks, now) // answers asks
 package lender
 
@@ -79,4 +79,7 @@
 	// Released lists the shards whose parts the collector gives back: it uses
 	// nothing that was offered up to this batch.
 	Released []limiter.Shard
+	// Leaving asks the holder to recall its parts and offer them to another
+	// collector.
+	Leaving bool
 }
--- a/core/limiter/borrower.go
+++ b/core/limiter/borrower.go
@@ -57,8 +57,10 @@
 
 	asked    uint64 // sequence of the ask in flight, or 0
 	waiting  float64
-	listed   bool // among the borrower's wanting accounts
-	denied   time.Duration
+	listed   bool          // among the borrower's wanting accounts
+	eager    bool          // wants a fraction before the next renewal
+	denied   time.Duration // until when requests don't wait
+	declined time.Duration // until when no fraction is asked for eagerly
 	arrivals float64
 	demand   float64
 	measured time.Duration
@@ -99,6 +101,35 @@
 	return Verdict{Wait: true}
 }
 
+// Try takes n tokens if the VM has them, and asks for a fraction if it has
+// none. Nothing waits.
+func (borrower *Borrower) Try(id ID, limit Limit, n float64, now timekeeper.Reading) bool {
+	account := borrower.accounts[id]
+	if account == nil {
+		account = borrower.open(id, limit, now)
+	}
+	account.arrivals += n
+	account.used = now.Mono
+	account.refresh(limit, now)
+	if account.take(n, now) {
+		return true
+	}
+	if account.fraction == 0 && now.Mono >= account.declined && !account.listed {
+		account.eager = true
+		account.listed = true
+		borrower.wanting = append(borrower.wanting, account)
+	}
+	return false
+}
+
+// Owe charges n tokens that were used without having been taken. What the VM
+// mints pays them first.
+func (borrower *Borrower) Owe(id ID, n float64, now timekeeper.Reading) {
+	if account := borrower.accounts[id]; account != nil {
+		account.bucket.Owe(now.Mono, n)
+	}
+}
+
 // Retry decides on a request that has waited for an answer. It may have to
 // wait for the next one, if it came after the ask had been sent.
 func (borrower *Borrower) Retry(id ID, now timekeeper.Reading) Verdict {
@@ -180,7 +211,7 @@
 	var asks []Ask
 	kept := borrower.wanting[:0]
 	for _, account := range borrower.wanting {
-		account.listed = account.waiting > 0
+		account.listed = account.waiting > 0 || account.eager
 		if !account.listed {
 			continue
 		}
@@ -201,7 +232,7 @@
 // Wanting reports whether an ask with requests waiting could be sent.
 func (borrower *Borrower) Wanting() bool {
 	for _, account := range borrower.wanting {
-		if account.asked == 0 && account.waiting > 0 {
+		if account.asked == 0 && (account.waiting > 0 || account.eager) {
 			return true
 		}
 	}
@@ -256,6 +287,10 @@
 func (borrower *Borrower) ask(account *account, now timekeeper.Reading) Ask {
 	account.measure(now)
 	account.refresh(account.limit, now)
+	if account.eager && account.demand == 0 {
+		account.demand = account.arrivals / RenewPeriod.Seconds()
+	}
+	account.eager = false
 	borrower.sequence++
 	account.asked = borrower.sequence
 	ask := Ask{
@@ -313,11 +348,23 @@
 	if account.singleEnd.Lapsed(now) {
 		account.singles = 0
 	}
+	if grant.Fraction == 0 {
+		account.declined = now.Mono + defaultDenial
+	}
 	if grant.RetryAfter > 0 {
 		account.denied = now.Mono + max(minDenial, grant.RetryAfter)
 	}
 }
 
+// Repeat gives up asks that should go to another collector at once.
+func (borrower *Borrower) Repeat(asks []Ask) {
+	for _, ask := range asks {
+		if account := borrower.accounts[ask.ID]; account != nil && account.asked == ask.Sequence {
+			account.asked = 0
+		}
+	}
+}
+
 // Fail gives up asks that got no answer. It returns the organisations whose
 // waiting requests can be decided now.
 func (borrower *Borrower) Fail(asks []Ask, now timekeeper.Reading) []ID {
--- a/core/limiter/borrower_test.go
+++ b/core/limiter/borrower_test.go
@@ -37,6 +37,21 @@
 	is.True(!borrower.Retry(1, suspended).Inside)
 }
 
+// A fraction ends on whichever clock says so first.
+func TestFractionEndsForSuspendedVM(t *testing.T) {
+	is := is.New(t)
+	borrower := limiter.NewBorrower()
+	limit := limiter.Limit{Rate: 50, Burst: 50}
+	now := timekeeper.At(time.Hour)
+	is.True(borrower.Take(1, limit, now).Wait)
+	ask := borrower.Asks(now)[0]
+	borrower.Apply("a/1", now, []limiter.Grant{{ID: 1, Sequence: ask.Sequence, Fraction: 0.5, Tokens: 10}}, now)
+	is.True(borrower.Retry(1, now).Inside)
+	is.True(borrower.Take(1, limit, now.Add(time.Second)).Inside)
+	suspended := timekeeper.Reading{Mono: now.Mono + time.Second, Wall: now.Wall + limiter.LoanLength}
+	is.True(!borrower.Take(1, limit, suspended).Inside)
+}
+
 func BenchmarkTake(b *testing.B) {
 	for _, count := range []int{8, 4_000, 380_000} {
 		b.Run(fmt.Sprint(count, " organisations"), func(b *testing.B) {
--- a/entry/internal/lender/ask.go
+++ b/entry/internal/lender/ask.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"time"
 
 	"godwitramp.example/core/limiter"
 	"godwitramp.example/core/timekeeper"
@@ -11,6 +13,13 @@
 // maxAsksPerCall bounds the size of a message.
 const maxAsksPerCall = 4096
 
+// emptyPeriod is how long a collector that had nothing to lend isn't asked.
+const emptyPeriod = time.Second
+
+// maxEmpty is how many collectors may have nothing before requests are
+// refused.
+const maxEmpty = 2
+
 // queue holds the asks for one collector while a call is under way to it.
 type queue struct {
 	peer watcher.Peer
@@ -20,9 +29,9 @@
 
 // ask sends the asks that are due.
 func (lent *Lender) ask(ctx context.Context) {
-	vms := lent.members()
 	lent.borrowing.Lock()
 	defer lent.borrowing.Unlock()
+	vms := lent.lenders()
 	for _, ask := range lent.borrower.Asks(lent.Now()) {
 		peer := lent.collectorOf(ask.ID.Shard(), vms)
 		name := incarnation(peer)
@@ -42,6 +51,17 @@
 	}
 }
 
+// lenders are the VMs that may have something to lend. Those that had nothing
+// a moment ago are left out, unless there is no other.
+func (lent *Lender) lenders() members {
+	now := lent.Now().Mono
+	maps.DeleteFunc(lent.empty, func(_ string, since time.Duration) bool { return now-since >= emptyPeriod })
+	return lent.members(func(name string) bool {
+		_, empty := lent.empty[name]
+		return empty
+	})
+}
+
 // drain sends what is queued for a collector, until nothing is left.
 func (lent *Lender) drain(ctx context.Context, name string, waiting *queue) {
 	for {
@@ -67,6 +87,9 @@
 	err := lent.call(ctx, peer, "Borrow", &request, &reply)
 	lent.borrowing.Lock()
 	defer lent.borrowing.Unlock()
+	if err == nil && reply.Empty && lent.passOn(reply.Collector, asks) {
+		return
+	}
 	if err == nil {
 		lent.decide(lent.borrower.Apply(reply.Collector, sent, reply.Grants, lent.Now()))
 	}
@@ -77,6 +100,19 @@
 	}
 }
 
+// passOn lets asks go to the next collector after one that had nothing to
+// lend, unless several had nothing or nobody else is there.
+func (lent *Lender) passOn(collector string, asks []limiter.Ask) bool {
+	_, again := lent.empty[collector]
+	lent.empty[collector] = lent.Now().Mono
+	if again || len(lent.empty) > maxEmpty || len(lent.empty) >= len(lent.lenders().all) {
+		return false
+	}
+	lent.borrower.Repeat(asks)
+	lent.poke()
+	return true
+}
+
 // call calls this VM directly and others over the network.
 func (lent *Lender) call(ctx context.Context, peer watcher.Peer, method string, args, reply any) error {
 	if peer.Name == lent.Members.Self().Name {
--- a/entry/internal/lender/claim.go
+++ b/entry/internal/lender/claim.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/lender"
 	"godwitramp.example/core/limiter"
 	"godwitramp.example/core/timekeeper"
@@ -37,17 +38,15 @@
 	}
 	table := lent.Tables.Table()
 	lent.lending.Lock()
-	leaving := lent.leaving
+	stopping := lent.leaving
 	lent.lending.Unlock()
-	if table == nil || leaving {
+	if table == nil || stopping {
 		return nil
 	}
-	shards := make(map[limiter.Shard]bool)
-	for organisation := range table.Organisations() {
-		shards[limiter.IDOf(organisation.Path).Shard()] = true
-	}
-	names := lent.members().names
-	for shard := range shards {
+	vms := lent.collectors()
+	lent.forgetGone(vms)
+	names := vms.names
+	for shard := range shardsOf(table) {
 		place := lender.PlaceOf(shard, lent.Members.Self().Name, names)
 		if place.Rank >= lender.Parts {
 			continue
@@ -59,6 +58,18 @@
 	return nil
 }
 
+// shardsOf returns the shards that have organisations or budgets.
+func shardsOf(table *configurator.Table) map[limiter.Shard]bool {
+	shards := make(map[limiter.Shard]bool)
+	for organisation := range table.Organisations() {
+		shards[limiter.IDOf(organisation.Path).Shard()] = true
+	}
+	for budget := range table.AllBudgets() {
+		shards[limiter.IDOf(budget.Path).Shard()] = true
+	}
+	return shards
+}
+
 func (lent *Lender) claimShard(ctx context.Context, shard limiter.Shard, place lender.Place) error {
 	rows, err := lent.rows(ctx, shard)
 	if err != nil {
@@ -84,6 +95,7 @@
 		lent.holder.Hold(claim.Part, lease, claim.Fresh, lent.Now())
 		lent.versions[claim.Part] = claim.Version + 1
 	}
+	lent.offerSoon()
 	lent.Log.WithField("shard", shard).WithField("parts", len(wanted)).Info("parts-claimed")
 	return nil
 }
--- a/entry/internal/lender/lender.go
+++ b/entry/internal/lender/lender.go
@@ -28,6 +28,7 @@
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/lender"
 	"godwitramp.example/core/limiter"
+	"godwitramp.example/core/meter"
 	"godwitramp.example/core/timekeeper"
 	"godwitramp.example/core/watcher"
 	"godwitramp.example/shell/connector"
@@ -37,7 +38,6 @@
 	callTimeout  = 500 * time.Millisecond
 	claimTimeout = 5 * time.Second
 	askPeriod    = 100 * time.Millisecond
-	offerPeriod  = lender.OfferPeriod
 	// longestWait bounds how long a request waits for a decision.
 	longestWait = 400 * time.Millisecond
 	// retryWhenUndecided is told to callers whose request got no decision.
@@ -74,15 +74,23 @@
 	claimer   lender.Claimer
 	versions  map[lender.Part]uint64
 
-	borrowing sync.Mutex // guards borrower, waiters and queues
+	borrowing sync.Mutex // guards borrower, waiters, queues and empty
 	borrower  *limiter.Borrower
 	waiters   map[limiter.ID][]*waiter
 	queues    map[string]*queue
+	empty     map[string]time.Duration // collectors that had nothing to lend
 	wake      chan struct{}
+	more      chan struct{}
 
 	lending sync.Mutex // guards holder, collector, claimer, versions and leaving
 	leaving bool
 	group   sync.WaitGroup
+
+	// left holds the incarnations of VMs that said that they are leaving.
+	left sync.Map
+
+	metering sync.Mutex // guards meter
+	meter    meter.Meter
 }
 
 // waiter is a request that waits for a decision.
@@ -116,7 +124,9 @@
 		lent.borrower = limiter.NewBorrower()
 		lent.waiters = make(map[limiter.ID][]*waiter)
 		lent.queues = make(map[string]*queue)
+		lent.empty = make(map[string]time.Duration)
 		lent.wake = make(chan struct{}, 1)
+		lent.more = make(chan struct{}, 1)
 	})
 }
 
@@ -138,8 +148,9 @@
 // Run claims, lends and renews until the context ends.
 func (lent *Lender) Run(ctx context.Context) error {
 	lent.prepare()
-	lent.group.Go(func() { lent.every(ctx, lender.Renewal, lent.claim) })
-	lent.group.Go(func() { lent.every(ctx, offerPeriod, lent.offer) })
+	lent.group.Go(func() { lent.every(ctx, lender.Renewal, nil, lent.claim) })
+	lent.group.Go(func() { lent.every(ctx, lender.OfferPeriod, lent.more, lent.offer) })
+	lent.group.Go(func() { lent.every(ctx, meterPeriod, nil, lent.writeMeter) })
 	ticker := time.NewTicker(askPeriod)
 	defer ticker.Stop()
 	defer lent.group.Wait()
@@ -154,7 +165,8 @@
 	}
 }
 
-func (lent *Lender) every(ctx context.Context, period time.Duration, work func(context.Context)) {
+// every does some work each period, and at once when there is more to do.
+func (lent *Lender) every(ctx context.Context, period time.Duration, more <-chan struct{}, work func(context.Context)) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
@@ -163,19 +175,28 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-more:
 		}
 	}
 }
 
-// Leave begins the hand-over of a planned stop: this VM collects for nobody
-// any more, and gives its parts back to the table service.
-func (lent *Lender) Leave(ctx context.Context) {
+// Leave begins the hand-over of a planned stop: other VMs collect from now on.
+// This VM's parts stay in use until GiveBack.
+func (lent *Lender) Leave() {
 	lent.prepare()
 	lent.lending.Lock()
 	lent.leaving = true
 	lent.collector.Leave()
 	lent.lending.Unlock()
+	lent.left.Store(incarnation(lent.Members.Self()), true)
+	lent.offerSoon()
+}
+
+// GiveBack ends a planned stop: it gives the parts of this VM back to the
+// table service, and writes what its meter has counted.
+func (lent *Lender) GiveBack(ctx context.Context) {
 	lent.giveBack(ctx)
+	lent.writeMeter(ctx)
 }
 
 // collectorOf returns the VM that collects for the shard, as this VM sees it.
@@ -183,24 +204,54 @@
 	return vms.peers[lender.First(shard, vms.names)]
 }
 
-// members are this VM and those that it can call.
+// members are the VMs that may collect.
 type members struct {
 	peers []watcher.Peer
 	names []string
+	// all has those that are leaving too.
+	all []watcher.Peer
 }
 
-func (lent *Lender) members() members {
+// members returns this VM and those that it can call, without those that are
+// out, unless that leaves nobody.
+func (lent *Lender) members(out func(incarnationName string) bool) members {
 	live := lent.Members.Live()
-	vms := members{peers: make([]watcher.Peer, 0, len(live)+1), names: make([]string, 0, len(live)+1)}
-	for _, peer := range append(live[:len(live):len(live)], lent.Members.Self()) {
-		vms.peers = append(vms.peers, peer)
+	vms := members{all: append(live[:len(live):len(live)], lent.Members.Self())}
+	for _, peer := range vms.all {
+		if !out(incarnation(peer)) {
+			vms.peers = append(vms.peers, peer)
+		}
+	}
+	if len(vms.peers) == 0 {
+		vms.peers = vms.all
+	}
+	for _, peer := range vms.peers {
 		vms.names = append(vms.names, peer.Name)
 	}
 	return vms
 }
 
+// collectors are the VMs that get offers: those that aren't leaving.
+func (lent *Lender) collectors() members {
+	return lent.members(func(name string) bool {
+		_, leaving := lent.left.Load(name)
+		return leaving
+	})
+}
+
+// forgetGone drops what is remembered of VMs that are gone.
+func (lent *Lender) forgetGone(vms members) {
+	lent.left.Range(func(name, _ any) bool {
+		if _, ok := vms.named(name.(string)); !ok {
+			lent.left.Delete(name)
+		}
+		return true
+	})
+}
+
+// named finds a VM by its incarnation.
 func (vms members) named(incarnationName string) (watcher.Peer, bool) {
-	for _, peer := range vms.peers {
+	for _, peer := range vms.all {
 		if incarnation(peer) == incarnationName {
 			return peer, true
 		}
--- a/entry/internal/lender/lender_test.go
+++ b/entry/internal/lender/lender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,7 @@
 
 	"godwitramp.example/core/configurator"
 	corelender "godwitramp.example/core/lender"
+	"godwitramp.example/core/meter"
 	"godwitramp.example/core/watcher"
 	"godwitramp.example/entry/internal/lender"
 	"godwitramp.example/shell/faker"
@@ -30,13 +32,19 @@
 	table    *configurator.Table
 	stops    map[string]context.CancelFunc
 	group    sync.WaitGroup
+	starts   uint64
 }
 
 var small = &configurator.Organisation{Path: "/kundsetu/organisations/bhuj-crews", Rate: 5, Burst: 5}
 
 func newFleet(t *testing.T) *fleet {
 	fields := []configurator.Field{{Name: "burst", Value: "5"}, {Name: "rate", Value: "5"}}
-	entries := []configurator.Entry{{Path: small.Path, Fields: fields}}
+	budget := []configurator.Field{
+		{Name: "burst", Value: "1MB"}, {Name: "from", Value: "kutch"}, {Name: "rate", Value: "100KB"}, {Name: "to", Value: "charotar"},
+	}
+	entries := []configurator.Entry{
+		{Path: small.Path, Fields: fields}, {Path: "/kundsetu/budgets/spill", Fields: budget},
+	}
 	table, problems := configurator.Compile(slices.Values(entries))
 	is.New(t).Equal(len(problems), 0)
 	return &fleet{
@@ -89,7 +97,8 @@
 // add starts a VM.
 func (fleet *fleet) add(t *testing.T, number int) *lender.Lender {
 	name := fmt.Sprintf("vm-%02d", number)
-	member := member{fleet: fleet, self: watcher.Peer{Name: name, Address: name, Incarnation: 1}}
+	fleet.starts++
+	member := member{fleet: fleet, self: watcher.Peer{Name: name, Address: name, Incarnation: fleet.starts}}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	added := &lender.Lender{Members: member, Caller: member, Platform: fleet.platform, Tables: fleet, Log: logrus.NewEntry(log)}
@@ -203,9 +212,92 @@
 		first := fleet.add(t, 0)
 		time.Sleep(70 * time.Second) // the first holds everything
 		second := fleet.add(t, 1)
-		first.Leave(t.Context())
+		first.Leave()
+		first.GiveBack(t.Context())
 		fleet.remove("vm-00")
 		time.Sleep(2 * time.Minute)
 		is.Equal(admitted(t, second, 5), 5)
 	})
 }
+
+// Traffic to another region stays inside the team's budget over all VMs, and
+// what it came to is written for the bill.
+func TestSpillStaysInsideBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(t)
+		defer fleet.stop()
+		var vms []*lender.Lender
+		for i := range 2 {
+			vms = append(vms, fleet.add(t, i))
+		}
+		time.Sleep(70 * time.Second)
+		const bytes = 10_000
+		taken := 0
+		const seconds = 30
+		for range seconds * 50 {
+			for _, vm := range vms {
+				if vm.MaySpill("kundsetu", "kutch", "charotar", bytes) {
+					taken += bytes
+					flow := meter.Flow{Organisation: small.Path, Service: "/kundsetu/services/due-lists", From: "kutch", To: "charotar"}
+					vm.Spent(lender.Spending{Flow: flow, Estimated: bytes, Bytes: bytes})
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(taken <= 1_000_000+seconds*100_000)
+		is.True(taken >= seconds*100_000/2)
+		is.True(!vms[0].MaySpill("swarm-line", "kutch", "charotar", 1)) // another team's
+		is.True(!vms[0].MaySpill("kundsetu", "charotar", "kutch", 1))   // the other way
+		for _, vm := range vms {
+			vm.Leave()
+			vm.GiveBack(t.Context())
+		}
+		rows, err := fleet.platform.Scan(t.Context(), "meter/", 100)
+		is.NoErr(err)
+		written := 0
+		for _, row := range rows {
+			var totals []meter.Total
+			is.NoErr(json.Unmarshal(row.Value, &totals))
+			for _, total := range totals {
+				written += int(total.Bytes)
+			}
+		}
+		is.Equal(written, taken)
+	})
+}
+
+// While each VM in turn stops as planned and is started anew, half of the rate
+// is served with hardly a refusal.
+func TestRollingStopRefusesLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := newFleet(t)
+		defer fleet.stop()
+		vms := make([]*lender.Lender, 4)
+		for i := range vms {
+			vms[i] = fleet.add(t, i)
+		}
+		time.Sleep(70 * time.Second)
+		refused, sent := 0, 0
+		serve := func(seconds int, without int) {
+			for second := range 2 * seconds {
+				vm := (without + 1 + second%3) % 4
+				refused += 1 - admitted(t, vms[vm], 1)
+				sent++
+				time.Sleep(400 * time.Millisecond)
+			}
+		}
+		for i := range vms {
+			vms[i].Leave()
+			serve(8, i)
+			vms[i].GiveBack(t.Context())
+			fleet.remove(fmt.Sprintf("vm-%02d", i))
+			serve(2, i)
+			vms[i] = fleet.add(t, i)
+			serve(90, i)
+			t.Log("after VM", i, "refused", refused, "of", sent)
+		}
+		is.True(200*refused <= sent)
+	})
+}
--- a/entry/internal/lender/offer.go
+++ b/entry/internal/lender/offer.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"godwitramp.example/core/lender"
 	"godwitramp.example/core/limiter"
 	"godwitramp.example/core/watcher"
 )
 
+// recallPeriod is how soon a recall is repeated.
+const recallPeriod = 200 * time.Millisecond
+
 // offer renews the loans to the collectors and recalls those to former ones.
 func (lent *Lender) offer(ctx context.Context) {
 	var calls sync.WaitGroup
@@ -18,6 +22,14 @@
 	}
 }
 
+// offerSoon makes the next round of offers come at once.
+func (lent *Lender) offerSoon() {
+	select {
+	case lent.more <- struct{}{}:
+	default:
+	}
+}
+
 // batch is what goes to one VM.
 type batch struct {
 	peer   watcher.Peer
@@ -25,7 +37,7 @@
 }
 
 func (lent *Lender) offers() []batch {
-	vms := lent.members()
+	vms := lent.collectors()
 	lent.lending.Lock()
 	defer lent.lending.Unlock()
 	now := lent.Now()
@@ -59,7 +71,18 @@
 		}
 		return
 	}
+	more := false
+	if reply.Leaving {
+		_, known := lent.left.LoadOrStore(reply.Collector, true)
+		more = !known
+	}
 	lent.lending.Lock()
-	defer lent.lending.Unlock()
-	lent.holder.Replied(batch.offers, reply)
+	more = lent.holder.Replied(batch.offers, reply, lent.Now()) || more
+	lent.lending.Unlock()
+	if more {
+		lent.offerSoon()
+	}
+	if batch.offers[0].Recall && len(reply.Released) < len(batch.offers) {
+		time.AfterFunc(recallPeriod, lent.offerSoon) // borrowers still use some
+	}
 }
--- a/entry/internal/lender/service.go
+++ b/entry/internal/lender/service.go
@@ -24,6 +24,9 @@
 	// Collector is the incarnation of the VM that answers.
 	Collector string
 	Grants    []limiter.Grant
+	// Empty says that the collector has nothing to lend: the holders haven't
+	// turned to it yet, or have left it.
+	Empty bool
 }
 
 // OfferRequest carries the offers of all shards that one VM collects for.
@@ -41,7 +44,9 @@
 	lent.lending.Lock()
 	defer lent.lending.Unlock()
 	reply.Collector = lent.collector.Incarnation
-	reply.Grants = lent.collector.Lend(request.Borrower, request.Asks, lent.Now())
+	now := lent.Now()
+	reply.Grants = lent.collector.Lend(request.Borrower, request.Asks, now)
+	reply.Empty = lent.collector.Empty(request.Asks, now)
 	return nil
 }
 
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -23,7 +23,9 @@
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/limiter"
 	"godwitramp.example/core/router"
+	"godwitramp.example/core/watcher"
 	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/entry/internal/lender"
 	"godwitramp.example/entry/internal/loader"
 	"godwitramp.example/entry/internal/server"
 	"godwitramp.example/entry/internal/syncer"
@@ -46,6 +48,9 @@
 
 	leaving atomic.Bool
 	syncer  *syncer.Syncer
+	// members, once set, makes rates count over the whole fleet.
+	members watcher.Members
+	lender  *lender.Lender
 }
 
 // listeners are the sockets of a VM.
@@ -96,7 +101,20 @@
 	platform := &connector.Client{Base: settings.Platform}
 	starter.syncer = &syncer.Syncer{Recorder: &recorder.Recorder{Platform: platform}, Log: starter.Log}
 	group.Go(func() { _ = starter.syncer.Run(work) })
-	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: rpc.NewServer()}
+	services := rpc.NewServer()
+	if starter.members != nil {
+		calls := &caller.Caller{TLS: tls}
+		defer calls.Close()
+		starter.lender = &lender.Lender{
+			Members: starter.members, Caller: calls, Platform: platform, Tables: starter.syncer,
+			Boot: lender.Boot(), Log: starter.Log,
+		}
+		if err := services.RegisterName(lender.ServiceName, starter.lender.Service()); err != nil {
+			return fmt.Errorf("register lender: %w", err)
+		}
+		group.Go(func() { _ = starter.lender.Run(work) })
+	}
+	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: services}
 	group.Go(func() { _ = peers.Run(work) })
 
 	callers := starter.callers()
@@ -122,6 +140,10 @@
 	starter.Log.Info("leaving")
 	limit, cancel := context.WithTimeout(work, starter.Settings.StopLimit)
 	defer cancel()
+	if starter.lender != nil {
+		starter.lender.Leave()
+		defer starter.lender.GiveBack(work)
+	}
 	select {
 	case <-limit.Done():
 	case <-time.After(starter.Settings.StopGrace):
@@ -136,7 +158,7 @@
 func (starter *Starter) callers() *http.Server {
 	server := &server.Server{
 		VM:     starter.Settings.Name,
-		Tables: starter.syncer, Keys: alwaysKnown{}, Limits: &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)},
+		Tables: starter.syncer, Keys: alwaysKnown{}, Limits: starter.limits(),
 		Forwarder: &forwarder.Forwarder{
 			Router:    router.New(router.Place{Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre}),
 			Transport: &http.Transport{DisableCompression: true},
@@ -148,6 +170,14 @@
 	}
 }
 
+// limits counts over the whole fleet once its members are known.
+func (starter *Starter) limits() server.Limits {
+	if starter.lender != nil {
+		return starter.lender
+	}
+	return &localLimits{buckets: make(map[configurator.Path]*limiter.Bucket)}
+}
+
 // operators answers health checks and metrics.
 func (starter *Starter) operators() http.Handler {
 	mux := http.NewServeMux()
