lender: test that reserved tokens stay within the burst

Cause: no test caught the mistake of reserving without room. Ruled out: the differential test (passed with the mistake). Before: the mistake passed. Conclusion: each rule of the collector now has a test that fails without it, but for a loan that is reclaimed as soon as one clock says so, which the lapse of the pieces by the same clock covers.

--- a/core/lender/collector_test.go
+++ b/core/lender/collector_test.go
@@ -52,3 +52,21 @@
 	is.Equal(collector.Offered("h/1", "a/1", []lender.Offer{offer}, now).Collector, "a/2")
 	is.Equal(collector.Cover(7, now), 0.0)
 }
+
+// Reserved tokens and those that may be unspent stay within the burst.
+func TestReservedTokensNeedRoom(t *testing.T) {
+	is := is.New(t)
+	now := timekeeper.At(time.Hour)
+	collector := offered(now)
+	now = now.Add(4 * time.Second)
+	limit := limiter.Limit{Rate: 10, Burst: 5}
+	ask := func(sequence uint64, waiting float64) limiter.Grant {
+		ask := limiter.Ask{ID: 7, Limit: limit, Sequence: sequence, Waiting: waiting}
+		return collector.Lend("b/1", []limiter.Ask{ask}, now)[0]
+	}
+	grant := ask(1, 10)
+	is.Equal(grant.Singles, 5.0)
+	is.Equal(grant.Reserved, 0.0) // five that may be unspent fill the burst
+	now = now.Add(limiter.SingleLength + limiter.SingleMargin)
+	is.Equal(ask(2, 10).Reserved, 2.0) // minted in the next 200 ms
+}
