router: pause a full target for a moment, not for a second

Cause: the shortest pause that a Retry-After field can ask for is a second. A target of 4 to 6 slots that sheds has a free slot within milliseconds; honoured to the letter, one shed answer takes it from the VM for 50 service times, and soon all targets are paused at once.

Now an ask of a second or less closes the target for the usual latency of its service, doubled with each shed answer in a row, up to what was asked. A good answer starts over. Longer asks, and any while the usual latency isn't known, hold to the letter (bounded by 30 s as before).

Wait looked at targets that no request may go to: with a target in another region and no spill it said 0 while nothing could be picked. It now leaves those out, and counts on the spill after 100 ms where there is one.

Tests seen failing on the code before: TestPauseAfterShed: router_test.go:112: 1s != 20ms TestMeasureSpread: spread_test.go:124: not true: refusedWait <= refusedCounts TestWaitCountsReachableTargets, with the former loop in Wait put back: router_test.go:135: 0s != 3s

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -193,13 +193,13 @@
 	return counts
 }
 
-// Wait returns how long it takes until a target of the service may be open
-// again, and 0 if one is open now or nothing is known.
+// Wait returns how long it takes until Pick may find a target of the service
+// again, and 0 if there is one now or none is known.
 func (router *Router) Wait(path configurator.Path, now time.Duration) time.Duration {
 	service := router.service(path)
 	service.mutex.Lock()
 	defer service.mutex.Unlock()
-	return service.wait(now)
+	return service.wait(router.Spill != nil, now)
 }
 
 // Load takes note of the share of its slots that a target reports as busy.
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -92,6 +92,50 @@
 	is.Equal(picker.Wait(service.Path, 2*time.Second), 29*time.Second) // the pause is bounded
 }
 
+// A target that sheds is tried again after the usual latency, ever later while
+// it goes on shedding, and not before its time if it asks for long.
+func TestPauseAfterShed(t *testing.T) {
+	is := is.New(t)
+	picker, random := start(false)
+	service, now := near(0.5, 1), time.Duration(0)
+	answer := func(kind router.ResultKind, asked time.Duration) time.Duration {
+		_, ok := picker.Pick(router.Ask{Service: service, Now: now}, random)
+		is.True(ok)
+		picker.Done(router.Result{Target: path("t0"), Kind: kind, Latency: 20 * time.Millisecond, RetryAfter: asked}, now)
+		wait := picker.Wait(service.Path, now).Round(time.Millisecond)
+		now += wait + time.Millisecond
+		return wait
+	}
+	is.Equal(answer(router.Shed, time.Second), time.Second) // the usual latency isn't known
+	is.Equal(answer(router.Good, 0), time.Duration(0))
+	for _, milliseconds := range []time.Duration{20, 40, 80, 160, 320, 640, 1000, 1000} {
+		is.Equal(answer(router.Shed, time.Second), milliseconds*time.Millisecond)
+	}
+	is.Equal(answer(router.Good, 0), time.Duration(0))
+	is.Equal(answer(router.Shed, time.Second), 20*time.Millisecond)
+	for _, asked := range []time.Duration{2 * time.Second, 5 * time.Second, 30 * time.Second} {
+		is.Equal(answer(router.Shed, asked), asked)
+	}
+}
+
+func TestWaitCountsReachableTargets(t *testing.T) {
+	is := is.New(t)
+	service := near(0.5, 1)
+	service.Targets = append(service.Targets, configurator.Target{Path: path("far"), Region: "r2", DataCentre: "r2-1", Slots: 4})
+	for _, spills := range []bool{false, true} {
+		picker, random := start(false)
+		want := 100 * time.Millisecond // the spill is used up
+		if !spills {
+			picker.Spill, want = nil, 3*time.Second
+		}
+		picks(picker, service, random, 1, 0)
+		is.Equal(picker.Wait(service.Path, 0), time.Duration(0))
+		picker.Done(router.Result{Target: path("t0"), Kind: router.Shed, RetryAfter: 3 * time.Second}, 0)
+		is.Equal(len(picks(picker, service, random, 10, 0)), 0)
+		is.Equal(picker.Wait(service.Path, 0), want)
+	}
+}
+
 func TestLeavingTargetGetsNothing(t *testing.T) {
 	is := is.New(t)
 	picker, random := start(false)
--- a/core/router/service.go
+++ b/core/router/service.go
@@ -23,6 +23,8 @@
 	maxDraws = 8
 	// Pressure from which requests may spill to another region.
 	spillPressure = 0.5
+	// Time after which a request that the spill did not allow may ask again.
+	spillWait = 100 * time.Millisecond
 )
 
 // service is what this VM knows of one service.
@@ -212,7 +214,7 @@
 	case ConnectionLost, TimedOut:
 		return ejector.Bad, result.FreshConnection
 	case Shed:
-		target.noteShed(result.RetryAfter, now)
+		target.noteShed(result.RetryAfter, service.baseline.usual(), now)
 	case Leaving:
 		target.leaveUntil = max(target.leaveUntil, now+LeaveHold)
 		return ejector.Left, true
@@ -234,19 +236,28 @@
 	return target.observation(ejector.Slow), true
 }
 
-// wait returns the time until the first target opens again.
-func (service *service) wait(now time.Duration) time.Duration {
+// wait returns the time until the first target opens again that a request may
+// go to. Those of other regions may be open while the spill is used up.
+func (service *service) wait(spills bool, now time.Duration) time.Duration {
 	first := time.Duration(0)
-	for _, target := range service.targets {
-		if target.declared.Leaving {
+	for tier, targets := range service.tiers {
+		if tier == otherRegion && !spills {
 			continue
 		}
-		opens := max(target.closedUntil, target.leaveUntil, target.ejectUntil, target.avoidUntil)
-		if opens <= now {
-			return 0
-		}
-		if first == 0 || opens < first {
-			first = opens
+		for _, target := range targets {
+			if target.declared.Leaving {
+				continue
+			}
+			opens := max(target.closedUntil, target.leaveUntil, target.ejectUntil, target.avoidUntil)
+			if tier == otherRegion {
+				opens = max(opens, now+spillWait)
+			}
+			if opens <= now {
+				return 0
+			}
+			if first == 0 || opens < first {
+				first = opens
+			}
 		}
 	}
 	return max(0, first-now)
--- a/core/router/spread_test.go
+++ b/core/router/spread_test.go
@@ -120,6 +120,8 @@
 			t.Logf("%d %.1f | %.4f %.4f | %.4f %.4f | %.4f %.4f | %.4f %.4f", slots, load, shedRandom, refusedRandom,
 				shedCounts, refusedCounts, shed, refused, shedWait, refusedWait)
 			is.True(shed <= shedRandom) // the router sheds no more than a random choice
+			is.True(shedWait <= shedRandom)
+			is.True(refusedWait <= refusedCounts) // pauses refuse no more than the baseline without any
 		}
 	}
 }
--- a/core/router/target.go
+++ b/core/router/target.go
@@ -11,6 +11,10 @@
 // it says so again.
 const LeaveHold = 30 * time.Second
 
+// LeastRetryAfter is the shortest pause that an upstream can ask for in a
+// Retry-After field.
+const LeastRetryAfter = time.Second
+
 const (
 	// Share of its requests that a new or returning target gets at first.
 	firstShare = 0.05
@@ -18,6 +22,8 @@
 
 	// Bound of the pause that a shed answer asks for.
 	maxShedPause = 30 * time.Second
+	// Bound of how often a short pause doubles.
+	maxDoublings = 20
 
 	shedHalfLife  = time.Second
 	loadFreshness = 2 * time.Second
@@ -36,9 +42,12 @@
 	declared configurator.Target
 	running  int
 
-	latency  float64 // seconds, a moving mean
-	sheds    float64 // decays with shedHalfLife
-	shedAt   time.Duration
+	latency float64 // seconds, a moving mean
+	sheds   float64 // decays with shedHalfLife
+	shedAt  time.Duration
+	// row counts the shed answers since the last good one.
+	row int
+
 	reported float64 // share of slots that the target says are busy
 
 	reportedAt  time.Duration
@@ -109,10 +118,20 @@
 	target.latency += latencyWeight * (seconds - target.latency)
 }
 
-func (target *target) noteShed(wait, now time.Duration) {
+// noteShed closes the target for as long as a shed answer asks. A target whose
+// slots are all taken can't ask for less than a second, by when it has had
+// free slots many times; it gets the usual latency of its service, doubled
+// with each further shed answer in a row.
+func (target *target) noteShed(asked time.Duration, usual float64, now time.Duration) {
 	target.sheds = min(1, target.recentSheds(now)+0.5)
 	target.shedAt = now
-	target.closedUntil = max(target.closedUntil, now+min(wait, maxShedPause))
+	pause := min(asked, maxShedPause)
+	if asked <= LeastRetryAfter && usual > 0 {
+		short := time.Duration(usual * float64(time.Second))
+		pause = min(asked, short<<min(target.row, maxDoublings))
+	}
+	target.row++
+	target.closedUntil = max(target.closedUntil, now+pause)
 }
 
 // noteBad reports whether this VM should avoid the target.
@@ -121,7 +140,10 @@
 	return target.score >= avoidScore
 }
 
-func (target *target) noteGood() { target.score = max(0, target.score-goodCredit) }
+func (target *target) noteGood() {
+	target.score = max(0, target.score-goodCredit)
+	target.row = 0
+}
 
 // avoid leaves the target out, longer each time that it comes back broken.
 func (target *target) avoid(now time.Duration) {
