forwarder: wait for targets as long as the router says

Cause: a request that found no target open was refused at once, with Retry-After 1 whatever the targets had asked for; one that all targets shed with Retry-After 1 was refused too, since no request waits for a second. The router heard of slow attempts only at their ends, and of an upstream that stops only by Godwitramp-Leaving.

Now a request waits until Router.Wait says that a target opens, plus a random pause of 10 ms on average, if that fits its patience (at most a second and a quarter of its timeout) and its caller is still there. One that waits for a place in the queue is refused at once if no target opens within its patience. Refusals ask for the time that Wait gives, at least a second. A Retry-After of more than a second ends the request as before. Waiting is called once for an attempt that outlasts Patience, with the truth about its connection (exchanger.Call.Connected), and its answer goes into Result.Waited.

503 with Connection: close counts as Leaving, but not with a Retry-After: an overloaded upstream may close too, Leaving takes a target away for 30 s without regard to the floor, and one that says when to come back isn't leaving. net/http takes Connection: close out of the header, so Response.Close is read and the cases are left out in which it is set for other reasons.

--- a/entry/internal/exchanger/exchanger.go
+++ b/entry/internal/exchanger/exchanger.go
@@ -106,6 +106,9 @@
 	// ReuseWithin leaves out connections that were not used for longer, unless
 	// it is zero.
 	ReuseWithin time.Duration
+	// Connected, if set, is called when the connection stands; fresh is true if
+	// it was opened for the call.
+	Connected func(fresh bool)
 	// BeforeWrite is called when the connection stands, right before the first
 	// byte is written. An error from it ends the call.
 	BeforeWrite func() error
@@ -137,6 +140,9 @@
 	if err != nil {
 		return nil, &Error{FreshConnection: true, Err: err}
 	}
+	if call.Connected != nil {
+		call.Connected(connection.fresh)
+	}
 	if call.BeforeWrite != nil {
 		if err := call.BeforeWrite(); err != nil {
 			exchanger.putUnused(connection)
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -45,8 +45,14 @@
 	shedTwice
 	slow
 	leaving
+	closing
+	closingFull // closes, but says when to come back
+	fills       // is well for warmUp requests and full afterwards
+	fillsTwice  // sheds two requests after warmUp
 )
 
+const warmUp = 30
+
 // fleet plays upstreams and the picker that picks them in turn.
 type fleet struct {
 	faults   []fault
@@ -56,6 +62,16 @@
 	bytes    int
 	requests []*http.Request
 	results  []router.Result
+	waits    []time.Duration
+}
+
+func (*fleet) Patience(configurator.Path) time.Duration            { return 100 * time.Millisecond }
+func (*fleet) Wait(configurator.Path, time.Duration) time.Duration { return 0 }
+func (fleet *fleet) Waiting(_ configurator.Path, sofar time.Duration, fresh bool, _ time.Duration) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.waits = append(fleet.waits, sofar)
+	return fresh
 }
 
 func (fleet *fleet) Pick(ask router.Ask, _ *rand.Rand) (configurator.Target, bool) {
@@ -123,6 +139,10 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nGodwitramp-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		if fault == fills && fleet.bytes > warmUp || fault == fillsTwice && fleet.bytes > warmUp && fleet.bytes <= warmUp+2 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nGodwitramp-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		if fault != shed {
 			fleet.note(request, 0)
 		}
@@ -149,6 +169,15 @@
 	case shed:
 		_, err := io.WriteString(conn, "HTTP/1.1 503 Busy\r\nRetry-After: 2\r\nGodwitramp-Outcome: not-run\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
+	case closing, closingFull:
+		extra := ""
+		if fault == closingFull {
+			extra = "Retry-After: 2\r\n"
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Away\r\n"+extra+"Connection: close\r\nContent-Length: 0\r\n\r\n")
+		return false
+	case fills, fillsTwice:
+		time.Sleep(20 * time.Millisecond)
 	case slow:
 		time.Sleep(300 * time.Millisecond)
 	case leaving:
--- a/entry/internal/forwarder/leg.go
+++ b/entry/internal/forwarder/leg.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"godwitramp.example/core/configurator"
@@ -34,12 +35,26 @@
 	answer *exchanger.Answer
 	err    error
 	ended  time.Time
+	// reused is true once the leg has a connection that was used before.
+	reused atomic.Bool
+	// waited is true if the picker counts the wait for an answer as evidence.
+	waited bool
 }
 
 // send does the exchange and keeps its result.
-func (leg *leg) send(sender *exchanger.Exchanger, call exchanger.Call) {
-	leg.answer, leg.err = sender.Do(leg.ctx, call)
+func (leg *leg) send(run *run, call exchanger.Call) {
+	picker := run.forwarder.Picker
+	call.Connected = func(fresh bool) { leg.reused.Store(!fresh) }
+	told := make(chan struct{})
+	patience := time.AfterFunc(picker.Patience(run.job.Service.Path), func() {
+		defer close(told)
+		leg.waited = picker.Waiting(leg.target.Path, time.Since(leg.started), !leg.reused.Load(), Now())
+	})
+	leg.answer, leg.err = run.forwarder.Exchanger.Do(leg.ctx, call)
 	leg.ended = time.Now()
+	if !patience.Stop() {
+		<-told
+	}
 }
 
 // verdict is what a leg means for its target and for the request.
@@ -71,7 +86,7 @@
 		}
 	}
 	verdict.retryAfter = retryAfter(response.Header)
-	verdict.leaving = len(response.Header[LeavingHeader]) > 0
+	verdict.leaving = saidLeaving(response)
 	status := response.StatusCode
 	shedding := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	switch {
@@ -115,6 +130,23 @@
 	return verdict
 }
 
+// saidLeaving reports whether the upstream says that it is about to stop. One
+// that closes the connection but says when to come back only sheds.
+func saidLeaving(response *http.Response) bool {
+	if len(response.Header[LeavingHeader]) > 0 {
+		return true
+	}
+	return response.StatusCode == http.StatusServiceUnavailable && saidClose(response) && retryAfter(response.Header) == 0
+}
+
+// saidClose reports whether the answer has Connection: close, a field that
+// net/http takes away. It also sets Close for old versions of HTTP and for
+// bodies that only the end of the connection ends.
+func saidClose(response *http.Response) bool {
+	ends := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	return response.Close && response.ProtoAtLeast(1, 1) && !ends
+}
+
 // saidNotRun reports whether the upstream itself says that it did not run the
 // request. A status alone, even 503 with Retry-After, is no such statement.
 func saidNotRun(response *http.Response) bool {
--- a/entry/internal/forwarder/place.go
+++ b/entry/internal/forwarder/place.go
@@ -25,7 +25,11 @@
 		run.refuseOverload()
 		return false
 	}
-	patience := time.NewTimer(run.patience())
+	longest := run.patience()
+	if run.wait(Now()) >= longest {
+		longest = 0 // no target opens in time
+	}
+	patience := time.NewTimer(longest)
 	defer patience.Stop()
 	select {
 	case <-started:
@@ -55,7 +59,48 @@
 }
 
 func (run *run) refuseOverload() {
-	run.refuse(http.StatusServiceUnavailable, run.outcome(), "overloaded", "the service has no capacity left", time.Second)
+	run.refuse(http.StatusServiceUnavailable, run.outcome(), "overloaded", "the service has no capacity left", max(time.Second, run.wait(Now())))
+}
+
+// wait returns how long it takes until a target of the service opens, and 0 if
+// one is open or none is known.
+func (run *run) wait(now time.Duration) time.Duration {
+	return run.forwarder.Picker.Wait(run.job.Service.Path, now)
+}
+
+// start picks a target for the next attempt, and waits for one if it opens
+// soon enough. It returns nil if there is none.
+func (run *run) start() *leg {
+	for {
+		now := Now()
+		if target, ok := run.pickAt(run.tried, now); ok {
+			return run.newLeg(target)
+		}
+		wait := run.wait(now)
+		if wait == 0 || !run.sleep(wait+shedPause()) {
+			return nil
+		}
+	}
+}
+
+// shedPause returns a random pause, so that requests which wait for the same
+// target don't return at once.
+func shedPause() time.Duration { return time.Duration(rand.ExpFloat64() * float64(retrier.ShedPause)) }
+
+// sleep waits for capacity. It reports false, at once if it can, where that
+// isn't allowed or nobody waits for the request any more.
+func (run *run) sleep(pause time.Duration) bool {
+	if pause >= run.patience() {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-run.ctx.Done():
+		return false
+	}
 }
 
 // afterPause waits for capacity when all tried targets have refused for want
@@ -65,18 +110,18 @@
 	if verdict.kind != router.Shed || !verdict.attempt.SaidNotRun || !run.policy.Replayable || run.ctx.Err() != nil {
 		return nil, false
 	}
-	pause := max(verdict.retryAfter, time.Duration(rand.ExpFloat64()*float64(retrier.ShedPause)))
+	if verdict.retryAfter > router.LeastRetryAfter {
+		return nil, false // longer than any request waits
+	}
+	pause := run.wait(Now()) + shedPause()
 	if pause >= run.patience() || !run.service.withdraw(verdict) {
 		return nil, false
 	}
 	held.release()
 	run.settle(leg, verdict)
 	run.service.learn(queuer.Shed)
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-run.ctx.Done():
+	if !run.sleep(pause) {
+		return nil, true
 	}
 	run.tried = nil
 	run.round = 0
--- a/entry/internal/forwarder/race.go
+++ b/entry/internal/forwarder/race.go
@@ -13,7 +13,7 @@
 	race.running = append(race.running, leg)
 	call := race.run.call(leg)
 	go func() {
-		leg.send(race.run.forwarder.Exchanger, call)
+		leg.send(race.run, call)
 		race.results <- leg
 	}()
 }
--- a/entry/internal/forwarder/refusal.go
+++ b/entry/internal/forwarder/refusal.go
@@ -97,6 +97,16 @@
 	}
 }
 
+// refuseNoTarget answers for want of a target.
+func (run *run) refuseNoTarget() {
+	if run.request.Context().Err() != nil {
+		run.record.Outcome = run.outcome() // nobody waits for an answer
+		return
+	}
+	retryAfter := max(time.Second, run.wait(Now()))
+	run.refuse(http.StatusServiceUnavailable, run.outcome(), "no-target", "no target of the service can take the request", retryAfter)
+}
+
 func (run *run) refuse(status int, outcome Outcome, reason, message string, retryAfter time.Duration) {
 	run.record.Status = status
 	run.record.Outcome = outcome
--- a/entry/internal/forwarder/run.go
+++ b/entry/internal/forwarder/run.go
@@ -54,7 +54,7 @@
 	leg := run.start()
 	for {
 		if leg == nil {
-			run.refuse(http.StatusServiceUnavailable, run.outcome(), "no-target", "no target of the service can take the request", time.Second)
+			run.refuseNoTarget()
 			return
 		}
 		leg = run.await(leg, delay)
@@ -103,19 +103,14 @@
 	}
 }
 
-// start picks a target for the next attempt. It returns nil if there is none.
-func (run *run) start() *leg {
-	target, ok := run.pick(run.tried)
-	if !ok {
-		return nil
-	}
-	return run.newLeg(target)
+func (run *run) pick(tried []configurator.Path) (configurator.Target, bool) {
+	return run.pickAt(tried, Now())
 }
 
-func (run *run) pick(tried []configurator.Path) (configurator.Target, bool) {
+func (run *run) pickAt(tried []configurator.Path, now time.Duration) (configurator.Target, bool) {
 	random := randoms.Get().(*rand.Rand)
 	defer randoms.Put(random)
-	ask := router.Ask{Service: run.job.Service, Tried: tried, Now: Now()}
+	ask := router.Ask{Service: run.job.Service, Tried: tried, Now: now}
 	return run.forwarder.Picker.Pick(ask, random)
 }
 
@@ -157,7 +152,7 @@
 // delay, it is sent over a new connection too, and the first answer counts.
 func (run *run) await(first *leg, delay time.Duration) *leg {
 	if !run.policy.Idempotent || !run.policy.Replayable {
-		first.send(run.forwarder.Exchanger, run.call(first))
+		first.send(run, run.call(first))
 		return first
 	}
 	race := &race{run: run, results: make(chan *leg, 2)}
@@ -246,6 +241,6 @@
 	}
 	run.forwarder.Picker.Done(router.Result{
 		Target: leg.target.Path, Kind: kind, Latency: latency, RetryAfter: verdict.retryAfter,
-		FreshConnection: verdict.fresh,
+		FreshConnection: verdict.fresh, Waited: leg.waited,
 	}, Now())
 }
--- /dev/null
+++ b/entry/internal/forwarder/waits_test.go
@@ -0,0 +1,125 @@
+package forwarder_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/router"
+	"godwitramp.example/entry/internal/forwarder"
+)
+
+func TestClosing503IsLeaving(t *testing.T) {
+	for first, kind := range map[fault]router.ResultKind{
+		closing: router.Leaving, closingFull: router.Shed, busy: router.Shed, broken: router.Failed,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			fleet := &fleet{faults: []fault{first}}
+			fleet.forward(t, fleet.forwarder(), httptest.NewRequest("POST", "/x", nil))
+			is.Equal(fleet.results[0].Kind, kind)
+		})
+	}
+}
+
+// The picker hears of a slow attempt while it runs, and once.
+func TestPickerHearsOfWaits(t *testing.T) {
+	for _, method := range []string{"POST", "GET"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			fleet := &fleet{faults: []fault{slow}}
+			sender := fleet.forwarder()
+			for range 2 { // the second one on the connection of the first
+				sender.Forward(httptest.NewRecorder(), httptest.NewRequest(method, "/x", nil), forwarder.Job{Service: fleet.service()})
+			}
+			sender.Exchanger.Close()
+			is.Equal(fleet.waits, []time.Duration{100 * time.Millisecond, 100 * time.Millisecond})
+			is.True(fleet.results[0].Waited)
+			is.True(!fleet.results[1].Waited)
+		})
+	}
+}
+
+// routed returns a forwarder with a router that picks among the fleet.
+func (fleet *fleet) routed() (*forwarder.Forwarder, *router.Router, forwarder.Job) {
+	forwarder.StartClock()
+	picker, sender := &router.Router{}, fleet.forwarder()
+	sender.Picker = picker
+	return sender, picker, forwarder.Job{Service: fleet.service()}
+}
+
+func TestRequestWaitsForATarget(t *testing.T) {
+	tests := []struct {
+		name                 string
+		ejected, gone, least time.Duration
+		status               int
+		retryAfter           string
+	}{
+		{"opens soon", 300 * time.Millisecond, time.Hour, 300 * time.Millisecond, 200, ""},
+		{"opens too late", 2500 * time.Millisecond, time.Hour, 0, 503, "3"},
+		{"the caller has given up", 300 * time.Millisecond, 100 * time.Millisecond, 100 * time.Millisecond, 0, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fleet := &fleet{faults: []fault{well}}
+				sender, picker, job := fleet.routed()
+				now := forwarder.Now()
+				picker.Eject(job.Service, []router.Ejection{{Target: job.Service.Targets[0].Path, Until: now + test.ejected}}, now)
+				var record forwarder.Record
+				sender.Report = func(reported forwarder.Record) { record = reported }
+				ctx, cancel := context.WithTimeoutCause(t.Context(), time.Hour, nil)
+				defer cancel()
+				time.AfterFunc(test.gone, cancel)
+				recorder, start := httptest.NewRecorder(), time.Now()
+				sender.Forward(recorder, httptest.NewRequestWithContext(ctx, "POST", "/x", nil), job)
+				took := time.Since(start)
+				sender.Exchanger.Close()
+				is.True(took >= test.least && took < test.least+200*time.Millisecond)
+				is.Equal(record.Status, test.status)
+				is.Equal(recorder.Header().Get("Retry-After"), test.retryAfter)
+				is.Equal(record.CallerGone, test.status == 0)
+				is.Equal(fleet.runs == 1, test.status == 200)
+			})
+		})
+	}
+}
+
+// Targets whose slots are full ask for a second at least; requests for which
+// that is too long get the next free slot all the same.
+func TestFullTargetServesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{fillsTwice}}
+		sender, _, job := fleet.routed()
+		defer sender.Exchanger.Close()
+		for range warmUp + 1 {
+			recorder, start := httptest.NewRecorder(), time.Now()
+			sender.Forward(recorder, httptest.NewRequest("POST", "/x", nil), job)
+			is.Equal(recorder.Code, 200)
+			is.True(time.Since(start) < time.Second/2)
+		}
+	})
+}
+
+func TestAttemptsWhenAllAreFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const requests = 500
+		fleet := &fleet{faults: []fault{fills}}
+		sender, _, job := fleet.routed()
+		for range warmUp + requests {
+			sender.Forward(httptest.NewRecorder(), httptest.NewRequest("GET", "/x", nil), job)
+			time.Sleep(20 * time.Millisecond)
+		}
+		sender.Exchanger.Close()
+		attempts := fleet.bytes - warmUp
+		t.Logf("%d attempts for %d requests", attempts, requests)
+		is.True(attempts < requests*12/10)
+	})
+}
--- a/entry/internal/server/server_test.go
+++ b/entry/internal/server/server_test.go
@@ -82,6 +82,11 @@
 func (tables) KeysKnown() bool                                                 { return true }
 func (tables) Admit(*configurator.Organisation) (inside bool, _ time.Duration) { return true, 0 }
 func (tables) Done(router.Result, time.Duration)                               {}
+func (tables) Patience(configurator.Path) time.Duration                        { return time.Hour }
+func (tables) Wait(configurator.Path, time.Duration) time.Duration             { return 0 }
+func (tables) Waiting(configurator.Path, time.Duration, bool, time.Duration) bool {
+	return false
+}
 
 func (tables) Pick(ask router.Ask, _ *rand.Rand) (configurator.Target, bool) {
 	if len(ask.Tried) > 0 {
