--- a/entry/internal/server/server_test.go
+++ b/entry/internal/server/server_test.go
@@ -80,10 +80,15 @@
 
 func (tables tables) Table() *configurator.Table { return tables.table }
 func (tables) KeysKnown() bool                   { return true }
-func (tables) Admit(_ context.Context, _ *configurator.Organisation) (inside bool, _ time.Duration) {
+func (tables) Admit(context.Context, *configurator.Organisation) (inside bool, _ time.Duration) {
 	return true, 0
 }
-func (tables) Done(router.Result, time.Duration) {}
+func (tables) Done(router.Result, time.Duration)                   {}
+func (tables) Patience(configurator.Path) time.Duration            { return time.Hour }
+func (tables) Wait(configurator.Path, time.Duration) time.Duration { return 0 }
+func (tables) Waiting(configurator.Path, time.Duration, bool, time.Duration) bool {
+	return false
+}
 
 func (tables) Pick(ask router.Ask, _ *rand.Rand) (configurator.Target, bool) {
 	if len(ask.Tried) > 0 {
