prober: add a load that logs every answer and an audit against the targets

Cause: the probe sends five requests one after another. It can't show what callers see while a VM ends, nor whether a booking ran twice.

`standin load` sends requests from several workers, over kept or fresh connections, and prints a line for each with its times, status, outcome, VM, marker and how it ended: whole, wrong, cut or unconnected. `standin audit` compares these lines with the records of the targets: no marker ran twice, none ran that was refused as not-run, and each status 200 has its run.

Before: no such check. After: TestAudit holds over seven cases; each audit rule fails on the case that breaks it.

--- /dev/null
+++ b/standin/internal/prober/audit.go
@@ -0,0 +1,68 @@
+package prober
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"path"
+)
+
+// Audit compares what a load was told with what the targets have run.
+type Audit struct {
+	// Targets are the addresses of all targets that the load can have reached.
+	Targets []string
+	Out     io.Writer
+}
+
+const notRun = "not-run"
+
+// Run reads the lines of a load. It returns an error for each request that
+// ran twice, that ran although its caller was told that it did not, or that
+// did not run although its caller got an answer of a target.
+func (audit *Audit) Run(ctx context.Context, lines io.Reader) error {
+	runs := make(map[string]int)
+	for _, target := range audit.Targets {
+		records, err := record(ctx, target)
+		if err != nil {
+			return err
+		}
+		for _, request := range records {
+			runs[path.Base(request.Path)]++
+		}
+	}
+	var problems []error
+	requests, ran := 0, 0
+	scanner := bufio.NewScanner(lines)
+	for scanner.Scan() {
+		line, err := ParseLine(scanner.Text())
+		if err != nil {
+			return err
+		}
+		requests++
+		ran += runs[line.Marker]
+		problems = append(problems, contradiction(line, runs[line.Marker]))
+	}
+	if err := scanner.Err(); err != nil {
+		return fmt.Errorf("read lines of a load: %w", err)
+	}
+	if _, err := fmt.Fprintf(audit.Out, "%d requests, %d runs\n", requests, ran); err != nil {
+		return fmt.Errorf("write summary: %w", err)
+	}
+	return errors.Join(problems...)
+}
+
+// contradiction returns an error if the runs contradict what the caller knows.
+func contradiction(line Line, runs int) error {
+	switch {
+	case runs > 1:
+		return fmt.Errorf("request %s ran %d times", line.Marker, runs)
+	case runs > 0 && (line.Outcome == notRun || line.End == Unconnected):
+		return fmt.Errorf("request %s ran, but ended as %q with outcome %q", line.Marker, line.End, line.Outcome)
+	case runs == 0 && line.Status == http.StatusOK:
+		return fmt.Errorf("request %s was answered with status 200 but did not run", line.Marker)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/internal/prober/audit_test.go
@@ -0,0 +1,41 @@
+package prober_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/standin/internal/prober"
+)
+
+func TestAudit(t *testing.T) {
+	for _, test := range []struct{ name, runs, line, want string }{
+		{"answered", `[{"Path":"/b/m"}]`, "1 2 200 - vm m false whole", ""},
+		{"refused", `[]`, "1 2 401 not-run vm m false whole", ""},
+		{"cut", `[{"Path":"/b/m"}]`, "1 2 0 - - m false cut", ""},
+		{"doubled", `[{"Path":"/b/m"},{"Path":"/b/m"}]`, "1 2 0 - - m false cut", "request m ran 2 times"},
+		{"false refusal", `[{"Path":"/b/m"}]`, "1 2 503 not-run vm m false whole", `request m ran, but ended as "whole" with outcome "not-run"`},
+		{"lost", `[]`, "1 2 200 - vm m false whole", "request m was answered with status 200 but did not run"},
+		{"not a line", `[]`, "1 2", `read line "1 2" of a load: EOF`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, test.runs)
+			}))
+			defer target.Close()
+			audit := &prober.Audit{Targets: []string{target.Listener.Addr().String()}, Out: io.Discard}
+			err := audit.Run(t.Context(), strings.NewReader(test.line))
+			if test.want == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.Equal(strings.TrimSpace(err.Error()), test.want)
+		})
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -39,6 +39,8 @@
 	Upstream upstreamCommand `command:"upstream" description:"play one target of a service"`
 	Balancer balancerCommand `command:"balancer" description:"play the balancer"`
 	Probe    probeCommand    `command:"probe" description:"send a few requests through a sample fleet and check the answers"`
+	Load     loadCommand     `command:"load" description:"send requests and print how each ended"`
+	Audit    auditCommand    `command:"audit" description:"compare what a load was told with what the targets have run"`
 	Certify  certifyCommand  `command:"certify" description:"make an authority and certificates for a sample fleet"`
 }
 
