--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run smoke test build check unit model install
+.PHONY: run smoke test build check unit model failures measure install
 
 # Starts a sample fleet and serves until interrupted.
 run: build
@@ -9,7 +9,7 @@
 	scripts/fleet.sh smoke
 
 # Everything that CI runs.
-test: install check unit model smoke
+test: install check unit model smoke failures
 
 install:
 	scripts/install.sh
@@ -29,3 +29,11 @@
 # Checks the specifications of the core protocols with Spin.
 model:
 	scripts/model.sh
+
+# Kills, freezes and cuts processes of a sample fleet.
+failures: build
+	scripts/failures.sh
+
+# Prints the tables of docs/MEASUREMENTS.md.
+measure:
+	scripts/measure.sh
