failures: refuse a fleet that has lost a process and wait for other runs

Cause: two runs at a time on one machine share ports; the later one's processes end at their start and its commands reach the other's platform. Seen: "store: FAILED: never became true: reads 20 http://127.0.0.1:28000", as the other run had withdrawn the key on the platform of this one; "stop: FAILED: 10 refusals do not say not-run"; on a repeat "store: FAILED: the change is 2 times in the history, want once".

Ruled out: a fault of the store scenario itself; the VMs' logs show a third revision which the run had not recorded.

A run takes a lock for its ports and waits for it, and fails when a process of its fleet has ended: "store: FAILED: balancer has ended: listen: listen tcp 127.0.0.1:28000: bind: address already in use". FAILURES_DIGIT chooses other ports.

--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -5,11 +5,12 @@
 #   scripts/failures.sh              runs every scenario
 #   scripts/failures.sh rates kill   runs these
 #
+# FAILURES_DIGIT is the first digit of the ports, 2 unless set.
 # Logs of the last run of a scenario are in build/failures/<scenario>.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/build/bin
-digit=2
+digit=${FAILURES_DIGIT:-2}
 grace=5s
 declarations=$PWD/build/failures/settings
 key=sample-key-anand
@@ -93,9 +94,19 @@
     >"$work/audit.log" 2>&1 || fail "$1: $(sed -n 2p "$work/audit.log")"
 }
 
+# Fails if a process of the fleet has ended, for instance because its port is
+# taken by a fleet of somebody else.
+check_alive() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill -0 "${pids[$name]}" 2>/dev/null || fail "$name has ended: $(tail -1 "$work/$name.log")"
+  done
+}
+
 begin() {
   start_fleet
   until_true operator apply --settings "$declarations"
+  check_alive
   until_true reads 20 "$balancer"
 }
 
@@ -220,6 +231,10 @@
   [ "$served" -le "$bound" ] || fail "$served requests were admitted, the rate and burst allow $bound"
 }
 
+# Runs on one machine share ports, so that one waits for the other.
+exec {lock}>"${TMPDIR:-/tmp}/godwitramp-failures-$digit.lock"
+flock "$lock"
+
 mkdir -p "$declarations"
 cp -r settings/. "$declarations"
 sed -i "s/127\.0\.0\.1:1/$host:$digit/; s/^rate = 50$/rate = 5000/; s/^burst = 100$/burst = 5000/" "$declarations"/*/*.ini
