failures: turn to the balancer after the notice of a closing connection

Cause: the scenario of a planned stop failed once: a load that went on dialling the VM's own address after its grace had a new connection reset, which the system closes with the listener; no balancer sends connections then, and no program can answer them. Ruled out: a request on a kept connection (the line says that its connection was new, 0.6 ms before); a longer grace (the same instant, later). Before: '1 requests on kept connections were cut', and requests that were never connected were passed over. After: each worker keeps its connection until an answer announces its end, then turns to the balancer; every request must get a whole answer, also the first ones there, which is stricter. Conclusion: a planned stop cuts nothing on kept or balanced connections.

--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -194,15 +194,15 @@
 
 # A planned stop cuts no request, neither on kept connections nor on new ones.
 scenario_stop() {
-  start_load kept --base "http://$(callers 2)" --method POST --path "$book_path" --key "$key" --workers 2
+  start_load kept --base "http://$(callers 2)" --next "$balancer" --method POST --path "$book_path" --key "$key" --workers 2
   start_load balanced --base "$balancer" --method POST --path "$book_path" --key "$key" --fresh
   until_true at_least 50 '$3 == 200' kept
   until_true at_least 50 '$3 == 200' balanced
   stop_one vm-02 || fail "the VM did not stop as planned"
-  until_true at_least 1 '$8 == "unconnected"' kept
+  until_true at_least 50 '$3 == 200 && $5 != "vm-02"' kept
   stop_one kept
   stop_one balanced
-  none "requests on kept connections were cut" '$8 == "cut" || $8 == "wrong"' kept
+  none "requests on kept connections were cut" '$8 != "whole"' kept
   none "requests through the balancer had no whole answer" '$8 != "whole"' balanced
   none "refusals do not say not-run" '$8 == "whole" && $3 != 200 && $4 != "not-run"' kept balanced
   audit kept
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
-# Installs what the machine lacks: Spin and a C compiler, through apt.
+# Installs what the machine lacks: Spin, a C compiler, curl and flock, through
+# apt.
 set -euo pipefail
 missing=()
 command -v spin >/dev/null || missing+=(spin)
 command -v gcc >/dev/null || missing+=(gcc libc6-dev)
+command -v curl >/dev/null || missing+=(curl ca-certificates)
+command -v flock >/dev/null || missing+=(util-linux)
 if [ "${#missing[@]}" -gt 0 ]; then
   apt-get update -qq
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}"
--- a/standin/internal/prober/load.go
+++ b/standin/internal/prober/load.go
@@ -19,7 +19,10 @@
 // path, and writes a line for each answer; see Line.
 type Load struct {
 	// Base is the URL of a balancer or a VM.
-	Base   string
+	Base string
+	// Next, if set, is the URL that a worker turns to once an answer has
+	// announced that its connection is closed.
+	Next   string
 	Method string
 	Path   string
 	Key    string
@@ -102,11 +105,15 @@
 	transport := &http.Transport{DisableKeepAlives: load.Fresh}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: loadTimeout}
+	base := load.Base
 	for ctx.Err() == nil && load.take() {
-		line, err := load.send(context.WithoutCancel(ctx), client)
+		line, closed, err := load.send(context.WithoutCancel(ctx), client, base)
 		if err != nil {
 			return err
 		}
+		if closed && load.Next != "" {
+			base = load.Next
+		}
 		if err := load.write(line); err != nil {
 			return err
 		}
@@ -141,13 +148,14 @@
 	return nil
 }
 
-func (load *Load) send(ctx context.Context, client *http.Client) (Line, error) {
-	line := Line{Marker: rand.Text(), Outcome: "-", VM: "-"}
+// send sends one request and reports whether the answer closes its connection.
+func (load *Load) send(ctx context.Context, client *http.Client, base string) (line Line, closed bool, err error) {
+	line = Line{Marker: rand.Text(), Outcome: "-", VM: "-"}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { line.Reused = info.Reused }}
 	path := load.Path + "/" + line.Marker
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), load.Method, load.Base+path, http.NoBody)
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), load.Method, base+path, http.NoBody)
 	if err != nil {
-		return Line{}, fmt.Errorf("make request: %w", err)
+		return Line{}, false, fmt.Errorf("make request: %w", err)
 	}
 	request.Header.Set("Authorization", "Bearer "+load.Key)
 	line.Started = time.Now()
@@ -155,7 +163,7 @@
 	if err != nil {
 		line.End = endOf(err)
 		line.Finished = time.Now()
-		return line, nil
+		return line, false, nil
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
@@ -171,7 +179,7 @@
 	default:
 		line.End = Whole
 	}
-	return line, nil
+	return line, response.Close, nil
 }
 
 // endOf tells a request that was cut from one that was never sent.
--- a/standin/load.go
+++ b/standin/load.go
@@ -13,6 +13,7 @@
 
 type loadCommand struct {
 	Base    string        `long:"base" required:"yes" description:"URL of the balancer or of a VM"`
+	Next    string        `long:"next" description:"URL to turn to once an answer has announced that its connection is closed"`
 	Method  string        `long:"method" default:"GET" description:"method of the requests"`
 	Path    string        `long:"path" required:"yes" description:"path of a service"`
 	Key     string        `long:"key" required:"yes" description:"a caller's key"`
@@ -27,7 +28,7 @@
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	load := &prober.Load{
-		Base: command.Base, Method: command.Method, Path: command.Path, Key: command.Key,
+		Base: command.Base, Next: command.Next, Method: command.Method, Path: command.Path, Key: command.Key,
 		Workers: command.Workers, Count: command.Count, Pause: command.Pause, Fresh: command.Fresh, Out: os.Stdout,
 	}
 	return load.Run(ctx)
