--- a/core/configurator/table_bench_test.go
+++ b/core/configurator/table_bench_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -93,3 +94,23 @@
 		})
 	}
 }
+
+// BenchmarkMemory reports the bytes of a state with its table.
+func BenchmarkMemory(b *testing.B) {
+	for _, divisor := range sizes {
+		b.Run(fmt.Sprintf("1:%d", divisor), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				state := largeState(b, divisor)
+				table, _ := configurator.Compile(state.All())
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(state)
+				runtime.KeepAlive(table)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		})
+	}
+}
