loader: say which VMs stand beside the store

Cause: the setting asked for the data centre of the table service, but an outage is told from isolation only by VMs in two data centres; followed to the letter, every keyed request would be refused 3 s after the store goes away. Ruled out: taking the silence of one data centre (MISTAKE_QUIET in configuration.pml breaks 'in force'). Conclusion: both data centres of the store's region are to be marked.

--- a/core/watcher/watcher.go
+++ b/core/watcher/watcher.go
@@ -40,7 +40,7 @@
 	Address string
 	// Incarnation rises with each start of the VM's process.
 	Incarnation uint64
-	// BesideStore is true for VMs in the data centre of the table service.
+	// BesideStore is true for VMs in the region of the table service.
 	BesideStore bool
 }
 
--- a/entry/internal/loader/loader.go
+++ b/entry/internal/loader/loader.go
@@ -33,7 +33,7 @@
 
 	// Platform is the address of the platform.
 	Platform string
-	// BesideStore is true on VMs in the data centre of the table service.
+	// BesideStore is true on VMs in the region of the table service.
 	BesideStore bool
 
 	Authority   string
@@ -85,7 +85,7 @@
 		func(s *Settings, v string) error { return setAddresses(&s.Seeds, v) }},
 	{"platform", "address", "", true, "a URL such as http://127.0.0.1:6000", "Address of the platform.",
 		func(s *Settings, v string) error { return setURL(&s.Platform, v) }},
-	{"platform", "beside-store", "no", false, "yes, no", "Whether the VM stands in the data centre of the table service.",
+	{"platform", "beside-store", "no", false, "yes, no", "Whether the VM stands in the region of the table service. At least two data centres must have such VMs: their silence together tells an outage from isolation.",
 		func(s *Settings, v string) error { return setBool(&s.BesideStore, v) }},
 	{"tls", "authority", "", true, allowedFile, "Certificate of the fleet's authority.",
 		func(s *Settings, v string) error { s.Authority = v; return nil }},
