admitter, operator: let nothing run on a configuration that may be old

Cause: 'in force' was told while a VM that was cut off still answered open routes, and organisations set to be served when cut off, by the older configuration. Before: TestAdmit expected an open route to work on while cut off; that expectation was wrong and is replaced by a refusal. TestApplyTellsWhatIsKnown fails for a cut-off VM that serves an organisation: 'got 0', want 5. After: cut-off VMs refuse open routes too (configuration-unconfirmed), and with such an organisation declared the command ends with code 5 until all have confirmed. Conclusion: what is told to be in force is so for every request.

--- a/core/admitter/admitter.go
+++ b/core/admitter/admitter.go
@@ -18,13 +18,13 @@
 
 // The reasons for refusing a request before it reaches an upstream.
 const (
-	Admitted        Reason = ""
-	NoRoute         Reason = "no-route"
-	KeyMissing      Reason = "key-missing"
-	KeyUnknown      Reason = "key-unknown"
-	RouteForbidden  Reason = "route-forbidden"
-	KeysUnconfirmed Reason = "keys-unconfirmed"
-	OverRate        Reason = "over-rate"
+	Admitted       Reason = ""
+	NoRoute        Reason = "no-route"
+	KeyMissing     Reason = "key-missing"
+	KeyUnknown     Reason = "key-unknown"
+	RouteForbidden Reason = "route-forbidden"
+	Unconfirmed    Reason = "configuration-unconfirmed"
+	OverRate       Reason = "over-rate"
 )
 
 // Request is what the decision depends on.
@@ -33,7 +33,8 @@
 	Path string
 	// Key is what the caller sent, empty if nothing.
 	Key string
-	// KeysKnown is false while the VM can't know of withdrawn keys.
+	// KeysKnown is false while the VM can't know of newer configurations,
+	// withdrawn keys included.
 	KeysKnown bool
 }
 
@@ -57,7 +58,7 @@
 		return admission, NoRoute
 	}
 	if route.Open {
-		return admission, Admitted
+		return admission, admitOpen(request)
 	}
 	if request.Key == "" {
 		return admission, KeyMissing
@@ -72,10 +73,18 @@
 	}
 	admission.Organisation = organisation
 	if !request.KeysKnown && organisation.WhenCutOff == configurator.RefuseWhenCutOff {
-		return admission, KeysUnconfirmed
+		return admission, Unconfirmed
 	}
 	if !route.MayUse(organisation.Path) {
 		return admission, RouteForbidden
 	}
 	return admission, Admitted
 }
+
+// admitOpen refuses while a newer configuration may have changed the route.
+func admitOpen(request Request) Reason {
+	if !request.KeysKnown {
+		return Unconfirmed
+	}
+	return Admitted
+}
--- a/core/admitter/admitter_test.go
+++ b/core/admitter/admitter_test.go
@@ -57,10 +57,10 @@
 		{"no key", admitter.Request{Path: "/r", KeysKnown: true}, admitter.KeyMissing},
 		{"unknown key", admitter.Request{Path: "/r", Key: "guess", KeysKnown: true}, admitter.KeyUnknown},
 		{"open route", admitter.Request{Path: "/open", KeysKnown: true}, admitter.Admitted},
-		{"open route while cut off", admitter.Request{Path: "/open"}, admitter.Admitted},
+		{"open route while cut off", admitter.Request{Path: "/open"}, admitter.Unconfirmed},
 		{"no route", admitter.Request{Path: "/x", Key: "secret", KeysKnown: true}, admitter.NoRoute},
 		{"route of another organisation", admitter.Request{Path: "/only-p", Key: "secret", KeysKnown: true}, admitter.RouteForbidden},
-		{"cut off", admitter.Request{Path: "/r", Key: "secret"}, admitter.KeysUnconfirmed},
+		{"cut off", admitter.Request{Path: "/r", Key: "secret"}, admitter.Unconfirmed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/entry/internal/server/refused_test.go
+++ b/entry/internal/server/refused_test.go
@@ -22,7 +22,7 @@
 		path, key, reason     string
 		service, organisation bool
 	}{
-		{"/r", key, "keys-unconfirmed", true, true},
+		{"/r", key, "configuration-unconfirmed", true, true},
 		{"/r", "other-key-1", "key-unknown", true, false},
 		{"/r", "", "key-missing", true, false},
 		{"/x", key, "no-route", false, false},
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -210,6 +210,6 @@
 		return refuse(http.StatusForbidden, string(reason), "the organisation may not use this route", 0)
 	default:
 		return refuse(http.StatusServiceUnavailable, string(reason),
-			"this VM can't tell whether the key has been withdrawn", time.Second)
+			"this VM can't tell whether its configuration is current", time.Second)
 	}
 }
--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -129,6 +129,18 @@
 		bench.want(5, applied, "waiting for revision 1: confirmed by 1, missing 1: vm-02\n"+
 			"operator: revision 1 is recorded but not in force: confirmed by 1, missing 1: vm-02\n", "apply")
 	})
+	refusing := commander.Report{Revision: 1, InForce: true, Refusing: true, Confirmed: 1, Missing: []string{"vm-02"}}
+	t.Run("a VM that is cut off refuses", func(t *testing.T) {
+		bench := newBench(t, faker.New(), organisation)
+		bench.report = refusing
+		bench.want(0, applied, "revision 1 is in force, confirmed by 1\n"+
+			"these VMs refuse requests until they have it: vm-02\n", "apply")
+	})
+	t.Run("a VM that is cut off serves an organisation", func(t *testing.T) {
+		bench := newBench(t, faker.New(), organisation+"when-cut-off = serve\n")
+		bench.report = refusing
+		bench.want(5, applied, "operator: revision 1 is recorded but not in force: confirmed by 1, missing 1: vm-02\n", "apply")
+	})
 	t.Run("not asked", func(t *testing.T) {
 		bench := newBench(t, faker.New(), organisation)
 		bench.want(5, applied, "operator: revision 1 is recorded; whether it is in force is not known\n", "apply", "--wait", "0s")
--- a/operator/internal/commander/wait.go
+++ b/operator/internal/commander/wait.go
@@ -5,6 +5,10 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"godwitramp.example/core/configurator"
+	"godwitramp.example/shell/connector"
+	"godwitramp.example/shell/recorder"
 )
 
 // waitOption bounds the wait for a revision to be in force.
@@ -31,18 +35,34 @@
 	report.Revision = revision
 	// Without a single VM on record nothing proves that none is serving.
 	unproven := report.Confirmed == 0 && len(report.Missing) == 0
-	if err != nil || !report.InForce || unproven {
+	if err != nil || !report.InForce || unproven || report.Refusing && commander.servesWhenCutOff(ctx, platform) {
 		report.InForce = false
 		return report, &notInForceError{Report: report}
 	}
 	_, _ = fmt.Fprintf(commander.Err, "revision %d is in force, confirmed by %d\n", revision, report.Confirmed)
 	if report.Refusing {
-		_, _ = fmt.Fprintf(commander.Err, "these VMs refuse requests with keys until they have it: %s\n",
+		_, _ = fmt.Fprintf(commander.Err, "these VMs refuse requests until they have it: %s\n",
 			strings.Join(report.Missing, ", "))
 	}
 	return report, nil
 }
 
+// servesWhenCutOff reports whether a VM that lacks a revision may go on serving
+// some organisation. It says so too if the configuration can't be read.
+func (commander *Commander) servesWhenCutOff(ctx context.Context, platform connector.Platform) bool {
+	state, _, err := (&recorder.Recorder{Platform: platform}).Load(ctx)
+	if err != nil {
+		return true
+	}
+	table, _ := configurator.Compile(state.All())
+	for organisation := range table.Organisations() {
+		if organisation.WhenCutOff == configurator.ServeWhenCutOff {
+			return true
+		}
+	}
+	return false
+}
+
 // namesShown bounds the names on a line of progress.
 const namesShown = 5
 
--- a/shell/waiter/waiter.go
+++ b/shell/waiter/waiter.go
@@ -37,13 +37,13 @@
 type Report struct {
 	Revision uint64
 	// InForce is true when every registered VM has confirmed the revision or
-	// is certain to refuse keyed requests until it has the revision.
+	// is certain to refuse requests until it has the revision, but for those of
+	// organisations that are served when cut off.
 	InForce   bool
 	Confirmed int
 	// Missing are the VMs that have not confirmed, sorted.
 	Missing []string
-	// Refusing is true when the missing VMs are certain to refuse keyed
-	// requests.
+	// Refusing is true when the missing VMs are certain to refuse them.
 	Refusing bool
 }
 
