steward, operator: show which targets are out and by whose permit

Cause: the VMs' status left the ejections empty, so that 'operator upstreams' would have said that no target is kept out of use while one was. Ruled out: asking permit holders (the answer of a VM that obeys is what counts for callers). Before: no way to read what a VM obeys; the status had no such field filled. After: TestFleetEjectsTogether finds the target and its holder at a VM without evidence of its own; the time since when is not known and is left out. Conclusion: the counts of evidence behind an ejection are still missing. What opened an account and what reached the VMs stood twice each and now stands once.

--- a/core/ejector/view.go
+++ b/core/ejector/view.go
@@ -34,6 +34,8 @@
 	Target  configurator.Path
 	Left    time.Duration
 	Strikes int
+	// Holder is the VM whose permit it is.
+	Holder string
 }
 
 // Take learns a statement that was asked for at the given reading. It reports
@@ -77,6 +79,7 @@
 		}
 		obeyed = append(obeyed, Obeyed{
 			Target: heard.statement.Target, Left: heard.lease.Left(now), Strikes: heard.statement.Strikes,
+			Holder: heard.statement.Holder,
 		})
 	}
 	return obeyed
--- a/core/limiter/borrower.go
+++ b/core/limiter/borrower.go
@@ -80,13 +80,7 @@
 
 // TakeN asks for n tokens.
 func (borrower *Borrower) TakeN(id ID, limit Limit, n float64, now timekeeper.Reading) Verdict {
-	account := borrower.accounts[id]
-	if account == nil {
-		account = borrower.open(id, limit, now)
-	}
-	account.arrivals += n
-	account.used = now.Mono
-	account.refresh(limit, now)
+	account := borrower.arrive(id, limit, n, now)
 	if account.take(n, now) {
 		return Verdict{Inside: true}
 	}
@@ -101,9 +95,8 @@
 	return Verdict{Wait: true}
 }
 
-// Try takes n tokens if the VM has them, and asks for a fraction if it has
-// none. Nothing waits.
-func (borrower *Borrower) Try(id ID, limit Limit, n float64, now timekeeper.Reading) bool {
+// arrive returns the account of an organisation that wants n tokens more.
+func (borrower *Borrower) arrive(id ID, limit Limit, n float64, now timekeeper.Reading) *account {
 	account := borrower.accounts[id]
 	if account == nil {
 		account = borrower.open(id, limit, now)
@@ -111,6 +104,13 @@
 	account.arrivals += n
 	account.used = now.Mono
 	account.refresh(limit, now)
+	return account
+}
+
+// Try takes n tokens if the VM has them, and asks for a fraction if it has
+// none. Nothing waits.
+func (borrower *Borrower) Try(id ID, limit Limit, n float64, now timekeeper.Reading) bool {
+	account := borrower.arrive(id, limit, n, now)
 	if account.take(n, now) {
 		return true
 	}
--- a/entry/internal/starter/eject.go
+++ b/entry/internal/starter/eject.go
@@ -16,6 +16,7 @@
 	"godwitramp.example/entry/internal/steward"
 	"godwitramp.example/shell/caller"
 	"godwitramp.example/shell/connector"
+	"godwitramp.example/shell/describer"
 )
 
 // eject runs what routes round faulty targets: the router, the evidence, the
@@ -31,6 +32,7 @@
 		Platform: platform, Members: members, Caller: calls, Tables: starter.syncer, Router: starter.router,
 		Clock: clock{}, Boot: boot(settings.Peers), Log: starter.Log,
 	}
+	starter.steward = steward
 	reporter := &reporter.Reporter{Self: members.Self(), Holders: steward, Caller: calls, Leave: steward.Leave}
 	starter.router.Observer = reporter
 	prober := &prober.Prober{
@@ -45,6 +47,21 @@
 	return nil
 }
 
+// bySharedEvidence is the reason of every ejection: the merged evidence of
+// several VMs.
+const bySharedEvidence = "shared-evidence"
+
+// ejections describes the targets that this VM leaves out for the fleet.
+func (starter *Starter) ejections() []describer.Ejection {
+	var ejections []describer.Ejection
+	for _, obeyed := range starter.steward.Obeyed() {
+		ejections = append(ejections, describer.Ejection{
+			Target: string(obeyed.Target), Reason: bySharedEvidence, By: obeyed.Holder, Until: time.Now().Add(obeyed.Left),
+		})
+	}
+	return ejections
+}
+
 // boot names this boot of the VM and the address that the process listens on,
 // or is empty where the system doesn't tell.
 func boot(address string) string {
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -29,6 +29,7 @@
 	"godwitramp.example/entry/internal/observer"
 	"godwitramp.example/entry/internal/persister"
 	"godwitramp.example/entry/internal/server"
+	"godwitramp.example/entry/internal/steward"
 	"godwitramp.example/entry/internal/syncer"
 	"godwitramp.example/shell/caller"
 	"godwitramp.example/shell/certifier"
@@ -51,6 +52,7 @@
 	gossiper *gossiper.Gossiper
 	router   *router.Router
 	lender   *lender.Lender
+	steward  *steward.Steward
 	// persister keeps the counters of the burn report.
 	persister *persister.Persister
 	observer  *observer.Observer
@@ -200,6 +202,7 @@
 		Name: starter.Settings.Name, Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre,
 		Version: starter.Version, Revision: starter.syncer.Revision(), Ready: starter.ready(),
 		Leaving: starter.leaving.Load(), KeysKnown: starter.syncer.KeysKnown(),
+		Incarnation: starter.gossiper.Self().Incarnation, Ejections: starter.ejections(),
 	}
 }
 
--- a/entry/internal/steward/obey.go
+++ b/entry/internal/steward/obey.go
@@ -1,10 +1,12 @@
 package steward
 
 import (
+	"cmp"
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/ejector"
 	"godwitramp.example/core/router"
 	"godwitramp.example/core/timekeeper"
+	"slices"
 )
 
 // obeyAll tells the router about every group with ejections, so that a lease
@@ -50,6 +52,21 @@
 	return steward.view.Obeyed(service, region, leaving, now)
 }
 
+// Obeyed returns the ejections that this VM obeys, sorted by target.
+func (steward *Steward) Obeyed() []ejector.Obeyed {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	now := steward.Clock.Reading()
+	var all []ejector.Obeyed
+	for group := range steward.obeyed {
+		if service := steward.table.Service(group.Service); service != nil {
+			all = append(all, steward.obeyedIn(service, group.Region, now)...)
+		}
+	}
+	slices.SortFunc(all, func(a, b ejector.Obeyed) int { return cmp.Compare(a.Target, b.Target) })
+	return all
+}
+
 // obeyedTargets returns the targets of a group that this VM leaves out.
 func (steward *Steward) obeyedTargets(group ejector.Group, now timekeeper.Reading) []configurator.Path {
 	if steward.table == nil || steward.table.Service(group.Service) == nil {
--- a/entry/internal/steward/steward_test.go
+++ b/entry/internal/steward/steward_test.go
@@ -27,6 +27,9 @@
 				is.Equal(fleet.uses(fleet.nodes), usual)
 				fleet.serve(fleet.nodes[:3], time.Second, router.Failed)
 				is.Equal(fleet.uses(fleet.nodes), 0) // the other three have no evidence of their own
+				obeyed := fleet.nodes[5].steward.Obeyed()
+				is.Equal(len(obeyed), 1)
+				is.True(obeyed[0].Holder != "") // operators are told who decided
 				time.Sleep(15 * time.Second)
 				is.Equal(fleet.uses(fleet.nodes), usual) // it comes back
 			})
--- a/operator/internal/commander/fleet.go
+++ b/operator/internal/commander/fleet.go
@@ -122,21 +122,32 @@
 		place, status.Revision, status.Ready, status.Leaving, status.KeysKnown, status.Version)
 }
 
+// reachOptions say which VMs to ask, and with which certificate.
+type reachOptions struct {
+	certificateOptions
+	addressOption
+}
+
+// reach returns the VMs and what asks them; end closes its connections.
+func (commander *Commander) reach(options reachOptions) (vms []connector.VM, asker Asker, end func(), err error) {
+	vms, err = commander.list(options.addressOption)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	asker, end, err = commander.asker(options.certificateOptions)
+	return vms, asker, end, err
+}
+
 // vmsCommand lists the VMs.
 type vmsCommand struct {
 	commander *Commander
-	certificateOptions
-	addressOption
+	reachOptions
 }
 
 // Execute asks each listed VM for its status.
 func (command *vmsCommand) Execute([]string) error {
 	commander := command.commander
-	vms, err := commander.list(command.addressOption)
-	if err != nil {
-		return err
-	}
-	asker, end, err := commander.asker(command.certificateOptions)
+	vms, asker, end, err := commander.reach(command.reachOptions)
 	if err != nil {
 		return err
 	}
--- a/operator/internal/commander/upstreams.go
+++ b/operator/internal/commander/upstreams.go
@@ -31,21 +31,25 @@
 	Unknown []string `json:"unknown"`
 }
 
+// span says how long the target has been out and stays out.
+func (ejection regional) span(now time.Time) string {
+	more := fmt.Sprintf("for %s more", ejection.Until.Sub(now).Round(time.Second))
+	if ejection.Since.IsZero() {
+		return "out " + more
+	}
+	return fmt.Sprintf("out for %s, %s", now.Sub(ejection.Since).Round(time.Second), more)
+}
+
 // upstreamsCommand lists the targets that are kept out of use.
 type upstreamsCommand struct {
 	commander *Commander
-	certificateOptions
-	addressOption
+	reachOptions
 }
 
 // Execute asks a few VMs of each region which targets they keep out of use.
 func (command *upstreamsCommand) Execute([]string) error {
 	commander := command.commander
-	vms, err := commander.list(command.addressOption)
-	if err != nil {
-		return err
-	}
-	asker, end, err := commander.asker(command.certificateOptions)
+	vms, asker, end, err := commander.reach(command.reachOptions)
 	if err != nil {
 		return err
 	}
@@ -104,8 +108,8 @@
 func (ejections ejections) text(now time.Time) string {
 	var text strings.Builder
 	for _, ejection := range ejections.Ejections {
-		fmt.Fprintf(&text, "%s  %s  out for %s, for %s more  reason=%s  by=%s\n", ejection.Region, ejection.Target,
-			now.Sub(ejection.Since).Round(time.Second), ejection.Until.Sub(now).Round(time.Second), ejection.Reason, ejection.By)
+		fmt.Fprintf(&text, "%s  %s  %s  reason=%s  by=%s\n",
+			ejection.Region, ejection.Target, ejection.span(now), ejection.Reason, ejection.By)
 		for _, evidence := range ejection.Evidence {
 			fmt.Fprintf(&text, "    %s saw good=%d failures=%d slow=%d\n",
 				evidence.VM, evidence.Good, evidence.Failures, evidence.Slow)
--- a/shell/describer/describer.go
+++ b/shell/describer/describer.go
@@ -41,9 +41,10 @@
 	// Target is the path of the target.
 	Target string `json:"target"`
 	// Reason is the kind of evidence that decided, such as "failures".
-	Reason string    `json:"reason"`
-	Since  time.Time `json:"since"`
-	Until  time.Time `json:"until"`
+	Reason string `json:"reason"`
+	// Since is zero if the VM doesn't know.
+	Since time.Time `json:"since"`
+	Until time.Time `json:"until"`
 	// By is the VM that holds the permit.
 	By       string     `json:"by"`
 	Evidence []Evidence `json:"evidence"`
