starter: start each part in a function of its own

Cause: Run had grown to sixty lines that wired nine parts with five shared values each; a VM whose requests overran its planned stop also skipped telling the store and its peers that it ends, so that apply waited for it. Ruled out: a container of interfaces (nothing else needs one). Before: one function, and no leave after unfinished requests.

--- a/entry/internal/starter/burn.go
+++ b/entry/internal/starter/burn.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net/rpc"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,28 +11,21 @@
 	"godwitramp.example/entry/internal/observer"
 	"godwitramp.example/entry/internal/persister"
 	"godwitramp.example/shell/archiver"
-	"godwitramp.example/shell/caller"
-	"godwitramp.example/shell/connector"
 )
 
 // startBurn runs what counts requests and keeps the counters of the burn report.
-func (starter *Starter) startBurn(
-	ctx context.Context, group *sync.WaitGroup, platform connector.Platform, calls *caller.Caller, services *rpc.Server,
-) error {
+func (starter *Starter) startBurn(parts *parts) error {
 	self := starter.gossiper.Self()
 	starter.persister = &persister.Persister{
-		Members: starter.gossiper, Caller: calls, Log: starter.Log,
+		Members: starter.gossiper, Caller: parts.calls, Log: starter.Log,
 		Archiver: &archiver.Archiver{
-			Platform: platform, DataCentre: self.DataCentre,
+			Platform: parts.platform, DataCentre: self.DataCentre,
 			Owner: burner.Source{VM: self.Name, Incarnation: self.Incarnation},
 		},
 	}
 	starter.observer = &observer.Observer{Set: metrics.GetDefaultSet(), Counter: starter.persister}
-	if err := services.RegisterName(persister.ServiceName, starter.persister.Receiver()); err != nil {
-		return fmt.Errorf("register counters: %w", err)
-	}
-	group.Go(func() { _ = starter.persister.Run(ctx) })
-	return nil
+	parts.run(starter.persister.Run)
+	return parts.serve(persister.ServiceName, starter.persister.Receiver())
 }
 
 // handOverLimit bounds the last handing over of counters at a planned stop.
--- a/entry/internal/starter/eject.go
+++ b/entry/internal/starter/ejection.go
@@ -1,10 +1,6 @@
 package starter
 
 import (
-	"context"
-	"fmt"
-	"net/rpc"
-	"sync"
 	"time"
 
 	"godwitramp.example/core/router"
@@ -14,37 +10,30 @@
 	"godwitramp.example/entry/internal/prober"
 	"godwitramp.example/entry/internal/reporter"
 	"godwitramp.example/entry/internal/steward"
-	"godwitramp.example/shell/caller"
-	"godwitramp.example/shell/connector"
 	"godwitramp.example/shell/describer"
 )
 
-// eject runs what routes round faulty targets: the router, the evidence, the
+// startEjection runs what routes round faulty targets: the router, the evidence, the
 // permits and the probes.
-func (starter *Starter) eject(
-	ctx context.Context, group *sync.WaitGroup, platform connector.Platform, services *rpc.Server, calls *caller.Caller,
-) error {
+func (starter *Starter) startEjection(parts *parts) error {
 	settings := starter.Settings
 	place := router.Place{Region: settings.Region, DataCentre: settings.DataCentre}
 	members := starter.gossiper
 	starter.router = &router.Router{Place: place}
 	steward := &steward.Steward{
-		Platform: platform, Members: members, Caller: calls, Tables: starter.syncer, Router: starter.router,
+		Platform: parts.platform, Members: members, Caller: parts.calls, Tables: starter.syncer, Router: starter.router,
 		Clock: clock{}, Boot: boot(settings.Peers), Log: starter.Log,
 	}
 	starter.steward = steward
-	reporter := &reporter.Reporter{Self: members.Self(), Holders: steward, Caller: calls, Leave: steward.Leave}
+	reporter := &reporter.Reporter{Self: members.Self(), Holders: steward, Caller: parts.calls, Leave: steward.Leave}
 	starter.router.Observer = reporter
 	prober := &prober.Prober{
 		Members: members, Tables: starter.syncer, Router: starter.router, Steward: steward, Now: forwarder.Now,
 	}
-	if err := services.RegisterName("Ejection", steward.Service()); err != nil {
-		return fmt.Errorf("register calls of ejection: %w", err)
-	}
-	group.Go(func() { _ = steward.Run(ctx) })
-	group.Go(func() { _ = reporter.Run(ctx) })
-	group.Go(func() { _ = prober.Run(ctx) })
-	return nil
+	parts.run(steward.Run)
+	parts.run(reporter.Run)
+	parts.run(prober.Run)
+	return parts.serve("Ejection", steward.Service())
 }
 
 // bySharedEvidence is the reason of every ejection: the merged evidence of
--- /dev/null
+++ b/entry/internal/starter/listeners.go
@@ -0,0 +1,32 @@
+package starter
+
+import (
+	"fmt"
+	"net"
+
+	"godwitramp.example/entry/internal/loader"
+)
+
+// listeners are the sockets of a VM.
+type listeners struct {
+	callers, peers, operators net.Listener
+}
+
+func (listeners *listeners) open(settings loader.Settings) error {
+	for _, wanted := range []struct {
+		listener *net.Listener
+		name     string
+		address  string
+	}{
+		{&listeners.callers, "callers", settings.Callers},
+		{&listeners.peers, "peers", settings.Peers},
+		{&listeners.operators, "operators", settings.Operators},
+	} {
+		opened, err := net.Listen("tcp", wanted.address)
+		if err != nil {
+			return fmt.Errorf("listen for %s: %w", wanted.name, err)
+		}
+		*wanted.listener = opened
+	}
+	return nil
+}
--- a/entry/internal/starter/membership.go
+++ b/entry/internal/starter/membership.go
@@ -5,8 +5,6 @@
 
 	"godwitramp.example/core/watcher"
 	"godwitramp.example/entry/internal/gossiper"
-	"godwitramp.example/shell/caller"
-	"godwitramp.example/shell/connector"
 )
 
 // self describes this VM to the others.
@@ -18,8 +16,11 @@
 	}
 }
 
-func (starter *Starter) membership(calls *caller.Caller, platform connector.Platform) *gossiper.Gossiper {
-	return &gossiper.Gossiper{
-		Peer: starter.self(), Caller: calls, Platform: platform, Seeds: starter.Settings.Seeds, Log: starter.Log,
+// startMembership runs what knows the other VMs.
+func (starter *Starter) startMembership(parts *parts) error {
+	starter.gossiper = &gossiper.Gossiper{
+		Peer: starter.self(), Caller: parts.calls, Platform: parts.platform, Seeds: starter.Settings.Seeds, Log: starter.Log,
 	}
+	parts.run(starter.gossiper.Run)
+	return parts.serve("Members", starter.gossiper.Service())
 }
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -10,14 +10,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/router"
@@ -34,8 +32,6 @@
 	"godwitramp.example/shell/caller"
 	"godwitramp.example/shell/certifier"
 	"godwitramp.example/shell/connector"
-	"godwitramp.example/shell/describer"
-	"godwitramp.example/shell/recorder"
 )
 
 const readHeaderTimeout = 5 * time.Second
@@ -58,30 +54,6 @@
 	observer  *observer.Observer
 }
 
-// listeners are the sockets of a VM.
-type listeners struct {
-	callers, peers, operators net.Listener
-}
-
-func (listeners *listeners) open(settings loader.Settings) error {
-	for _, wanted := range []struct {
-		listener *net.Listener
-		name     string
-		address  string
-	}{
-		{&listeners.callers, "callers", settings.Callers},
-		{&listeners.peers, "peers", settings.Peers},
-		{&listeners.operators, "operators", settings.Operators},
-	} {
-		opened, err := net.Listen("tcp", wanted.address)
-		if err != nil {
-			return fmt.Errorf("listen for %s: %w", wanted.name, err)
-		}
-		*wanted.listener = opened
-	}
-	return nil
-}
-
 // Run serves until the context ends, then stops as planned: it says that it
 // leaves, goes on accepting until the balancer has moved on, finishes its
 // requests and returns.
@@ -102,36 +74,15 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stopWork()
-
-	platform := &connector.Client{Base: settings.Platform}
 	calls := &caller.Caller{TLS: tls}
 	defer calls.Close()
-	services := rpc.NewServer()
-	starter.gossiper = starter.membership(calls, platform)
-	if err := services.RegisterName("Members", starter.gossiper.Service()); err != nil {
-		return fmt.Errorf("register membership: %w", err)
-	}
-	group.Go(func() { _ = starter.gossiper.Run(work) })
-	starter.syncer = &syncer.Syncer{
-		Recorder: starter.recorder(platform), Members: starter.gossiper, Calls: calls, Log: starter.Log,
-	}
-	if err := starter.syncer.Register(services); err != nil {
-		return fmt.Errorf("register configuration service: %w", err)
+	parts := &parts{
+		ctx: work, group: &group, calls: calls, services: rpc.NewServer(), platform: &connector.Client{Base: settings.Platform},
 	}
-	group.Go(func() { _ = starter.syncer.Run(work) })
-	if err := services.Register(&describer.Describer{Source: starter.status}); err != nil {
-		return fmt.Errorf("register status: %w", err)
-	}
-	if err := starter.startBurn(work, &group, platform, calls, services); err != nil {
-		return err
-	}
-	if err := starter.lend(work, &group, platform, calls, services); err != nil {
-		return err
-	}
-	if err := starter.eject(work, &group, platform, services, calls); err != nil {
+	if err := starter.assemble(parts); err != nil {
 		return err
 	}
-	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: services}
+	peers := &caller.Server{Listener: listeners.peers, TLS: tls, RPC: parts.services}
 	group.Go(func() { _ = peers.Run(work) })
 
 	sender := &exchanger.Exchanger{}
@@ -167,15 +118,26 @@
 	}
 	unfinished := callers.Shutdown(limit)
 	starter.handOverCounters(work)
+	starter.takeLeave(work)
 	if unfinished != nil {
 		return fmt.Errorf("finish requests: %w", unfinished)
 	}
+	starter.Log.Info("stopped")
+	return nil
+}
+
+// leaveLimit bounds how long a VM that stops waits for the store and its peers.
+const leaveLimit = 5 * time.Second
+
+// takeLeave tells the store and the peers that this VM ends, also when requests
+// were left unfinished.
+func (starter *Starter) takeLeave(work context.Context) {
+	limit, cancel := context.WithTimeout(work, leaveLimit)
+	defer cancel()
 	if err := starter.syncer.Leave(limit); err != nil {
 		starter.Log.WithError(err).Warn("deregistration-failed")
 	}
 	starter.gossiper.Leave(limit)
-	starter.Log.Info("stopped")
-	return nil
 }
 
 func (starter *Starter) callers(sender *exchanger.Exchanger) *http.Server {
@@ -191,42 +153,3 @@
 	}
 	return server.HTTP()
 }
-
-func (starter *Starter) ready() bool {
-	return !starter.leaving.Load() && starter.syncer.Table() != nil
-}
-
-// status tells operators what the VM knows.
-func (starter *Starter) status() describer.Status {
-	return describer.Status{
-		Name: starter.Settings.Name, Region: starter.Settings.Region, DataCentre: starter.Settings.DataCentre,
-		Version: starter.Version, Revision: starter.syncer.Revision(), Ready: starter.ready(),
-		Leaving: starter.leaving.Load(), KeysKnown: starter.syncer.KeysKnown(),
-		Incarnation: starter.gossiper.Self().Incarnation, Ejections: starter.ejections(),
-	}
-}
-
-func (starter *Starter) recorder(platform connector.Platform) *recorder.Recorder {
-	return &recorder.Recorder{Platform: platform, OnDamage: func(revision uint64, cause error) {
-		starter.Log.WithError(cause).WithField("revision", revision).Error("snapshot-damaged")
-	}}
-}
-
-// operators answers health checks and metrics.
-func (starter *Starter) operators() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /live", func(writer http.ResponseWriter, _ *http.Request) {
-		_, _ = fmt.Fprintln(writer, "live")
-	})
-	mux.HandleFunc("GET /ready", func(writer http.ResponseWriter, _ *http.Request) {
-		if !starter.ready() {
-			http.Error(writer, "not ready", http.StatusServiceUnavailable)
-			return
-		}
-		_, _ = fmt.Fprintf(writer, "ready revision=%d\n", starter.syncer.Revision())
-	})
-	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
-		metrics.WritePrometheus(writer, true)
-	})
-	return mux
-}
