failures: survive the end of the starting shell, and keep runs apart

Cause: the scenario freeze failed once with 'Hangup': the shell that had started the script ended while a VM was frozen, and the system then sends SIGHUP to the group of a stopped process. The scenario kill failed once because a second run with other ports wrote its declarations into the same folder. Ruled out: a fault of the frozen VM (the load, a stand-in, died of the same signal); a slow machine (30 reads never came within a minute). Before: 'freeze: FAILED' with 'Hangup'; 'kill: FAILED: never became true'. The Hangup itself was not brought about again. Conclusion: both were faults of the scaffolding, not of the fleet.

--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -6,13 +6,13 @@
 #   scripts/failures.sh rates kill   runs these
 #
 # FAILURES_DIGIT is the first digit of the ports, 2 unless set.
-# Logs of the last run of a scenario are in build/failures/<scenario>.
+# Logs of the last run of a scenario are in build/failures-$digit/<scenario>.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/build/bin
 digit=${FAILURES_DIGIT:-2}
 grace=5s
-declarations=$PWD/build/failures/settings
+declarations=$PWD/build/failures-$digit/settings
 key=sample-key-anand
 slow_key=sample-key-bhuj
 read_path=/kundsetu/due-lists
@@ -243,7 +243,7 @@
 passed=0
 failed=0
 for scenario in "$@"; do
-  work=$PWD/build/failures/$scenario
+  work=$PWD/build/failures-$digit/$scenario
   # A scenario runs in a shell of its own, which ends its processes. As the
   # condition of an if it would not end at a command that fails.
   set +e
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -6,6 +6,10 @@
 #   grace   how long a VM goes on accepting after a planned stop begins
 declare -A pids
 
+# The system sends SIGHUP to a process group with a stopped process when the
+# shell that started the group ends; a frozen VM must not die of that.
+trap '' HUP
+
 host=127.0.0.1
 platform=http://$host:${digit}6000
 balancer=http://$host:${digit}8000
