--- /dev/null
+++ b/core/placer/suspicion.go
@@ -0,0 +1,82 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+// What is usual of targets that fail in part. Most targets do so now and then,
+// for some seconds, behind a passing health check.
+const (
+	// onsetRate and recoveryRate are in events a second: a target is well for
+	// seven seconds on average and ill for three.
+	onsetRate    = 1.0 / 7
+	recoveryRate = 1.0 / 3
+	// illFailures and wellFailures are parts of the requests.
+	illFailures  = 0.8
+	wellFailures = 0.02
+	// stationary is the probability that a target is ill of which nothing has
+	// been heard for long.
+	stationary = onsetRate / (onsetRate + recoveryRate)
+	// freshSuspicion is the probability that a target is ill which has just
+	// started.
+	freshSuspicion = 0.02
+	// slowRatio is how much likelier an answer that is far too late is from a
+	// target that is ill.
+	slowRatio = 5
+)
+
+// Outcome is what an attempt says of its target.
+type Outcome uint8
+
+// The outcomes of attempts.
+const (
+	// Good is a whole answer in time.
+	Good Outcome = iota
+	// Failed is an answer that says the target failed, or a broken one.
+	Failed
+	// Slow is an answer that has not come, or came far later than usual.
+	Slow
+	// Full is an answer that says the target has no room for the request.
+	Full
+	// Unreachable is a connection that could not be made.
+	Unreachable
+	// Gone is an answer of another target at the same address.
+	Gone
+	// Unknown says nothing.
+	Unknown
+)
+
+// suspicion is the probability that a target is ill, as of a time. Between
+// observations it tends to what is usual.
+type suspicion struct {
+	probability float64
+	updated     time.Duration
+}
+
+// at returns the probability at a later time.
+func (suspicion suspicion) at(now time.Duration) float64 {
+	passed := max(0, now-suspicion.updated).Seconds()
+	return stationary + (suspicion.probability-stationary)*math.Exp(-(onsetRate+recoveryRate)*passed)
+}
+
+// observe takes the outcome of one attempt in.
+func (suspicion *suspicion) observe(outcome Outcome, now time.Duration) {
+	ratio := 1.0
+	switch outcome {
+	case Good:
+		ratio = (1 - illFailures) / (1 - wellFailures)
+	case Failed:
+		ratio = illFailures / wellFailures
+	case Slow:
+		ratio = slowRatio
+	}
+	probability := suspicion.at(now)
+	odds := ratio * probability / (1 - probability)
+	suspicion.probability = min(maxSuspicion, odds/(1+odds))
+	suspicion.updated = max(now, suspicion.updated)
+}
+
+// maxSuspicion keeps a target that failed many times from staying out for
+// longer than one that failed a few times.
+const maxSuspicion = 0.97
--- /dev/null
+++ b/core/throttler/throttler.go
@@ -0,0 +1,107 @@
+// Package throttler holds organisations to their rates, and retries to their
+// budgets, over VMs that tell each other what they spend.
+//
+// The fleet's rate is divided evenly between data centres, and in each of them
+// between groups of VMs. The VMs of a group spend from one bucket: each keeps a
+// copy and tells the others of every token that it takes. A VM that doesn't
+// hear some of its group may spend only the part of those that it hears, so
+// that two halves of a divided group never spend more than the whole.
+//
+// # Usage
+//
+//	bucket := &throttler.Bucket{}
+//	bucket.Set(throttler.Limit{Rate: 40, Burst: 50}, now)
+//	bucket.SetPart(heard/members, now)
+//	if wait, ok := bucket.Take(now); !ok {
+//		// Refuse; a token is there after the wait.
+//	}
+//	bucket.Spent(1, now) // another VM of the group took one
+package throttler
+
+import "time"
+
+// Limit is the size of a bucket.
+type Limit struct {
+	// Rate is in tokens a second.
+	Rate float64
+	// Burst is in tokens.
+	Burst float64
+}
+
+// startLevel is the part of a full bucket that a VM begins with. Its group may
+// have spent the rest right before it started.
+const startLevel = 0.2
+
+// Bucket is a VM's copy of its group's tokens. The zero value is empty and has
+// no limit set. It isn't safe for concurrent use.
+type Bucket struct {
+	limit Limit
+	// part is the share of the limit that this VM may use.
+	part    float64
+	level   float64
+	updated time.Duration
+	set     bool
+}
+
+// Set changes the limit of the group.
+func (bucket *Bucket) Set(limit Limit, now time.Duration) {
+	if !bucket.set {
+		bucket.set = true
+		bucket.part = 1
+		bucket.updated = now
+		bucket.limit = limit
+		bucket.level = startLevel * limit.Burst
+		return
+	}
+	bucket.advance(now)
+	bucket.limit = limit
+	bucket.level = min(bucket.level, bucket.burst())
+}
+
+// SetPart changes the share of the limit that this VM may use, from 0 to 1.
+func (bucket *Bucket) SetPart(part float64, now time.Duration) {
+	bucket.advance(now)
+	bucket.part = part
+	bucket.level = min(bucket.level, bucket.burst())
+}
+
+// Take takes a token. If there is none, it returns how long it takes until
+// there may be one.
+func (bucket *Bucket) Take(now time.Duration) (time.Duration, bool) {
+	bucket.advance(now)
+	if bucket.level >= 1 {
+		bucket.level--
+		return 0, true
+	}
+	rate := bucket.limit.Rate * bucket.part
+	if rate <= 0 {
+		return longestWait, false
+	}
+	wait := time.Duration((1 - bucket.level) / rate * float64(time.Second))
+	return min(wait, longestWait), false
+}
+
+// longestWait is what Take returns when no token is in sight.
+const longestWait = 10 * time.Second
+
+// Spent takes note of tokens that others of the group took.
+func (bucket *Bucket) Spent(tokens float64, now time.Duration) {
+	bucket.advance(now)
+	bucket.level = max(bucket.level-tokens, -bucket.burst())
+}
+
+// Add puts tokens into the bucket.
+func (bucket *Bucket) Add(tokens float64, now time.Duration) {
+	bucket.advance(now)
+	bucket.level = min(bucket.level+tokens, bucket.burst())
+}
+
+// burst is at least one token, without which the bucket would never give any.
+func (bucket *Bucket) burst() float64 { return max(1, bucket.limit.Burst*bucket.part) }
+
+func (bucket *Bucket) advance(now time.Duration) {
+	if passed := now - bucket.updated; passed > 0 {
+		bucket.level = min(bucket.burst(), bucket.level+bucket.limit.Rate*bucket.part*passed.Seconds())
+		bucket.updated = now
+	}
+}
--- /dev/null
+++ b/core/throttler/tolerance.go
@@ -0,0 +1,28 @@
+package throttler
+
+import "time"
+
+// Tolerance is how far the requests of an organisation may exceed its rate and
+// burst in a window before the promise on rates is broken.
+type Tolerance struct {
+	Window time.Duration
+	// Overshoot is a part of what the rate and the burst allow in a window.
+	Overshoot float64
+	// Extra is in requests.
+	Extra float64
+}
+
+// spareTolerance is the part of the tolerance that is kept for requests which
+// VMs admit before they hear of each other's, and for VMs that start again.
+const spareTolerance = 0.3
+
+// Divide returns the limit of one of several buckets that an organisation's
+// rate and burst are divided between. Requests arrive unevenly at them: each
+// gets a part of the tolerance as burst, so that an organisation inside its
+// rate is seldom refused. The rates of all buckets add up to the organisation's
+// rate.
+func (tolerance Tolerance) Divide(rate, burst, part float64) Limit {
+	allowed := rate*tolerance.Window.Seconds() + burst
+	spare := (allowed*tolerance.Overshoot + tolerance.Extra) * (1 - spareTolerance)
+	return Limit{Rate: rate * part, Burst: (burst + spare) * part}
+}
--- a/entry/benchmark/bench.go
+++ b/entry/benchmark/bench.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"godwitramp.example/entry/internal/exchanger"
+	"godwitramp.example/shell/exchanger"
 )
 
 // bench sends the load.
--- a/entry/benchmark/main.go
+++ b/entry/benchmark/main.go
@@ -24,9 +24,9 @@
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/parser"
 	"godwitramp.example/core/router"
-	"godwitramp.example/entry/internal/exchanger"
 	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/server"
+	"godwitramp.example/shell/exchanger"
 )
 
 const key = "benchmark-key"
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -23,7 +23,7 @@
 
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/router"
-	"godwitramp.example/entry/internal/exchanger"
+	"godwitramp.example/shell/exchanger"
 )
 
 // Job is an admitted request.
--- a/entry/internal/forwarder/forwarder_test.go
+++ b/entry/internal/forwarder/forwarder_test.go
@@ -22,8 +22,8 @@
 
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/router"
-	"godwitramp.example/entry/internal/exchanger"
 	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/shell/exchanger"
 )
 
 // fault is what an upstream does with a connection.
--- a/entry/internal/forwarder/leg.go
+++ b/entry/internal/forwarder/leg.go
@@ -11,7 +11,7 @@
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/retrier"
 	"godwitramp.example/core/router"
-	"godwitramp.example/entry/internal/exchanger"
+	"godwitramp.example/shell/exchanger"
 )
 
 // provenWithin is how lately a connection must have been used to carry a
--- a/entry/internal/forwarder/run.go
+++ b/entry/internal/forwarder/run.go
@@ -11,7 +11,7 @@
 	"godwitramp.example/core/queuer"
 	"godwitramp.example/core/retrier"
 	"godwitramp.example/core/router"
-	"godwitramp.example/entry/internal/exchanger"
+	"godwitramp.example/shell/exchanger"
 )
 
 // run is the work on one request.
--- a/entry/internal/loader/loader.go
+++ b/entry/internal/loader/loader.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"godwitramp.example/core/configurator"
+	"godwitramp.example/shell/loader"
 )
 
 // Settings is what a VM has to know at its start.
@@ -47,16 +48,6 @@
 	StopLimit time.Duration
 }
 
-// Setting describes one setting of the program.
-type Setting struct {
-	Section, Name string
-	Default       string
-	Required      bool
-	Allowed       string
-	Doc           string
-	set           func(*Settings, string) error
-}
-
 const (
 	allowedName    = "a name of lower-case letters, digits and hyphens"
 	allowedAddress = "an IP address and a port, such as 127.0.0.1:8080"
@@ -67,36 +58,49 @@
 const longestDuration = 10 * time.Minute
 
 // All lists the settings in the order of the documentation.
-var All = []Setting{
-	{"vm", "name", "", true, allowedName, "Name of the VM, unique in the fleet.",
-		func(s *Settings, v string) error { return setName(&s.Name, v) }},
-	{"vm", "region", "", true, allowedName, "Region that the VM stands in.",
-		func(s *Settings, v string) error { return setName(&s.Region, v) }},
-	{"vm", "data-centre", "", true, allowedName, "Data centre that the VM stands in.",
-		func(s *Settings, v string) error { return setName(&s.DataCentre, v) }},
-	{"listen", "callers", "", true, allowedAddress, "Address for the balancer and its callers.",
-		func(s *Settings, v string) error { return setAddress(&s.Callers, v) }},
-	{"listen", "peers", "", true, allowedAddress, "Address for the other VMs of the fleet.",
-		func(s *Settings, v string) error { return setAddress(&s.Peers, v) }},
-	{"listen", "operators", "", true, allowedAddress, "Address for health checks and metrics.",
-		func(s *Settings, v string) error { return setAddress(&s.Operators, v) }},
-	{"peers", "seeds", "", false, "addresses separated by commas",
-		"Addresses of other VMs, for a start while the platform's list of VMs is away.",
-		func(s *Settings, v string) error { return setAddresses(&s.Seeds, v) }},
-	{"platform", "address", "", true, "a URL such as http://127.0.0.1:6000", "Address of the platform.",
-		func(s *Settings, v string) error { return setURL(&s.Platform, v) }},
-	{"platform", "beside-store", "no", false, "yes, no", "Whether the VM stands in the region of the table service. At least two data centres must have such VMs: their silence together tells an outage from isolation.",
-		func(s *Settings, v string) error { return setBool(&s.BesideStore, v) }},
-	{"tls", "authority", "", true, allowedFile, "Certificate of the fleet's authority.",
-		func(s *Settings, v string) error { s.Authority = v; return nil }},
-	{"tls", "certificate", "", true, allowedFile, "Certificate of the VM.",
-		func(s *Settings, v string) error { s.Certificate = v; return nil }},
-	{"tls", "key", "", true, allowedFile, "Private key of the VM's certificate.",
-		func(s *Settings, v string) error { s.Key = v; return nil }},
-	{"stop", "grace", "5s", false, allowedTime, "How long a leaving VM goes on accepting requests.",
-		func(s *Settings, v string) error { return setDuration(&s.StopGrace, v) }},
-	{"stop", "limit", "60s", false, allowedTime, "Longest duration of a planned stop.",
-		func(s *Settings, v string) error { return setDuration(&s.StopLimit, v) }},
+var All = loader.List[Settings]{
+	{Section: "vm", Name: "name", Required: true, Allowed: allowedName,
+		Doc: "Name of the VM, unique in the fleet.",
+		Set: func(s *Settings, v string) error { return setName(&s.Name, v) }},
+	{Section: "vm", Name: "region", Required: true, Allowed: allowedName,
+		Doc: "Region that the VM stands in.",
+		Set: func(s *Settings, v string) error { return setName(&s.Region, v) }},
+	{Section: "vm", Name: "data-centre", Required: true, Allowed: allowedName,
+		Doc: "Data centre that the VM stands in.",
+		Set: func(s *Settings, v string) error { return setName(&s.DataCentre, v) }},
+	{Section: "listen", Name: "callers", Required: true, Allowed: allowedAddress,
+		Doc: "Address for the balancer and its callers.",
+		Set: func(s *Settings, v string) error { return setAddress(&s.Callers, v) }},
+	{Section: "listen", Name: "peers", Required: true, Allowed: allowedAddress,
+		Doc: "Address for the other VMs of the fleet.",
+		Set: func(s *Settings, v string) error { return setAddress(&s.Peers, v) }},
+	{Section: "listen", Name: "operators", Required: true, Allowed: allowedAddress,
+		Doc: "Address for health checks and metrics.",
+		Set: func(s *Settings, v string) error { return setAddress(&s.Operators, v) }},
+	{Section: "peers", Name: "seeds", Allowed: "addresses separated by commas",
+		Doc: "Addresses of other VMs, for a start while the platform's list of VMs is away.",
+		Set: func(s *Settings, v string) error { return setAddresses(&s.Seeds, v) }},
+	{Section: "platform", Name: "address", Required: true, Allowed: "a URL such as http://127.0.0.1:6000",
+		Doc: "Address of the platform.",
+		Set: func(s *Settings, v string) error { return setURL(&s.Platform, v) }},
+	{Section: "platform", Name: "beside-store", Default: "no", Allowed: "yes, no",
+		Doc: "Whether the VM stands in the region of the table service. At least two data centres must have such VMs: their silence together tells an outage from isolation.",
+		Set: func(s *Settings, v string) error { return setBool(&s.BesideStore, v) }},
+	{Section: "tls", Name: "authority", Required: true, Allowed: allowedFile,
+		Doc: "Certificate of the fleet's authority.",
+		Set: func(s *Settings, v string) error { s.Authority = v; return nil }},
+	{Section: "tls", Name: "certificate", Required: true, Allowed: allowedFile,
+		Doc: "Certificate of the VM.",
+		Set: func(s *Settings, v string) error { s.Certificate = v; return nil }},
+	{Section: "tls", Name: "key", Required: true, Allowed: allowedFile,
+		Doc: "Private key of the VM's certificate.",
+		Set: func(s *Settings, v string) error { s.Key = v; return nil }},
+	{Section: "stop", Name: "grace", Default: "5s", Allowed: allowedTime,
+		Doc: "How long a leaving VM goes on accepting requests.",
+		Set: func(s *Settings, v string) error { return setDuration(&s.StopGrace, v) }},
+	{Section: "stop", Name: "limit", Default: "60s", Allowed: allowedTime,
+		Doc: "Longest duration of a planned stop.",
+		Set: func(s *Settings, v string) error { return setDuration(&s.StopLimit, v) }},
 }
 
 func setName(target *string, value string) error {
@@ -161,16 +165,11 @@
 	return nil
 }
 
-// Page returns the settings as a table in Markdown.
-func Page() string {
-	var page strings.Builder
-	page.WriteString("| Section | Setting | Allowed | Default | Meaning |\n| --- | --- | --- | --- | --- |\n")
-	for _, setting := range All {
-		normal := setting.Default
-		if setting.Required {
-			normal = "none, must be set"
-		}
-		fmt.Fprintf(&page, "| `%s` | `%s` | %s | %s | %s |\n", setting.Section, setting.Name, setting.Allowed, normal, setting.Doc)
-	}
-	return page.String()
+// Load reads the settings from the text of a file and from overrides of the
+// form section.name=value, which win over the file. It returns every mistake.
+func Load(file string, data []byte, overrides []string) (Settings, []error) {
+	return All.Load(file, data, overrides)
 }
+
+// Page returns the settings as a table in Markdown.
+func Page() string { return All.Page() }
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -19,7 +19,6 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/router"
-	"godwitramp.example/entry/internal/exchanger"
 	"godwitramp.example/entry/internal/forwarder"
 	"godwitramp.example/entry/internal/gossiper"
 	"godwitramp.example/entry/internal/lender"
@@ -32,6 +31,7 @@
 	"godwitramp.example/shell/caller"
 	"godwitramp.example/shell/certifier"
 	"godwitramp.example/shell/connector"
+	"godwitramp.example/shell/exchanger"
 )
 
 const readHeaderTimeout = 5 * time.Second
--- /dev/null
+++ b/gateway/internal/dispatcher/admit.go
@@ -0,0 +1,126 @@
+package dispatcher
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"godwitramp.example/core/indexer"
+	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/platform"
+)
+
+// job is an admitted request.
+type job struct {
+	call         *receiver.Call
+	index        *indexer.Index
+	route        *indexer.Route
+	service      string
+	organisation *indexer.Organisation
+	ask          platform.Request
+	// deadline is when the caller, or the route's timeout, gives the request up.
+	deadline time.Time
+	// limit is the whole time that the request had.
+	limit time.Duration
+}
+
+// elsewhere is how soon a caller may turn to another VM when this one can't
+// tell whether it may serve.
+const elsewhere = 100 * time.Millisecond
+
+// defaultTimeout holds for callers that don't say how long they wait on routes
+// without a timeout.
+const defaultTimeout = 30 * time.Second
+
+// admit decides whether the request may run.
+func (dispatcher *Dispatcher) admit(call *receiver.Call) (*job, *refusal) {
+	index := dispatcher.Tracker.Index()
+	if index == nil {
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "configuration-unknown", retryAfter: elsewhere}
+	}
+	ask, err := platform.ReadRequest(call.Request.Header)
+	if err != nil {
+		return nil, &refusal{status: http.StatusBadRequest, reason: "header-malformed"}
+	}
+	path, _, _ := strings.Cut(call.Target, "?")
+	route := index.Route(hostOf(call.Request.Host), path)
+	job := &job{call: call, index: index, route: route, ask: ask}
+	if refusal := dispatcher.identify(job); refusal != nil {
+		if (refusal.status == http.StatusNotFound || refusal.status == http.StatusUnauthorized) && !dispatcher.trusted() {
+			// A newer configuration may allow it.
+			return nil, &refusalStale
+		}
+		return nil, refusal
+	}
+	job.setDeadline()
+	return job, nil
+}
+
+var refusalStale = refusal{status: http.StatusServiceUnavailable, reason: "configuration-stale", retryAfter: elsewhere}
+
+// identify finds the route's service and the organisation of the key.
+func (dispatcher *Dispatcher) identify(job *job) *refusal {
+	if job.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "route-unknown"}
+	}
+	job.organisation = job.index.Organisation(job.ask.Key)
+	if job.index.NeedsKeys() && !job.route.Open && job.organisation == nil {
+		return &refusal{status: http.StatusUnauthorized, reason: "key-unknown"}
+	}
+	if job.organisation != nil && !dispatcher.trusted() {
+		return &refusalStale
+	}
+	job.service = job.route.Pick(dispatcher.state.float())
+	if job.service == "" {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "route-without-service", retryAfter: time.Second}
+	}
+	return nil
+}
+
+// hostOf strips the port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+func (job *job) setDeadline() {
+	limit := defaultTimeout
+	if job.route.Timeout > 0 {
+		limit = job.route.Timeout
+	}
+	if job.ask.Remaining > 0 {
+		limit = min(limit, job.ask.Remaining)
+	}
+	job.limit = limit
+	job.deadline = job.call.Received.Add(limit)
+}
+
+// mayRun reports whether the job may still be sent: whether the newest
+// configuration knows the key for the same organisation. It is asked right
+// before each attempt, since a job may have waited.
+func (dispatcher *Dispatcher) mayRun(job *job) bool {
+	if job.organisation == nil {
+		return true
+	}
+	if !dispatcher.trusted() {
+		return false
+	}
+	index := dispatcher.Tracker.Index()
+	if index == job.index {
+		return true
+	}
+	holder := index.Organisation(job.ask.Key)
+	return holder != nil && holder.Name == job.organisation.Name
+}
+
+// requestID returns the caller's ID of a request, for logs.
+func requestID(call *receiver.Call) string {
+	ask, err := platform.ReadRequest(call.Request.Header)
+	if err != nil {
+		return "" // the refusal's reason says so
+	}
+	return ask.ID
+}
--- /dev/null
+++ b/gateway/internal/dispatcher/attempt.go
@@ -0,0 +1,194 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/assessor"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/gateway/internal/messenger"
+	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/platform"
+	"godwitramp.example/shell/exchanger"
+)
+
+const (
+	// provenWithin is how lately a connection must have been used to carry a
+	// request that can't be sent again.
+	provenWithin = time.Second
+	// maxAnswerBytes bounds an answer, which is held whole before it is passed
+	// on.
+	maxAnswerBytes = 32 << 20
+)
+
+var errWithheld = errors.New("the attempt must not be sent any more")
+
+// attempt is one attempt of a request at one target.
+type attempt struct {
+	dispatcher *Dispatcher
+	job        *job
+	target     placer.Target
+	number     int
+
+	response *http.Response
+	body     []byte
+	verdict  assessor.Verdict
+	dialed   atomic.Bool
+}
+
+// send does the exchange and judges it.
+func (attempt *attempt) send(ctx context.Context) {
+	started := time.Now()
+	answer, err := attempt.dispatcher.Exchanger.Do(ctx, attempt.call())
+	if err != nil {
+		attempt.verdict = assessor.OfFailure(attempt.failureOf(ctx, err))
+	} else {
+		attempt.read(ctx, answer)
+	}
+	attempt.settle(time.Since(started))
+}
+
+func (attempt *attempt) call() exchanger.Call {
+	request := attempt.request()
+	call := exchanger.Call{
+		Address: attempt.target.Address, Request: request,
+		Connected: func(bool) { attempt.dialed.Store(true) },
+		Belongs:   func(response *http.Response) bool { return attempt.belongs(response) },
+		BeforeWrite: func() error {
+			if !attempt.dispatcher.mayRun(attempt.job) || !attempt.dispatcher.state.usable(attempt.target) {
+				return errWithheld
+			}
+			platform.WriteAttempt(request.Header, attempt.instructions())
+			return nil
+		},
+	}
+	if !attempt.job.route.Idempotent {
+		call.ReuseWithin = provenWithin
+	}
+	return call
+}
+
+// belongs reports whether an answer may be to this attempt. Targets that don't
+// run a request need not say which.
+func (attempt *attempt) belongs(response *http.Response) bool {
+	reply := platform.ReadReply(response)
+	return reply.ID == "" || reply.ID == attempt.job.ask.ID
+}
+
+func (attempt *attempt) instructions() platform.Attempt {
+	told := platform.Attempt{TargetID: attempt.target.ID, Remaining: time.Until(attempt.job.deadline)}
+	if attempt.job.organisation != nil {
+		told.Organisation = attempt.job.organisation.Name
+	}
+	return told
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+}
+
+func removeHopByHop(header http.Header) {
+	for _, line := range header["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(header, name)
+	}
+}
+
+// request makes the request for the target, with the path and query as the
+// caller wrote them.
+func (attempt *attempt) request() *http.Request {
+	call := attempt.job.call
+	header := call.Request.Header.Clone()
+	removeHopByHop(header)
+	platform.Clean(header)
+	delete(header, "Content-Length")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	target := &url.URL{Opaque: call.Target}
+	if strings.HasPrefix(call.Target, "//") {
+		target = call.Request.URL
+	}
+	request := &http.Request{
+		Method: call.Request.Method, URL: target, Host: call.Request.Host, Header: header, ContentLength: int64(len(call.Body)),
+	}
+	if len(call.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(call.Body))
+	}
+	return request
+}
+
+func (attempt *attempt) failureOf(ctx context.Context, err error) assessor.Failure {
+	failure := assessor.Failure{
+		Written: true, Dialed: attempt.dialed.Load(),
+		Cancelled: errors.Is(ctx.Err(), context.Canceled), TimedOut: errors.Is(ctx.Err(), context.DeadlineExceeded),
+		Withheld: errors.Is(err, errWithheld),
+	}
+	var exchange *exchanger.Error
+	if errors.As(err, &exchange) {
+		failure.Written, failure.Fresh = exchange.Written, exchange.FreshConnection
+	}
+	return failure
+}
+
+// read holds the whole answer.
+func (attempt *attempt) read(ctx context.Context, answer *exchanger.Answer) {
+	response := answer.Response
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	answer.Close()
+	if err != nil && ctx.Err() != nil {
+		attempt.verdict = assessor.OfFailure(attempt.failureOf(ctx, err))
+		return
+	}
+	attempt.response, attempt.body = response, body
+	reply := platform.ReadReply(response)
+	attempt.verdict = assessor.OfAnswer(assessor.Answer{
+		Status: response.StatusCode, Signed: reply.Signed, NotRun: reply.NotRun, OtherTarget: reply.OtherTarget,
+		Encoded: len(response.Header["Content-Encoding"]) > 0, Whole: err == nil && len(body) <= maxAnswerBytes,
+	})
+}
+
+// settle tells the outcome to this VM and the others.
+func (attempt *attempt) settle(latency time.Duration) {
+	dispatcher, verdict := attempt.dispatcher, attempt.verdict
+	now := dispatcher.Clock()
+	before := dispatcher.state.suspicion(attempt.target.ID, now)
+	dispatcher.state.done(attempt.target, verdict.Outcome, now)
+	dispatcher.Messenger.Tell(messenger.Note{Kind: messenger.Ended, Name: attempt.target.ID, Outcome: verdict.Outcome})
+	switch verdict.Outcome {
+	case placer.Good:
+		dispatcher.latency.observe(attempt.job.service, latency)
+	case placer.Failed:
+		dispatcher.Messenger.TellRegion(messenger.Note{Kind: messenger.Told, Name: attempt.target.ID, Outcome: placer.Failed})
+	}
+	fields := logrus.Fields{
+		"request": attempt.job.ask.ID, "attempt": attempt.number, "target": attempt.target.ID, "reason": verdict.Reason,
+		"duration": latency.Round(time.Millisecond), "may-have-run": verdict.MayHaveRun,
+		"suspicion-before": before, "suspicion-after": dispatcher.state.suspicion(attempt.target.ID, now),
+	}
+	if verdict.Outcome != placer.Good {
+		dispatcher.Log.WithFields(fields).Info("attempt-failed")
+	}
+}
+
+// reply passes the target's answer on.
+func (attempt *attempt) reply() receiver.Reply {
+	header := attempt.response.Header
+	removeHopByHop(header)
+	return receiver.Reply{Status: attempt.response.StatusCode, Header: header, Body: attempt.body}
+}
--- /dev/null
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -0,0 +1,113 @@
+// Package dispatcher admits callers' requests, sends them to targets and says
+// what is answered.
+//
+// A request that isn't idempotent is sent again only if it certainly did not
+// run. An idempotent one goes to another target after a failure, or beside the
+// first attempt when that takes far longer than usual, both within the
+// service's budget. A request that can't be served is refused at once.
+//
+// # Usage
+//
+//	dispatcher := &dispatcher.Dispatcher{Tracker: tracker, Messenger: messenger, Policy: policy, Log: log}
+//	dispatcher.Open()
+//	reply := dispatcher.Serve(ctx, call)
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/indexer"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/gateway/internal/messenger"
+	"godwitramp.example/shell/exchanger"
+)
+
+// Tracker knows the configuration.
+type Tracker interface {
+	Index() *indexer.Index
+	// AsOf returns the time of the dispatcher's Clock up to which Index is known
+	// to be the newest.
+	AsOf() time.Duration
+}
+
+// Messenger tells other VMs.
+type Messenger interface {
+	Tell(notes ...messenger.Note)
+	TellRegion(notes ...messenger.Note)
+}
+
+// Dispatcher serves requests. Fields are set before Open.
+type Dispatcher struct {
+	Tracker   Tracker
+	Messenger Messenger
+	Exchanger *exchanger.Exchanger
+	Policy    Policy
+	Place     placer.Place
+	// Regions tells the region of each data centre.
+	Regions map[string]string
+	// Clock goes on while the VM is suspended.
+	Clock func() time.Duration
+	Log   *logrus.Entry
+
+	state   state
+	latency latencies
+}
+
+// Open prepares the dispatcher. It comes before all other calls.
+func (dispatcher *Dispatcher) Open() {
+	dispatcher.state = state{
+		placer: &placer.Placer{Place: dispatcher.Place, Regions: dispatcher.Regions},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		policy: dispatcher.Policy, part: 1 / float64(max(1, len(dispatcher.Regions))), heard: 1,
+	}
+}
+
+// Configure takes over a new configuration.
+func (dispatcher *Dispatcher) Configure(index *indexer.Index) {
+	dispatcher.state.configure(index, dispatcher.Clock())
+}
+
+// Target takes over the targets.
+func (dispatcher *Dispatcher) Target(targets []placer.Target) {
+	state := &dispatcher.state
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.placer.Replace(targets, dispatcher.Clock())
+}
+
+// Share takes over which part of the fleet's rates this VM may spend from.
+func (dispatcher *Dispatcher) Share(share messenger.Share) {
+	state := &dispatcher.state
+	state.mutex.Lock()
+	state.part = share.Group / float64(max(1, len(dispatcher.Regions)))
+	state.heard = share.Heard
+	state.mutex.Unlock()
+	if index := dispatcher.Tracker.Index(); index != nil {
+		state.configure(index, dispatcher.Clock())
+	}
+}
+
+// Hear takes over a note of another VM.
+func (dispatcher *Dispatcher) Hear(note messenger.Note, fromGroup bool) {
+	dispatcher.state.hear(note, fromGroup, dispatcher.Clock())
+}
+
+// trusted reports whether requests with a key may run: whether no key can have
+// been withdrawn for longer than a withdrawal may take.
+func (dispatcher *Dispatcher) trusted() bool {
+	return dispatcher.Clock()-dispatcher.Tracker.AsOf() < dispatcher.Policy.Trust
+}
+
+// await waits for a channel, and reports false if the context ends first.
+func await(ctx context.Context, channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/gateway/internal/dispatcher/run.go
@@ -0,0 +1,229 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/assessor"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/gateway/internal/messenger"
+	"godwitramp.example/gateway/internal/receiver"
+)
+
+// Serve answers one request.
+func (dispatcher *Dispatcher) Serve(ctx context.Context, call *receiver.Call) receiver.Reply {
+	job, refused := dispatcher.admit(call)
+	if refused != nil {
+		dispatcher.logRefusal(call, refused)
+		return refused.reply()
+	}
+	run := &run{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.route.Attempts+1)}
+	reply := run.serve(ctx)
+	run.log(ctx, reply)
+	return reply
+}
+
+// run is the work on one admitted request.
+type run struct {
+	dispatcher *Dispatcher
+	job        *job
+	results    chan *attempt
+
+	tried    []string
+	attempts int
+	running  int
+	// mayHaveRun is true once an attempt may have run the request.
+	mayHaveRun bool
+	// failure is a target's own failure, passed on if nothing better comes.
+	failure *attempt
+	last    assessor.Verdict
+	reason  string
+}
+
+// hedgePart is the part of the latency objective after which an idempotent
+// request is sent to a second target at the latest.
+const hedgePart = 0.7
+
+func (run *run) serve(parent context.Context) receiver.Reply {
+	ctx, cancel := context.WithDeadline(parent, run.job.deadline)
+	defer cancel()
+	if !run.job.route.Idempotent && !await(ctx, run.job.call.Turn) {
+		return run.refuse(refusal{status: http.StatusServiceUnavailable, reason: "turn-did-not-come", retryAfter: elsewhere})
+	}
+	if refusal := run.charge(); refusal != nil {
+		return run.refuse(*refusal)
+	}
+	if !run.start(ctx) {
+		return run.giveUp()
+	}
+	return run.await(ctx)
+}
+
+// charge takes the request off its organisation's rate.
+func (run *run) charge() *refusal {
+	organisation := run.job.organisation
+	if organisation == nil {
+		return nil
+	}
+	wait, ok := run.dispatcher.state.charge(organisation.Name, run.dispatcher.Clock())
+	if !ok {
+		return &refusal{status: http.StatusTooManyRequests, reason: "rate-exceeded", retryAfter: wait}
+	}
+	if organisation.Rate > 0 {
+		run.dispatcher.Messenger.Tell(messenger.Note{Kind: messenger.Admitted, Name: organisation.Name})
+	}
+	return nil
+}
+
+// start begins one attempt. It reports false if none is allowed or possible.
+func (run *run) start(ctx context.Context) bool {
+	if run.attempts >= run.job.route.Attempts || ctx.Err() != nil {
+		return false
+	}
+	dispatcher := run.dispatcher
+	target, ok := dispatcher.state.pick(placer.Ask{
+		Service: run.job.service, Tried: run.tried, Idempotent: run.job.route.Idempotent, Now: dispatcher.Clock(),
+	})
+	if !ok {
+		return false
+	}
+	kind := messenger.Begun
+	if run.attempts > 0 {
+		kind = messenger.BegunAgain
+	}
+	dispatcher.Messenger.Tell(messenger.Note{Kind: kind, Name: target.ID, Service: run.job.service})
+	run.attempts++
+	run.running++
+	run.tried = append(run.tried, target.ID)
+	attempt := &attempt{dispatcher: dispatcher, job: run.job, target: target, number: run.attempts}
+	go func() {
+		attempt.send(ctx)
+		run.results <- attempt
+	}()
+	return true
+}
+
+// await waits for the attempts until one settles the request.
+func (run *run) await(ctx context.Context) receiver.Reply {
+	hedge := run.hedgeTimer()
+	defer hedge.Stop()
+	for {
+		select {
+		case attempt := <-run.results:
+			run.running--
+			if reply := run.take(ctx, attempt); reply != nil {
+				return *reply
+			}
+		case <-hedge.C:
+			run.start(ctx)
+		case <-ctx.Done():
+			return run.expire(ctx)
+		}
+	}
+}
+
+// hedgeTimer fires when an idempotent request should be sent to a second
+// target too.
+func (run *run) hedgeTimer() *time.Timer {
+	objective := run.job.route.Objective
+	if !run.job.route.Idempotent || objective <= 0 {
+		timer := time.NewTimer(time.Hour)
+		timer.Stop()
+		return timer
+	}
+	longest := time.Duration(hedgePart * float64(objective))
+	return time.NewTimer(run.dispatcher.latency.delay(run.job.service, longest))
+}
+
+// take returns the reply if the attempt settles the request.
+func (run *run) take(ctx context.Context, attempt *attempt) *receiver.Reply {
+	verdict := attempt.verdict
+	run.last = verdict
+	run.mayHaveRun = run.mayHaveRun || verdict.MayHaveRun
+	if verdict.Deliver == assessor.Always {
+		run.reason = verdict.Reason
+		reply := attempt.reply()
+		return &reply
+	}
+	if verdict.Deliver == assessor.IfLast {
+		run.failure = attempt
+	}
+	if (run.job.route.Idempotent || !run.mayHaveRun) && run.start(ctx) {
+		return nil
+	}
+	if run.running > 0 {
+		return nil
+	}
+	reply := run.giveUp()
+	return &reply
+}
+
+// expire answers when the time has run out. Attempts still in progress are
+// cancelled and may have run.
+func (run *run) expire(ctx context.Context) receiver.Reply {
+	run.mayHaveRun = run.mayHaveRun || run.running > 0
+	if context.Cause(ctx) == context.Canceled {
+		run.reason = "caller-gone"
+		return receiver.Reply{Abort: true}
+	}
+	if run.failure != nil {
+		run.reason = run.failure.verdict.Reason
+		return run.failure.reply()
+	}
+	if run.mayHaveRun {
+		return run.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timed-out"})
+	}
+	return run.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timed-out-unsent", retryAfter: comeBack})
+}
+
+// comeBack is how soon targets that are full or out may have room again.
+const comeBack = 300 * time.Millisecond
+
+// giveUp answers when nothing more can be tried.
+func (run *run) giveUp() receiver.Reply {
+	switch {
+	case run.failure != nil:
+		run.reason = run.failure.verdict.Reason
+		return run.failure.reply()
+	case run.mayHaveRun:
+		return run.refuse(refusal{status: http.StatusBadGateway, reason: run.last.Reason})
+	case run.attempts == 0:
+		return run.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no-target", retryAfter: comeBack})
+	case run.last.Reason == "withheld":
+		return run.refuse(refusalStale)
+	default:
+		return run.refuse(refusal{status: http.StatusServiceUnavailable, reason: run.last.Reason, retryAfter: comeBack})
+	}
+}
+
+func (run *run) refuse(refusal refusal) receiver.Reply {
+	run.reason = refusal.reason
+	return refusal.reply()
+}
+
+// log writes the line of the request's end.
+func (run *run) log(ctx context.Context, reply receiver.Reply) {
+	dispatcher, job := run.dispatcher, run.job
+	fields := logrus.Fields{
+		"request": job.ask.ID, "route": job.route.Name, "service": job.service, "status": reply.Status, "reason": run.reason,
+		"attempts": run.attempts, "targets": run.tried, "may-have-run": run.mayHaveRun, "caller-gone": ctx.Err() != nil,
+		"duration": time.Since(job.call.Received).Round(time.Millisecond), "limit": job.limit,
+		"configuration": job.index.Version, "age": (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond),
+	}
+	if job.organisation != nil {
+		fields["organisation"] = job.organisation.Name
+	}
+	dispatcher.Log.WithFields(fields).Info("request-answered")
+}
+
+func (dispatcher *Dispatcher) logRefusal(call *receiver.Call, refusal *refusal) {
+	fields := logrus.Fields{"status": refusal.status, "reason": refusal.reason}
+	if index := dispatcher.Tracker.Index(); index != nil {
+		fields["configuration"] = index.Version
+		fields["age"] = (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond)
+	}
+	dispatcher.Log.WithFields(fields).WithField("request", requestID(call)).Info("request-refused")
+}
--- /dev/null
+++ b/gateway/internal/dispatcher/state.go
@@ -0,0 +1,156 @@
+package dispatcher
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"godwitramp.example/core/indexer"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/core/throttler"
+	"godwitramp.example/gateway/internal/messenger"
+)
+
+// state is what the decisions of a VM rest on, under one mutex.
+type state struct {
+	mutex   sync.Mutex
+	placer  *placer.Placer
+	random  *rand.Rand
+	rates   map[string]*throttler.Bucket
+	budgets map[string]*throttler.Budget
+	policy  Policy
+	// part is the part of the fleet's rates that the group of VMs has, and
+	// heard the part of the group that this VM may spend for.
+	part, heard float64
+}
+
+// Policy is what bounds the fleet as a whole.
+type Policy struct {
+	Rates throttler.Tolerance
+	// RetryRatio is the number of further attempts for each request of a
+	// service, beside RetryExtra in each RetryWindow.
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+	// Trust is how old the knowledge of the configuration may be for requests
+	// with a key to be served.
+	Trust time.Duration
+}
+
+// configure takes over the rates and services of a configuration.
+func (state *state) configure(index *indexer.Index, now time.Duration) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	rates := make(map[string]*throttler.Bucket)
+	for i := range index.Organisations {
+		organisation := &index.Organisations[i]
+		if organisation.Rate <= 0 {
+			continue
+		}
+		bucket := state.rates[organisation.Name]
+		if bucket == nil {
+			bucket = &throttler.Bucket{}
+		}
+		bucket.Set(state.policy.Rates.Divide(organisation.Rate, organisation.Burst, state.part), now)
+		bucket.SetPart(state.heard, now)
+		rates[organisation.Name] = bucket
+	}
+	state.rates = rates
+	budgets := make(map[string]*throttler.Budget)
+	for i := range index.Services {
+		name := index.Services[i].Name
+		budget := state.budgets[name]
+		if budget == nil {
+			budget = &throttler.Budget{Ratio: state.policy.RetryRatio}
+		}
+		budget.Set(state.policy.RetryExtra, state.policy.RetryWindow, state.part, now)
+		budget.SetPart(state.heard, now)
+		budgets[name] = budget
+	}
+	state.budgets = budgets
+}
+
+// charge takes a token of the organisation, or returns how long to wait.
+func (state *state) charge(organisation string, now time.Duration) (time.Duration, bool) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	bucket := state.rates[organisation]
+	if bucket == nil {
+		return 0, true
+	}
+	return bucket.Take(now)
+}
+
+// pick returns a target, and takes a further attempt from the service's budget
+// if this is one.
+func (state *state) pick(ask placer.Ask) (placer.Target, bool) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	target, ok := state.placer.Pick(ask, state.random)
+	if !ok {
+		return placer.Target{}, false
+	}
+	budget := state.budgets[ask.Service]
+	switch {
+	case budget == nil:
+	case len(ask.Tried) == 0:
+		budget.Deposit(ask.Now)
+	case !budget.Withdraw(ask.Now):
+		state.placer.Done(target, placer.Unknown, ask.Now)
+		return placer.Target{}, false
+	}
+	return target, true
+}
+
+// float returns a random number from 0 to 1.
+func (state *state) float() float64 {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.random.Float64()
+}
+
+func (state *state) usable(target placer.Target) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.Usable(target)
+}
+
+func (state *state) done(target placer.Target, outcome placer.Outcome, now time.Duration) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.placer.Done(target, outcome, now)
+}
+
+func (state *state) suspicion(target string, now time.Duration) float64 {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.Suspicion(target, now)
+}
+
+// hear takes a note of another VM in. Notes that change what a group shares
+// count only if they come from the group.
+func (state *state) hear(note messenger.Note, fromGroup bool, now time.Duration) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	switch {
+	case note.Kind == messenger.Told:
+		state.placer.Told(note.Name, note.Outcome, now)
+	case !fromGroup:
+	case note.Kind == messenger.Admitted:
+		if bucket := state.rates[note.Name]; bucket != nil {
+			bucket.Spent(1, now)
+		}
+	case note.Kind == messenger.Begun:
+		state.placer.Begun(note.Name, now)
+		if budget := state.budgets[note.Service]; budget != nil {
+			budget.Deposit(now)
+		}
+	case note.Kind == messenger.BegunAgain:
+		state.placer.Begun(note.Name, now)
+		if budget := state.budgets[note.Service]; budget != nil {
+			budget.Spent(now)
+		}
+	case note.Kind == messenger.Ended:
+		state.placer.Ended(note.Name, note.Outcome, now)
+	}
+}
--- /dev/null
+++ b/gateway/internal/loader/loader.go
@@ -0,0 +1,194 @@
+// Package loader reads and checks the settings of the gateway program.
+//
+// # Usage
+//
+//	settings, problems := loader.Load("vm.ini", data)
+package loader
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"godwitramp.example/platform"
+	"godwitramp.example/shell/loader"
+)
+
+// Settings is what a VM has to know at its start.
+type Settings struct {
+	// Name is the name of the VM, unique in the fleet.
+	Name       string
+	Region     string
+	DataCentre string
+	// Regions tells the region of each data centre.
+	Regions map[string]string
+
+	// Callers and Readiness are the addresses for callers and for the
+	// balancer's checks, Operators the one for metrics.
+	Callers   string
+	Readiness string
+	Operators string
+	// Messages is the UDP address for the other VMs.
+	Messages string
+
+	// Store is the address of the platform's store.
+	Store string
+
+	// MemoryMB and Descriptors are what the process may use.
+	MemoryMB    int
+	Descriptors int
+
+	// Withdrawal is how soon a withdrawn key must have stopped working.
+	Withdrawal time.Duration
+	// StopGrace is how long a planned stop may last.
+	StopGrace time.Duration
+
+	RetryRatio  float64
+	RetryExtra  float64
+	RetryWindow time.Duration
+
+	RateWindow    time.Duration
+	RateOvershoot float64
+	RateTolerance float64
+}
+
+const (
+	allowedText    = "a text"
+	allowedAddress = "an IP address and a port, such as 127.0.0.1:8080"
+	allowedTime    = "a number and its unit, ms or s, such as 1.5s"
+	allowedNumber  = "a number that is not negative"
+	allowedCount   = "a whole number above 0"
+	allowedPairs   = "data centres and their regions, such as anand-a:charotar, separated by commas"
+)
+
+// All lists the settings in the order of the documentation.
+var All = loader.List[Settings]{
+	{Section: "vm", Name: "name", Required: true, Allowed: allowedText, Doc: "Name of the VM, unique in the fleet.",
+		Set: text(func(s *Settings) *string { return &s.Name })},
+	{Section: "vm", Name: "region", Required: true, Allowed: allowedText, Doc: "Region that the VM stands in.",
+		Set: text(func(s *Settings) *string { return &s.Region })},
+	{Section: "vm", Name: "data-centre", Required: true, Allowed: allowedText, Doc: "Data centre that the VM stands in.",
+		Set: text(func(s *Settings) *string { return &s.DataCentre })},
+	{Section: "vm", Name: "memory-mb", Required: true, Allowed: allowedCount, Doc: "Memory in megabytes that the process may use.",
+		Set: count(func(s *Settings) *int { return &s.MemoryMB })},
+	{Section: "vm", Name: "descriptors", Required: true, Allowed: allowedCount, Doc: "File descriptors that the process may use.",
+		Set: count(func(s *Settings) *int { return &s.Descriptors })},
+	{Section: "fleet", Name: "regions", Required: true, Allowed: allowedPairs, Doc: "All data centres of the fleet with their regions.",
+		Set: setRegions},
+	{Section: "listen", Name: "callers", Required: true, Allowed: allowedAddress, Doc: "Address for the balancer and its callers.",
+		Set: address(func(s *Settings) *string { return &s.Callers })},
+	{Section: "listen", Name: "readiness", Required: true, Allowed: allowedAddress, Doc: "Address for the balancer's checks.",
+		Set: address(func(s *Settings) *string { return &s.Readiness })},
+	{Section: "listen", Name: "operators", Required: true, Allowed: allowedAddress, Doc: "Address for metrics and health.",
+		Set: address(func(s *Settings) *string { return &s.Operators })},
+	{Section: "listen", Name: "messages", Required: true, Allowed: allowedAddress, Doc: "UDP address for the other VMs.",
+		Set: address(func(s *Settings) *string { return &s.Messages })},
+	{Section: "store", Name: "address", Required: true, Allowed: allowedAddress, Doc: "Address of the platform's store.",
+		Set: address(func(s *Settings) *string { return &s.Store })},
+	{Section: "keys", Name: "withdrawal", Default: "5s", Allowed: allowedTime,
+		Doc: "Time within which a withdrawn key stops working, also on a VM that is cut off.",
+		Set: duration(func(s *Settings) *time.Duration { return &s.Withdrawal })},
+	{Section: "stop", Name: "grace", Default: "6s", Allowed: allowedTime, Doc: "Longest duration of a planned stop.",
+		Set: duration(func(s *Settings) *time.Duration { return &s.StopGrace })},
+	{Section: "retries", Name: "ratio", Default: "0.2", Allowed: allowedNumber,
+		Doc: "Further attempts for each request of a service, over the fleet.",
+		Set: number(func(s *Settings) *float64 { return &s.RetryRatio })},
+	{Section: "retries", Name: "extra", Default: "60", Allowed: allowedNumber,
+		Doc: "Further attempts of a service in a window beside the ratio, over the fleet.",
+		Set: number(func(s *Settings) *float64 { return &s.RetryExtra })},
+	{Section: "retries", Name: "window", Default: "10s", Allowed: allowedTime, Doc: "Window of the retry budget.",
+		Set: duration(func(s *Settings) *time.Duration { return &s.RetryWindow })},
+	{Section: "rates", Name: "window", Default: "5s", Allowed: allowedTime, Doc: "Window in which an organisation's requests are counted.",
+		Set: duration(func(s *Settings) *time.Duration { return &s.RateWindow })},
+	{Section: "rates", Name: "overshoot", Default: "0.1", Allowed: allowedNumber,
+		Doc: "Part by which the requests in a window may exceed rate and burst.",
+		Set: number(func(s *Settings) *float64 { return &s.RateOvershoot })},
+	{Section: "rates", Name: "tolerance", Default: "20", Allowed: allowedNumber,
+		Doc: "Requests in a window beyond the overshoot, over the fleet.",
+		Set: number(func(s *Settings) *float64 { return &s.RateTolerance })},
+}
+
+// Load reads the settings from the text of a file. It returns every mistake.
+func Load(file string, data []byte) (Settings, []error) {
+	settings, problems := All.Load(file, data, nil)
+	if len(problems) == 0 && settings.Regions[settings.DataCentre] != settings.Region {
+		problems = append(problems, fmt.Errorf("%s: [fleet] regions: lacks the data centre %q in region %q; allowed: %s",
+			file, settings.DataCentre, settings.Region, allowedPairs))
+	}
+	return settings, problems
+}
+
+// setter puts the text of a setting into the settings.
+type setter = func(*Settings, string) error
+
+func text(field func(*Settings) *string) setter {
+	return func(settings *Settings, value string) error {
+		*field(settings) = value
+		return nil
+	}
+}
+
+func address(field func(*Settings) *string) setter {
+	return func(settings *Settings, value string) error {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return fmt.Errorf("is not an address: %w", err)
+		}
+		*field(settings) = value
+		return nil
+	}
+}
+
+func count(field func(*Settings) *int) setter {
+	return func(settings *Settings, value string) error {
+		number, err := strconv.Atoi(value)
+		if err != nil || number < 1 {
+			return fmt.Errorf("is not a whole number above 0")
+		}
+		*field(settings) = number
+		return nil
+	}
+}
+
+func number(field func(*Settings) *float64) setter {
+	return func(settings *Settings, value string) error {
+		number, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(number >= 0) {
+			return fmt.Errorf("is not a number that is not negative")
+		}
+		*field(settings) = number
+		return nil
+	}
+}
+
+func duration(field func(*Settings) *time.Duration) setter {
+	return func(settings *Settings, value string) error {
+		duration, err := platform.Duration(value)
+		if err != nil || duration <= 0 {
+			return fmt.Errorf("is not a duration above 0")
+		}
+		*field(settings) = duration
+		return nil
+	}
+}
+
+func setRegions(settings *Settings, value string) error {
+	regions := make(map[string]string)
+	for pair := range strings.SplitSeq(value, ",") {
+		pair = strings.TrimSpace(pair)
+		if pair == "" {
+			continue
+		}
+		dataCentre, region, ok := strings.Cut(pair, ":")
+		if !ok || dataCentre == "" || region == "" {
+			return fmt.Errorf("contains %q, which is not a pair", pair)
+		}
+		regions[dataCentre] = region
+	}
+	if len(regions) == 0 {
+		return fmt.Errorf("names no data centre")
+	}
+	settings.Regions = regions
+	return nil
+}
--- /dev/null
+++ b/gateway/internal/messenger/message.go
@@ -0,0 +1,103 @@
+package messenger
+
+import (
+	"bytes"
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/rand"
+	"errors"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"godwitramp.example/core/placer"
+)
+
+// Kind is what a note tells.
+type Kind uint8
+
+// The kinds of notes.
+const (
+	// Admitted tells of a request that an organisation was charged for.
+	Admitted Kind = iota + 1
+	// Begun tells of the first attempt of a request.
+	Begun
+	// BegunAgain tells of a further attempt of a request.
+	BegunAgain
+	// Ended tells how an attempt ended whose beginning was told.
+	Ended
+	// Told tells how an attempt ended, to VMs that aren't told of beginnings.
+	Told
+)
+
+// Note is one thing that a VM tells others.
+type Note struct {
+	Kind Kind
+	// Name is the organisation of Admitted, and otherwise the target.
+	Name string
+	// Service is that of Begun and BegunAgain.
+	Service string
+	// Outcome is that of Ended and Told.
+	Outcome placer.Outcome
+}
+
+// letter is what one datagram holds.
+type letter struct {
+	From       string
+	DataCentre string
+	Address    string
+	// Hello asks for an answer.
+	Hello bool
+	// Leaving tells that the sender stops for good or for a restart.
+	Leaving bool
+	Notes   []Note
+}
+
+// sealer encrypts letters with the fleet's key.
+type sealer struct {
+	aead cipher.AEAD
+}
+
+func newSealer(key []byte) (*sealer, error) {
+	block, err := aes.NewCipher(key)
+	if err != nil {
+		return nil, fmt.Errorf("use the fleet's key: %w", err)
+	}
+	aead, err := cipher.NewGCM(block)
+	if err != nil {
+		return nil, fmt.Errorf("use the fleet's key: %w", err)
+	}
+	return &sealer{aead: aead}, nil
+}
+
+func (sealer *sealer) seal(letter letter) ([]byte, error) {
+	var plain bytes.Buffer
+	encoder := msgpack.NewEncoder(&plain)
+	encoder.UseArrayEncodedStructs(true) // names of fields would double the size
+	if err := encoder.Encode(&letter); err != nil {
+		return nil, fmt.Errorf("encode letter: %w", err)
+	}
+	nonce := make([]byte, sealer.aead.NonceSize(), sealer.aead.NonceSize()+plain.Len()+sealer.aead.Overhead())
+	if _, err := rand.Read(nonce); err != nil {
+		return nil, fmt.Errorf("draw nonce: %w", err)
+	}
+	return sealer.aead.Seal(nonce, nonce, plain.Bytes(), nil), nil
+}
+
+var errForeign = errors.New("the datagram is not from this fleet")
+
+func (sealer *sealer) open(datagram []byte) (letter, error) {
+	size := sealer.aead.NonceSize()
+	if len(datagram) < size {
+		return letter{}, errForeign
+	}
+	plain, err := sealer.aead.Open(nil, datagram[:size], datagram[size:], nil)
+	if err != nil {
+		return letter{}, errForeign
+	}
+	var opened letter
+	if err := msgpack.Unmarshal(plain, &opened); err != nil {
+		return letter{}, fmt.Errorf("decode letter: %w", err)
+	}
+	return opened, nil
+}
--- /dev/null
+++ b/gateway/internal/messenger/peers.go
@@ -0,0 +1,172 @@
+package messenger
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// maxGroup bounds the VMs that share a rate, and so the datagrams of a VM.
+const maxGroup = 16
+
+// maxOthers bounds the VMs of the region that a VM tells of failures.
+const maxOthers = 32
+
+// Know takes VMs of the region in, and greets those that were not known.
+func (messenger *Messenger) Know(peers []Peer) {
+	for _, peer := range peers {
+		if peer.Name != messenger.Self.Name && messenger.add(peer, false) {
+			messenger.send(peer.Address, messenger.letter(true, nil))
+		}
+	}
+}
+
+// hear takes note of a VM that has just spoken.
+func (messenger *Messenger) hear(from Peer) {
+	if messenger.add(from, true) {
+		messenger.Log.WithField("peer", from.Name).Info("peer-heard")
+	}
+}
+
+// add reports whether the VM was not known at its address, or not heard.
+func (messenger *Messenger) add(from Peer, heard bool) bool {
+	address, err := netip.ParseAddrPort(from.Address)
+	if err != nil {
+		messenger.Log.WithError(err).WithField("peer", from.Name).Warn("peer-address-malformed")
+		return false
+	}
+	messenger.mutex.Lock()
+	known := messenger.peers[from.Name]
+	news := known == nil || known.address != address || heard && known.silent
+	if known == nil {
+		known = &peer{silent: true}
+		messenger.peers[from.Name] = known
+	}
+	known.Peer, known.address = from, address
+	if heard {
+		known.heard, known.silent = messenger.Clock(), false
+	}
+	if news {
+		messenger.regroup()
+	}
+	messenger.mutex.Unlock()
+	if news && messenger.Changed != nil {
+		messenger.Changed()
+	}
+	return news
+}
+
+func (messenger *Messenger) forget(name string) {
+	messenger.mutex.Lock()
+	_, known := messenger.peers[name]
+	delete(messenger.peers, name)
+	messenger.regroup()
+	messenger.mutex.Unlock()
+	if !known {
+		return
+	}
+	messenger.Log.WithField("peer", name).Info("peer-left")
+	if messenger.Changed != nil {
+		messenger.Changed()
+	}
+}
+
+// checkSilence finds the VMs of the group that are no longer heard.
+func (messenger *Messenger) checkSilence() {
+	now := messenger.Clock()
+	var lost []string
+	messenger.mutex.Lock()
+	for _, peer := range messenger.group {
+		if !peer.silent && now-peer.heard > silence {
+			peer.silent = true
+			lost = append(lost, peer.Name)
+		}
+	}
+	messenger.mutex.Unlock()
+	for _, name := range lost {
+		messenger.Log.WithField("peer", name).Warn("peer-silent")
+	}
+	if len(lost) > 0 && messenger.Changed != nil {
+		messenger.Changed()
+	}
+}
+
+// regroup deals the VMs of the data centre, in the order of their names, to
+// groups of nearly equal size. The mutex is held.
+func (messenger *Messenger) regroup() {
+	names := []string{messenger.Self.Name}
+	for _, peer := range messenger.peers {
+		if peer.DataCentre == messenger.Self.DataCentre {
+			names = append(names, peer.Name)
+		}
+	}
+	slices.SortFunc(names, strings.Compare)
+	messenger.size = len(names)
+	groups := (len(names) + maxGroup - 1) / maxGroup
+	own := groupOf(slices.Index(names, messenger.Self.Name), len(names), groups)
+	messenger.group, messenger.others = nil, nil
+	for _, peer := range messenger.peers {
+		index := slices.Index(names, peer.Name)
+		if index >= 0 && groupOf(index, len(names), groups) == own {
+			messenger.group = append(messenger.group, peer)
+		} else if len(messenger.others) < maxOthers {
+			messenger.others = append(messenger.others, peer)
+		}
+	}
+}
+
+func groupOf(index, members, groups int) int { return index * groups / members }
+
+// Share says which part of the data centre's rates the group has, and which
+// part of the group this VM hears, itself included.
+type Share struct {
+	// Group is the part of the data centre, from 0 to 1.
+	Group float64
+	// Heard is the part of the group, from 0 to 1.
+	Heard float64
+	// VMs is the number of VMs known in the data centre.
+	VMs int
+}
+
+// Share returns the present state of the group.
+func (messenger *Messenger) Share() Share {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	heard := 1
+	for _, peer := range messenger.group {
+		if !peer.silent {
+			heard++
+		}
+	}
+	members := len(messenger.group) + 1
+	return Share{
+		Group: float64(members) / float64(messenger.size), Heard: float64(heard) / float64(members), VMs: messenger.size,
+	}
+}
+
+// InGroup reports whether the VM shares rates with this one.
+func (messenger *Messenger) InGroup(name string) bool {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	return slices.ContainsFunc(messenger.group, func(peer *peer) bool { return peer.Name == name })
+}
+
+func (messenger *Messenger) groupPeers() []netip.AddrPort {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	return addresses(messenger.group)
+}
+
+func (messenger *Messenger) otherPeers() []netip.AddrPort {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	return addresses(messenger.others)
+}
+
+func addresses(peers []*peer) []netip.AddrPort {
+	found := make([]netip.AddrPort, 0, len(peers))
+	for _, peer := range peers {
+		found = append(found, peer.address)
+	}
+	return found
+}
--- /dev/null
+++ b/gateway/internal/receiver/connection.go
@@ -0,0 +1,247 @@
+package receiver
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// maxPipelined bounds the unanswered requests of one connection. Beyond it
+	// nothing is read, and a caller that goes away is noticed later.
+	maxPipelined = 64
+	// writeTimeout bounds the writing of one answer to a caller that doesn't
+	// read.
+	writeTimeout = 10 * time.Second
+	// lingerTimeout is how long a closing connection is read, since unread
+	// bytes would reset it under the last answer.
+	lingerTimeout = 500 * time.Millisecond
+	// defaultIdleTimeout holds while no configuration is known.
+	defaultIdleTimeout   = 15 * time.Second
+	defaultHeaderTimeout = 3 * time.Second
+	defaultHeaderBytes   = 16 << 10
+	defaultBodyBytes     = 1 << 20
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 30 * time.Second
+)
+
+// connection is one connection of a caller.
+type connection struct {
+	receiver *Receiver
+	raw      net.Conn
+	reader   *bufio.Reader
+	// refused connections are beyond the limit.
+	refused bool
+
+	mutex sync.Mutex
+	// pending counts unanswered requests.
+	pending int
+	// inHead is true while a request is being read.
+	inHead bool
+	// closing is true once an answer has said that the connection closes.
+	closing bool
+}
+
+func newConnection(receiver *Receiver, raw net.Conn) *connection {
+	size := receiver.limits().HeaderBytes + len("\r\n\r\n")
+	return &connection{receiver: receiver, raw: raw, reader: bufio.NewReaderSize(raw, size)}
+}
+
+// serve reads requests until the caller goes away or an answer has closed the
+// connection.
+func (connection *connection) serve(parent context.Context) {
+	ctx, cancel := context.WithCancel(parent)
+	var group sync.WaitGroup
+	defer func() { _ = connection.raw.Close() }()
+	defer group.Wait()
+	defer cancel()
+	if connection.refused {
+		connection.write(connection.receiver.Handler.Refuse(http.StatusServiceUnavailable, "too-many-connections"), nil, true)
+		connection.linger()
+		return
+	}
+	turn := make(chan struct{})
+	close(turn)
+	slots := make(chan struct{}, maxPipelined)
+	for {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		call, err := connection.read()
+		if err != nil {
+			connection.refuse(ctx, turn, err)
+			return
+		}
+		call.Turn = turn
+		next := make(chan struct{})
+		connection.begin()
+		group.Go(func() {
+			defer func() { <-slots }()
+			connection.answer(ctx, cancel, call, next)
+		})
+		turn = next
+		if call.Request.Close {
+			connection.awaitEnd(ctx)
+			return
+		}
+	}
+}
+
+// begin counts a request that has been read.
+func (connection *connection) begin() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.inHead = false
+	connection.pending++
+	connection.receiver.running.Add(1)
+	if !connection.closing {
+		_ = connection.raw.SetReadDeadline(time.Time{})
+	}
+}
+
+// finish counts a request that has been answered, and starts the idle time.
+func (connection *connection) finish(call *Call) {
+	connection.receiver.held.Add(-int64(len(call.Body)))
+	connection.receiver.running.Add(-1)
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.pending--
+	connection.setIdleDeadline()
+}
+
+func (connection *connection) setIdleDeadline() {
+	if connection.pending == 0 && !connection.inHead && !connection.closing {
+		_ = connection.raw.SetReadDeadline(time.Now().Add(connection.receiver.limits().IdleTimeout))
+	}
+}
+
+// closeIdle closes the connection unless a request is in progress.
+func (connection *connection) closeIdle() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.pending == 0 && !connection.inHead {
+		_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// answer handles the call and writes its answer when its turn comes.
+func (connection *connection) answer(ctx context.Context, cancel context.CancelFunc, call *Call, next chan struct{}) {
+	defer connection.finish(call)
+	reply := connection.receiver.Handler.Serve(ctx, call)
+	select {
+	case <-call.Turn:
+	case <-ctx.Done():
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	closes := reply.Close || call.Request.Close || connection.receiver.leaving.Load()
+	if reply.Abort || !connection.write(reply, call.Request, closes) {
+		cancel()
+		_ = connection.raw.Close()
+		return
+	}
+	if closes {
+		// Requests behind this one count as not read and must not run.
+		cancel()
+		connection.endReading()
+		return
+	}
+	close(next)
+}
+
+// endReading makes serve end its reading and linger.
+func (connection *connection) endReading() {
+	connection.mutex.Lock()
+	connection.closing = true
+	connection.mutex.Unlock()
+	_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
+}
+
+// awaitEnd waits until the last request is answered or the caller goes away.
+func (connection *connection) awaitEnd(ctx context.Context) {
+	for ctx.Err() == nil {
+		if _, err := connection.reader.Discard(1); err != nil {
+			break
+		}
+	}
+	connection.lingerIfClosing()
+}
+
+// lingerIfClosing lingers if an answer has closed the connection.
+func (connection *connection) lingerIfClosing() {
+	connection.mutex.Lock()
+	closing := connection.closing
+	connection.mutex.Unlock()
+	if closing {
+		connection.linger()
+	}
+}
+
+// linger ends the caller's reading and reads until the caller closes.
+func (connection *connection) linger() {
+	if closer, ok := connection.raw.(interface{ CloseWrite() error }); ok {
+		_ = closer.CloseWrite()
+	}
+	_ = connection.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, connection.reader) // what comes now is not read as a request
+}
+
+// refuse answers a request that could not be read, after the earlier ones.
+func (connection *connection) refuse(ctx context.Context, turn <-chan struct{}, err error) {
+	var malformed *requestError
+	if !errors.As(err, &malformed) {
+		connection.lingerIfClosing()
+		return
+	}
+	_ = connection.raw.SetReadDeadline(time.Time{})
+	select {
+	case <-turn:
+	case <-ctx.Done():
+		return
+	}
+	connection.receiver.Log.WithFields(map[string]any{
+		"status": malformed.status, "reason": malformed.reason,
+	}).Info("request-malformed")
+	if connection.write(connection.receiver.Handler.Refuse(malformed.status, malformed.reason), nil, true) {
+		connection.linger()
+	}
+}
+
+// write writes one answer and reports whether the caller can have got it.
+func (connection *connection) write(reply Reply, request *http.Request, closes bool) bool {
+	var buffer bytes.Buffer
+	fmt.Fprintf(&buffer, "HTTP/1.1 %d %s\r\n", reply.Status, http.StatusText(reply.Status))
+	bodyless := reply.Status == http.StatusNoContent || reply.Status == http.StatusNotModified
+	head := request != nil && request.Method == http.MethodHead
+	for name, values := range reply.Header {
+		if name == "Content-Length" && !head && !bodyless {
+			continue
+		}
+		for _, value := range values {
+			fmt.Fprintf(&buffer, "%s: %s\r\n", name, value)
+		}
+	}
+	if closes {
+		buffer.WriteString("Connection: close\r\n")
+	}
+	if !head && !bodyless {
+		fmt.Fprintf(&buffer, "Content-Length: %d\r\n\r\n", len(reply.Body))
+		buffer.Write(reply.Body)
+	} else {
+		buffer.WriteString("\r\n")
+	}
+	_ = connection.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := connection.raw.Write(buffer.Bytes())
+	return err == nil
+}
--- /dev/null
+++ b/gateway/internal/receiver/request.go
@@ -0,0 +1,266 @@
+package receiver
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"time"
+
+	"godwitramp.example/core/indexer"
+)
+
+// requestError says why a request isn't handled.
+type requestError struct {
+	status int
+	reason string
+}
+
+// Error names the reason.
+func (err *requestError) Error() string { return err.reason }
+
+func malformed(reason string) error {
+	return &requestError{status: http.StatusBadRequest, reason: reason}
+}
+
+// limits returns the limits in force, with defaults for those not set.
+func (receiver *Receiver) limits() indexer.Limits {
+	limits := receiver.Limits()
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = defaultHeaderBytes
+	}
+	if limits.BodyBytes <= 0 {
+		limits.BodyBytes = defaultBodyBytes
+	}
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultIdleTimeout
+	}
+	return limits
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+// read reads one request. The error is a *requestError if it can be answered.
+func (connection *connection) read() (*Call, error) {
+	connection.mutex.Lock()
+	connection.setIdleDeadline()
+	connection.mutex.Unlock()
+	if err := connection.awaitRequest(); err != nil {
+		return nil, err
+	}
+	limits := connection.receiver.limits()
+	if !connection.startHead(limits.HeaderTimeout) {
+		return nil, io.EOF
+	}
+	head, err := connection.readHead(limits.HeaderBytes)
+	if err != nil {
+		return nil, err
+	}
+	request, err := parseHead(head)
+	if err != nil {
+		return nil, err
+	}
+	call := &Call{Request: request, Target: request.RequestURI, Received: time.Now()}
+	connection.extendReading(call.Received.Add(bodyTimeout))
+	if call.Body, err = connection.readBody(request, limits.BodyBytes); err != nil {
+		return nil, err
+	}
+	request.Body = http.NoBody
+	return call, nil
+}
+
+// awaitRequest waits for the first byte of a request. Empty lines before it
+// are left out.
+func (connection *connection) awaitRequest() error {
+	for {
+		first, err := connection.reader.Peek(1)
+		if err != nil {
+			return fmt.Errorf("await request: %w", err)
+		}
+		if first[0] != '\r' && first[0] != '\n' {
+			return nil
+		}
+		_, _ = connection.reader.Discard(1) // was peeked
+	}
+}
+
+// startHead sets the time for the head. It reports false if the connection is
+// closing.
+func (connection *connection) startHead(timeout time.Duration) bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.closing {
+		return false
+	}
+	connection.inHead = true
+	_ = connection.raw.SetReadDeadline(time.Now().Add(timeout))
+	return true
+}
+
+// extendReading moves the end of reading unless the connection is closing.
+func (connection *connection) extendReading(deadline time.Time) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if !connection.closing {
+		_ = connection.raw.SetReadDeadline(deadline)
+	}
+}
+
+// readHead returns a copy of the request line and the headers.
+func (connection *connection) readHead(limit int) ([]byte, error) {
+	for wanted := 1; ; {
+		if _, err := connection.reader.Peek(wanted); err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
+				return nil, &requestError{status: http.StatusRequestTimeout, reason: "header-timeout"}
+			}
+			return nil, fmt.Errorf("read head: %w", err)
+		}
+		buffered, _ := connection.reader.Peek(connection.reader.Buffered())
+		if end := bytes.Index(buffered, headEnd); end >= 0 && end+len(headEnd) <= limit {
+			head := bytes.Clone(buffered[:end+len(headEnd)])
+			_, _ = connection.reader.Discard(len(head)) // was peeked
+			return head, nil
+		}
+		if len(buffered) >= limit {
+			return nil, &requestError{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header-too-large"}
+		}
+		wanted = len(buffered) + 1
+	}
+}
+
+// parseHead refuses what upstreams might read in another way than net/http.
+func parseHead(head []byte) (*http.Request, error) {
+	if err := checkHead(head); err != nil {
+		return nil, err
+	}
+	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil {
+		return nil, malformed("head-malformed")
+	}
+	if !strings.HasPrefix(request.RequestURI, "/") || strings.ContainsAny(request.RequestURI, "#\\") {
+		return nil, malformed("target-malformed")
+	}
+	if request.Host == "" {
+		return nil, malformed("host-missing")
+	}
+	return request, nil
+}
+
+func checkHead(head []byte) error {
+	lines := bytes.Split(head[:len(head)-len(headEnd)], []byte("\r\n"))
+	var lengths, encodings, hosts int
+	for i, line := range lines {
+		if bytes.ContainsAny(line, "\r\n\x00") || len(line) == 0 {
+			return malformed("line-malformed")
+		}
+		if i == 0 {
+			continue
+		}
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return malformed("header-malformed")
+		}
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			lengths++
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			encodings++
+			if !bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked")) {
+				return malformed("transfer-encoding-unknown")
+			}
+		case bytes.EqualFold(name, []byte("Host")):
+			hosts++
+		}
+	}
+	if lengths+encodings > 1 || hosts > 1 {
+		return malformed("framing-ambiguous")
+	}
+	return nil
+}
+
+// continueLine asks the caller for the body that it holds back.
+const continueLine = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// readBody reads the whole body.
+func (connection *connection) readBody(request *http.Request, limit int64) ([]byte, error) {
+	chunked := len(request.TransferEncoding) > 0
+	if !chunked && request.ContentLength <= 0 {
+		return nil, nil
+	}
+	if request.ContentLength > limit {
+		return nil, &requestError{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	}
+	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
+		connection.mutex.Lock()
+		idle := connection.pending == 0
+		connection.mutex.Unlock()
+		if !idle {
+			return nil, malformed("expectation-behind-unanswered-request")
+		}
+		if _, err := io.WriteString(connection.raw, continueLine); err != nil {
+			return nil, fmt.Errorf("ask for body: %w", err)
+		}
+	}
+	var body []byte
+	var err error
+	if chunked {
+		body, err = connection.readChunks(limit)
+	} else {
+		body, err = connection.readLength(request.ContentLength)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if connection.receiver.held.Add(int64(len(body))) > connection.receiver.MaxBodyBytes {
+		connection.receiver.held.Add(-int64(len(body)))
+		return nil, &requestError{status: http.StatusServiceUnavailable, reason: "bodies-too-large"}
+	}
+	return body, nil
+}
+
+func (connection *connection) readLength(length int64) ([]byte, error) {
+	if connection.receiver.held.Load()+length > connection.receiver.MaxBodyBytes {
+		return nil, &requestError{status: http.StatusServiceUnavailable, reason: "bodies-too-large"}
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(connection.reader, body); err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	return body, nil
+}
+
+// maxTrailerLines bounds what follows the last chunk.
+const maxTrailerLines = 32
+
+func (connection *connection) readChunks(limit int64) ([]byte, error) {
+	limit = min(limit, connection.receiver.MaxBodyBytes)
+	body, err := io.ReadAll(io.LimitReader(httputil.NewChunkedReader(connection.reader), limit+1))
+	var failure net.Error
+	switch {
+	case errors.As(err, &failure), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		return nil, fmt.Errorf("read body: %w", err)
+	case err != nil:
+		return nil, malformed("chunk-malformed")
+	case int64(len(body)) > limit:
+		return nil, &requestError{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
+	}
+	for range maxTrailerLines {
+		line, err := connection.reader.ReadSlice('\n')
+		if err != nil {
+			return nil, fmt.Errorf("read trailer: %w", err)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return body, nil
+		}
+	}
+	return nil, malformed("trailer-too-long")
+}
--- /dev/null
+++ b/gateway/internal/starter/messages.go
@@ -0,0 +1,35 @@
+package starter
+
+import (
+	"sync/atomic"
+
+	"godwitramp.example/gateway/internal/messenger"
+)
+
+// messages passes notes on once the VM has joined its region. Until then there
+// is nobody to tell.
+type messages struct {
+	messenger atomic.Pointer[messenger.Messenger]
+}
+
+func (messages *messages) set(messenger *messenger.Messenger) { messages.messenger.Store(messenger) }
+
+// Tell sends notes to the group.
+func (messages *messages) Tell(notes ...messenger.Note) {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		messenger.Tell(notes...)
+	}
+}
+
+// TellRegion sends notes to the rest of the region.
+func (messages *messages) TellRegion(notes ...messenger.Note) {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		messenger.TellRegion(notes...)
+	}
+}
+
+func (messages *messages) leave() {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		messenger.Leave()
+	}
+}
--- /dev/null
+++ b/gateway/internal/starter/starter.go
@@ -0,0 +1,167 @@
+// Package starter puts the parts of the gateway program together and runs them
+// until a planned stop has ended.
+//
+// # Usage
+//
+//	starter := &starter.Starter{Settings: settings, Log: log}
+//	err := starter.Run(ctx) // ctx ends when the planned stop begins
+package starter
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/indexer"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/core/throttler"
+	"godwitramp.example/gateway/internal/dispatcher"
+	"godwitramp.example/gateway/internal/loader"
+	"godwitramp.example/gateway/internal/messenger"
+	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/gateway/internal/registrar"
+	"godwitramp.example/gateway/internal/tracker"
+	"godwitramp.example/platform"
+	"godwitramp.example/shell/exchanger"
+	"godwitramp.example/shell/timer"
+)
+
+const (
+	// trustMargin is kept of the time within which a withdrawn key must have
+	// stopped, for the way of an attempt to its target.
+	trustMargin = 600 * time.Millisecond
+	// callerDescriptors is the part of the descriptors that callers may take;
+	// the rest is for targets and files.
+	callerDescriptors = 0.6
+	// bodyMemory is the part of the memory that bodies of requests may take.
+	bodyMemory = 0.25
+	// heapMemory is the part of the memory that the heap should stay within.
+	heapMemory = 0.7
+)
+
+// Starter runs one VM. Fields are set before Run.
+type Starter struct {
+	Settings loader.Settings
+	Log      *logrus.Entry
+
+	leaving    atomic.Bool
+	tracker    *tracker.Tracker
+	messages   *messages
+	dispatcher *dispatcher.Dispatcher
+	receiver   *receiver.Receiver
+}
+
+// Run serves until the context ends, then stops as planned: it says that it
+// leaves, goes on accepting until the balancer has moved on, finishes its
+// requests and returns.
+func (starter *Starter) Run(ctx context.Context) error {
+	settings := starter.Settings
+	debug.SetMemoryLimit(int64(heapMemory * float64(settings.MemoryMB) * (1 << 20)))
+	callers, err := net.Listen("tcp", settings.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stopWork()
+	store := &platform.Store{Address: settings.Store, Clock: timer.Now}
+	starter.assemble(store)
+	endpoints, err := starter.startEndpoints()
+	if err != nil {
+		return err
+	}
+	defer endpoints.close()
+	group.Go(func() { _ = starter.tracker.Run(work) })
+	group.Go(func() { starter.join(work, store) })
+	group.Go(func() { _ = starter.dispatcher.Exchanger.Run(work) })
+	failed := make(chan error, 1)
+	group.Go(func() { failed <- starter.receiver.Run(work, callers) })
+	starter.Log.WithFields(logrus.Fields{"callers": settings.Callers, "store": settings.Store}).Info("started")
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve callers: %w", err)
+	case <-ctx.Done():
+	}
+	starter.stop()
+	return nil
+}
+
+func (starter *Starter) assemble(store *platform.Store) {
+	settings := starter.Settings
+	starter.messages = &messages{}
+	starter.tracker = &tracker.Tracker{Store: store, Clock: timer.Now, Log: starter.Log}
+	starter.dispatcher = &dispatcher.Dispatcher{
+		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{},
+		Place:   placer.Place{Region: settings.Region, DataCentre: settings.DataCentre},
+		Regions: settings.Regions, Clock: timer.Now, Log: starter.Log,
+		Policy: dispatcher.Policy{
+			Rates: throttler.Tolerance{
+				Window: settings.RateWindow, Overshoot: settings.RateOvershoot, Extra: settings.RateTolerance,
+			},
+			RetryRatio: settings.RetryRatio, RetryExtra: settings.RetryExtra, RetryWindow: settings.RetryWindow,
+			Trust: settings.Withdrawal - trustMargin,
+		},
+	}
+	starter.dispatcher.Open()
+	starter.tracker.OnConfiguration = starter.dispatcher.Configure
+	starter.tracker.OnTargets = starter.dispatcher.Target
+	starter.receiver = &receiver.Receiver{
+		Handler: starter.dispatcher, Limits: starter.limits,
+		MaxConnections: int(callerDescriptors * float64(settings.Descriptors)),
+		MaxBodyBytes:   int64(bodyMemory * float64(settings.MemoryMB) * (1 << 20)),
+		Log:            starter.Log,
+	}
+}
+
+func (starter *Starter) limits() indexer.Limits {
+	if index := starter.tracker.Index(); index != nil {
+		return index.Limits
+	}
+	return indexer.Limits{}
+}
+
+// join makes the VM known to its region and exchanges messages with it.
+func (starter *Starter) join(ctx context.Context, store *platform.Store) {
+	settings := starter.Settings
+	registrar := &registrar.Registrar{Store: store, Region: settings.Region, Log: starter.Log}
+	self := messenger.Peer{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages}
+	members, err := registrar.Join(ctx, memberOf(self))
+	if err != nil {
+		return // the VM stops
+	}
+	messenger := &messenger.Messenger{
+		Self: self, Key: members.Key, Clock: timer.Now, Log: starter.Log,
+	}
+	messenger.Receive = func(from messengerPeer, note messengerNote) {
+		starter.dispatcher.Hear(note, messenger.InGroup(from.Name))
+	}
+	messenger.Changed = func() { starter.dispatcher.Share(messenger.Share()) }
+	if err := messenger.Open(); err != nil {
+		starter.Log.WithError(err).Error("messages-unavailable")
+		return
+	}
+	starter.messages.set(messenger)
+	var peers []messengerPeer
+	for _, member := range members.All {
+		peers = append(peers, messengerPeer{Name: member.Name, DataCentre: member.DataCentre, Address: member.Address})
+	}
+	starter.Log.WithField("peers", len(peers)).Info("joined")
+	messenger.Know(peers)
+	_ = messenger.Run(ctx)
+}
+
+func memberOf(self messenger.Peer) registrar.Member {
+	return registrar.Member{Name: self.Name, DataCentre: self.DataCentre, Address: self.Address}
+}
+
+type (
+	messengerPeer = messenger.Peer
+	messengerNote = messenger.Note
+)
--- /dev/null
+++ b/gateway/internal/tracker/tracker.go
@@ -0,0 +1,150 @@
+// Package tracker keeps a VM's configuration and targets at what the store
+// says.
+//
+// The version of the configuration only rises, and one that can't be read
+// leaves the last good one in force.
+//
+// # Usage
+//
+//	tracker := &tracker.Tracker{Store: store, Clock: clock, Log: log}
+//	tracker.OnConfiguration = func(index *indexer.Index) { ... }
+//	tracker.OnTargets = func(targets []placer.Target) { ... }
+//	go tracker.Run(ctx)
+//	age := clock() - tracker.AsOf()
+package tracker
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/indexer"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/platform"
+)
+
+// Tracker follows the store. Fields are set before Run.
+type Tracker struct {
+	Store Store
+	// Clock is a steady clock that goes on while the VM is suspended.
+	Clock func() time.Duration
+	// OnConfiguration is called with each new configuration.
+	OnConfiguration func(index *indexer.Index)
+	// OnTargets is called with all targets when one has changed.
+	OnTargets func(targets []placer.Target)
+	Log       *logrus.Entry
+
+	index atomic.Pointer[indexer.Index]
+	// asOf is the time as of which the index is the newest, as nanoseconds.
+	asOf       atomic.Int64
+	hasTargets atomic.Bool
+
+	mutex   sync.Mutex
+	targets targets
+}
+
+// Run follows the store until the context ends.
+func (tracker *Tracker) Run(ctx context.Context) error {
+	tracker.targets = targets{log: tracker.Log}
+	var group sync.WaitGroup
+	for _, follower := range []*follower{
+		{store: tracker.Store, table: platform.ConfigurationTable, log: tracker.Log, take: tracker.takeConfiguration},
+		{store: tracker.Store, table: platform.TargetTable, log: tracker.Log, take: tracker.takeTargets},
+	} {
+		group.Go(func() { follower.run(ctx) })
+	}
+	group.Go(func() { tracker.dropLapsed(ctx) })
+	group.Wait()
+	return nil
+}
+
+// Index returns the configuration in force, nil if none is known.
+func (tracker *Tracker) Index() *indexer.Index { return tracker.index.Load() }
+
+// AsOf returns the time of Clock up to which Index is known to be the newest
+// configuration. It is far in the past if nothing is known.
+func (tracker *Tracker) AsOf() time.Duration {
+	if tracker.index.Load() == nil {
+		return -neverKnown
+	}
+	return time.Duration(tracker.asOf.Load())
+}
+
+const neverKnown = time.Hour
+
+// Complete reports whether configuration and targets have been read.
+func (tracker *Tracker) Complete() bool {
+	return tracker.index.Load() != nil && tracker.hasTargets.Load()
+}
+
+func (tracker *Tracker) takeConfiguration(reading platform.Reading, _, _ bool) {
+	// A row that can't be used leaves open whether keys were withdrawn, so that
+	// the date stays that of the last good one.
+	for _, row := range reading.Rows {
+		if !tracker.apply(row) {
+			return
+		}
+	}
+	tracker.asOf.Store(max(tracker.asOf.Load(), int64(reading.AsOf)))
+}
+
+// apply puts the configuration in a row in force. It reports false if the row
+// should hold one but does not.
+func (tracker *Tracker) apply(row platform.Row) bool {
+	configuration, found, err := platform.Configuration(row)
+	if !found {
+		return true
+	}
+	var index *indexer.Index
+	if err == nil {
+		index, err = indexer.New(configuration)
+	}
+	if err != nil {
+		tracker.Log.WithError(err).WithField("entry-version", row.Version).Error("configuration-refused")
+		return false
+	}
+	current := tracker.index.Load()
+	if current != nil && index.Version <= current.Version {
+		return true
+	}
+	tracker.index.Store(index)
+	tracker.Log.WithFields(logrus.Fields{
+		"version": index.Version, "routes": len(index.Routes), "organisations": len(index.Organisations),
+	}).Info("configuration-in-force")
+	tracker.OnConfiguration(index)
+	return true
+}
+
+func (tracker *Tracker) takeTargets(reading platform.Reading, whole, returned bool) {
+	tracker.mutex.Lock()
+	now := tracker.Clock()
+	if returned {
+		tracker.targets.returnedAt = now
+	}
+	changed := tracker.targets.take(reading.Rows, whole, now)
+	all := tracker.targets.all()
+	tracker.mutex.Unlock()
+	if changed || !tracker.hasTargets.Load() {
+		tracker.OnTargets(all)
+		tracker.hasTargets.Store(true)
+	}
+}
+
+// lapseCheck is how often lapsed targets are looked through, a small part of
+// the time that they are kept.
+const lapseCheck = 250 * time.Millisecond
+
+func (tracker *Tracker) dropLapsed(ctx context.Context) {
+	for sleep(ctx, lapseCheck) {
+		tracker.mutex.Lock()
+		changed := tracker.targets.dropLapsed(tracker.Clock())
+		all := tracker.targets.all()
+		tracker.mutex.Unlock()
+		if changed {
+			tracker.OnTargets(all)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/main.go
@@ -0,0 +1,119 @@
+// Command gateway is the program of an entry VM on the users' platform: it
+// stands between the balancer and the targets.
+//
+// # Usage
+//
+//	gateway                      settings from the file that the platform names
+//	gateway --settings vm.ini
+//	gateway --settings vm.ini --check
+//	gateway --describe
+//
+// SIGTERM and SIGINT begin a planned stop.
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"godwitramp.example/gateway/internal/loader"
+	"godwitramp.example/gateway/internal/starter"
+	"godwitramp.example/platform"
+	"godwitramp.example/shell/logger"
+)
+
+// version is the release of the program.
+const version = "0.2.0"
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Settings string `long:"settings" description:"file with the settings of this VM" value-name:"FILE"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+	Describe bool   `long:"describe" description:"print the settings as a table in Markdown and exit"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	program := program{out: os.Stdout, problems: os.Stderr}
+	os.Exit(program.run(ctx, os.Args[1:]))
+}
+
+// program is the command line over its output.
+type program struct {
+	out, problems io.Writer
+}
+
+// complain writes one line.
+func (program *program) complain(parts ...any) {
+	_, _ = fmt.Fprintln(program.problems, append([]any{"gateway:"}, parts...)...)
+}
+
+// say writes to the output.
+func (program *program) say(text string) { _, _ = fmt.Fprint(program.out, text) }
+
+func (program *program) run(ctx context.Context, arguments []string) int {
+	var options options
+	parser := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.ParseArgs(arguments)
+	var help *flags.Error
+	switch {
+	case errors.As(err, &help) && help.Type == flags.ErrHelp:
+		program.say(err.Error() + "\n")
+		return 0
+	case err != nil:
+		program.complain(err)
+		return exitUsage
+	case options.Version:
+		program.say("gateway " + version + "\n")
+		return 0
+	case options.Describe:
+		program.say(loader.All.Page())
+		return 0
+	}
+	settings, ok := program.load(cmp.Or(options.Settings, os.Getenv(platform.SettingsVariable)))
+	if !ok {
+		return exitUsage
+	}
+	if options.Check {
+		program.say("settings are good\n")
+		return 0
+	}
+	return program.serve(ctx, settings)
+}
+
+func (program *program) load(file string) (loader.Settings, bool) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		program.complain("read settings:", err)
+		return loader.Settings{}, false
+	}
+	settings, problems := loader.Load(file, data)
+	for _, problem := range problems {
+		program.complain(problem)
+	}
+	return settings, len(problems) == 0
+}
+
+func (program *program) serve(ctx context.Context, settings loader.Settings) int {
+	log := logger.New(program.out, "gateway", settings.Name)
+	starter := &starter.Starter{Settings: settings, Log: log}
+	if err := starter.Run(ctx); err != nil {
+		program.complain(err)
+		return exitFailed
+	}
+	return 0
+}
--- a/entry/internal/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -29,6 +29,8 @@
 	fresh   bool
 	// lastUsed is when the last answer on it ended.
 	lastUsed time.Time
+	// keepFor is how long the upstream keeps it open while idle, 0 if unsaid.
+	keepFor time.Duration
 
 	// writing counts the calls of Write in progress.
 	writing atomic.Int32
--- a/entry/internal/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"time"
 )
 
 // exchange is one request and its answer on one connection.
@@ -84,15 +87,42 @@
 			exchange.malformed = true
 			return nil, errUpgrade
 		}
-		if response.StatusCode >= http.StatusOK {
-			connection.readBudget = unlimited
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		connection.readBudget = unlimited
+		if exchange.call.Belongs == nil || exchange.call.Belongs(response) {
 			return response, nil
 		}
+		if err := dropAnswer(response); err != nil {
+			exchange.malformed = true
+			return nil, err
+		}
 	}
 	exchange.malformed = true
 	return nil, errInterim
 }
 
+// maxDroppedBytes bounds the body of an answer to another request.
+const maxDroppedBytes = 256 << 10
+
+var errNotOurs = errors.New("the answer is to another request")
+
+// dropAnswer reads an answer to another request to its end.
+func dropAnswer(response *http.Response) error {
+	if response.Close || response.ContentLength > maxDroppedBytes {
+		return errNotOurs
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDroppedBytes+1))
+	if err != nil {
+		return fmt.Errorf("read an answer to another request: %w", err)
+	}
+	if n > maxDroppedBytes {
+		return errNotOurs
+	}
+	return nil
+}
+
 func isConnectionError(err error) bool {
 	var netErr net.Error
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) ||
@@ -171,12 +201,36 @@
 	reusable := whole && !response.Close && !exchange.call.Request.Close &&
 		exchange.wholeRequestSent() && exchange.connection.reader.Buffered() == 0
 	if reusable && exchange.stop() {
+		exchange.connection.keepFor = keepAlive(response.Header)
 		exchange.exchanger.put(exchange.connection)
 		return
 	}
 	exchange.abandon()
 }
 
+// keepAliveMargin is how much sooner than the upstream says a connection is
+// left, since the request has to arrive before the upstream closes it.
+const keepAliveMargin = 500 * time.Millisecond
+
+// keepAlive returns how long the upstream keeps the idle connection open, 0 if
+// it doesn't say.
+func keepAlive(header http.Header) time.Duration {
+	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil || seconds < 0 || seconds > maxKeepAliveSeconds {
+			return 0 // the pool's own limit holds
+		}
+		return max(time.Nanosecond, time.Duration(seconds)*time.Second-keepAliveMargin)
+	}
+	return 0
+}
+
+const maxKeepAliveSeconds = 24 * 60 * 60
+
 // Discard closes an answer that isn't wanted. A short body that has come
 // already is read, so that the connection can be kept.
 func (answer *Answer) Discard() {
--- a/entry/internal/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -109,6 +109,9 @@
 	// Connected, if set, is called when the connection stands; fresh is true if
 	// it was opened for the call.
 	Connected func(fresh bool)
+	// Belongs, if set, reports whether an answer is to this call. One that isn't
+	// is read and dropped, and the next answer on the connection is awaited.
+	Belongs func(response *http.Response) bool
 	// BeforeWrite is called when the connection stands, right before the first
 	// byte is written. An error from it ends the call.
 	BeforeWrite func() error
--- a/entry/internal/exchanger/exchanger_test.go
+++ b/shell/exchanger/exchanger_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/matryer/is"
 
-	"godwitramp.example/entry/internal/exchanger"
+	"godwitramp.example/shell/exchanger"
 )
 
 // script plays an upstream: it gets each connection with its number.
--- a/entry/internal/exchanger/pool.go
+++ b/shell/exchanger/pool.go
@@ -19,7 +19,11 @@
 		if connection == nil {
 			return nil
 		}
-		if time.Since(connection.lastUsed) < within && connection.quiet() {
+		usable := within
+		if connection.keepFor > 0 {
+			usable = min(usable, connection.keepFor)
+		}
+		if time.Since(connection.lastUsed) < usable && connection.quiet() {
 			return connection
 		}
 		_ = connection.Close()
--- a/entry/internal/loader/load.go
+++ b/shell/loader/load.go
@@ -1,3 +1,10 @@
+// Package loader reads the settings of a program from an INI file and from
+// flags, and finds every mistake at once.
+//
+// # Usage
+//
+//	all := loader.List[Settings]{{Section: "vm", Name: "name", Required: true, Set: setName}}
+//	settings, problems := all.Load("vm-01.ini", data, []string{"vm.name=vm-02"})
 package loader
 
 import (
@@ -59,18 +66,32 @@
 	}
 }
 
+// Setting describes one setting of a program whose settings are held in a T.
+type Setting[T any] struct {
+	Section, Name string
+	Default       string
+	Required      bool
+	Allowed       string
+	Doc           string
+	// Set puts a value into the settings, or says what is wrong with it.
+	Set func(*T, string) error
+}
+
+// List has the settings of a program in the order of the documentation.
+type List[T any] []Setting[T]
+
 // Load reads the settings from the text of a file and from overrides of the
 // form section.name=value, which win over the file. It returns every mistake.
-func Load(file string, data []byte, overrides []string) (Settings, []error) {
+func (list List[T]) Load(file string, data []byte, overrides []string) (T, []error) {
 	fromFile, refused, problems := readFile(file, data)
 	fromFlags, more := readOverrides(overrides)
 	problems = append(problems, more...)
 	values := make(map[string]given)
 	for _, source := range [][]given{fromFile, fromFlags} {
-		problems = append(problems, collect(values, source)...)
+		problems = append(problems, list.collect(values, source)...)
 	}
-	var settings Settings
-	for _, setting := range All {
+	var settings T
+	for _, setting := range list {
 		value, ok := values[setting.full()]
 		if !ok {
 			position := scanner.Position{File: file}
@@ -118,7 +139,7 @@
 
 // collect adds the settings of one source to the values. A source may give
 // each setting once.
-func collect(values map[string]given, source []given) []error {
+func (list List[T]) collect(values map[string]given, source []given) []error {
 	var problems []error
 	own := make(map[string]given)
 	for _, next := range source {
@@ -127,8 +148,8 @@
 			continue
 		}
 		own[next.full()] = next
-		if !known(next.full()) {
-			nearest := configurator.Nearest(next.full(), names())
+		if !list.known(next.full()) {
+			nearest := configurator.Nearest(next.full(), list.names())
 			problems = append(problems, next.problem("unknown setting; the nearest known name is "+strconv.Quote(nearest), ""))
 			continue
 		}
@@ -137,24 +158,38 @@
 	return problems
 }
 
-func (setting Setting) full() string { return setting.Section + "." + setting.Name }
+func (setting Setting[T]) full() string { return setting.Section + "." + setting.Name }
 
-func names() []string {
+func (list List[T]) names() []string {
 	var names []string
-	for _, setting := range All {
+	for _, setting := range list {
 		names = append(names, setting.full())
 	}
 	return names
 }
 
-func known(full string) bool { return slices.Contains(names(), full) }
+func (list List[T]) known(full string) bool { return slices.Contains(list.names(), full) }
 
-func (setting Setting) apply(settings *Settings, value given) *Problem {
+func (setting Setting[T]) apply(settings *T, value given) *Problem {
 	if value.Value == "" && setting.Required {
 		return value.problem("is missing", setting.Allowed)
 	}
-	if err := setting.set(settings, value.Value); err != nil {
+	if err := setting.Set(settings, value.Value); err != nil {
 		return value.problem(err.Error(), setting.Allowed)
 	}
 	return nil
 }
+
+// Page returns the settings as a table in Markdown.
+func (list List[T]) Page() string {
+	var page strings.Builder
+	page.WriteString("| Section | Setting | Allowed | Default | Meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, setting := range list {
+		normal := setting.Default
+		if setting.Required {
+			normal = "none, must be set"
+		}
+		fmt.Fprintf(&page, "| `%s` | `%s` | %s | %s | %s |\n", setting.Section, setting.Name, setting.Allowed, normal, setting.Doc)
+	}
+	return page.String()
+}
