assessor: tell ill targets from requests that fail everywhere

Cause: 1.2 % of requests fail after their usual work on whatever target they run, and each made a sound target suspect; targets in a spell fail within 3 ms. A target's 504 for a caller with less time than is usual (the operators' probes wait 400 ms) made targets suspect too.

--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -51,6 +51,10 @@
 	Encoded bool
 	// Whole is true if the body was read to its end.
 	Whole bool
+	// Patient is true if the target had far more time than is usual.
+	Patient bool
+	// Quick is true if the answer came far sooner than is usual.
+	Quick bool
 }
 
 // OfAnswer judges an answer.
@@ -70,14 +74,36 @@
 	case promisesNotRun(answer.Status):
 		// The status would tell the caller that the request did not run.
 		ran.Outcome, ran.Reason = placer.Failed, "status-misleading"
+	case answer.Status == http.StatusGatewayTimeout:
+		// The target ended its work when the caller's time had run out.
+		ran.Outcome, ran.Reason, ran.Deliver = slowIf(answer.Patient), "target-timed-out", IfLast
 	case answer.Status >= http.StatusInternalServerError:
-		ran.Outcome, ran.Reason, ran.Deliver = placer.Failed, "target-failed", IfLast
+		ran.Outcome, ran.Reason, ran.Deliver = failedIf(answer.Quick), "target-failed", IfLast
 	default:
 		ran.Outcome, ran.Reason, ran.Deliver = placer.Good, "answered", Always
 	}
 	return ran
 }
 
+// failedIf returns the outcome of a failure that a target answered. A target
+// that is ill refuses at once; one that fails after its work does so because of
+// the request, as a rule, and another target fails it too.
+func failedIf(quick bool) placer.Outcome {
+	if quick {
+		return placer.Failed
+	}
+	return placer.Erred
+}
+
+// slowIf returns the outcome of an attempt whose time ran out. If it had no
+// more time than many good answers take, that says nothing of its target.
+func slowIf(patient bool) placer.Outcome {
+	if patient {
+		return placer.Slow
+	}
+	return placer.Unknown
+}
+
 // promisesNotRun reports whether callers take the status for the promise that
 // the request did not and will not run.
 func promisesNotRun(status int) bool {
@@ -101,6 +127,8 @@
 	Cancelled bool
 	// TimedOut is true if the time of the request ran out.
 	TimedOut bool
+	// Patient is true if the target had far more time than is usual.
+	Patient bool
 	// Withheld is true if the attempt was not to be sent after all.
 	Withheld bool
 }
@@ -115,7 +143,7 @@
 	case !failure.Dialed:
 		return Verdict{Outcome: placer.Unreachable, Reason: "unreachable"}
 	case failure.TimedOut:
-		return Verdict{Outcome: placer.Slow, MayHaveRun: failure.Written, Reason: "timed-out"}
+		return Verdict{Outcome: slowIf(failure.Patient), MayHaveRun: failure.Written, Reason: "timed-out"}
 	case !failure.Fresh:
 		// The connection may have been closed or lost while it was idle.
 		return Verdict{Outcome: placer.Unknown, MayHaveRun: failure.Written, Reason: "kept-connection-lost"}
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -65,6 +65,8 @@
 	Service string
 	// Tried are targets that this request has been sent to already.
 	Tried []string
+	// Again asks for one of those that were tried, in place of another.
+	Again bool
 	// Repeatable attempts may be followed by another after a failure.
 	Repeatable bool
 	// Now is the time on any steady clock, the same for all calls.
@@ -95,7 +97,7 @@
 	var best *target
 	least := 0.0
 	for _, candidate := range placer.byService[ask.Service] {
-		if candidate.Leaving || candidate.pausedUntil > ask.Now || slices.Contains(ask.Tried, candidate.ID) {
+		if candidate.Leaving || candidate.pausedUntil > ask.Now || slices.Contains(ask.Tried, candidate.ID) != ask.Again {
 			continue
 		}
 		cost := placer.cost(candidate, ask) + jitter*random.Float64()
--- a/core/placer/suspicion.go
+++ b/core/placer/suspicion.go
@@ -12,15 +12,19 @@
 	// twelve seconds on average and ill for five.
 	onsetRate    = 1.0 / 12
 	recoveryRate = 1.0 / 5
-	// illFailures and wellFailures are parts of the requests.
+	// illFailures and wellFailures are the parts of the requests that targets
+	// fail at once.
 	illFailures  = 0.8
-	wellFailures = 0.02
+	wellFailures = 0.002
 	// stationary is the probability that a target is ill of which nothing has
 	// been heard for long.
 	stationary = onsetRate / (onsetRate + recoveryRate)
 	// freshSuspicion is the probability that a target is ill which has just
 	// started.
 	freshSuspicion = 0.02
+	// erredRatio is how much likelier a failure after the usual time is from a
+	// target that is ill.
+	erredRatio = 2
 	// slowRatio is how much likelier an answer that is far too late is from a
 	// target that is ill.
 	slowRatio = 5
@@ -33,8 +37,10 @@
 const (
 	// Good is a whole answer in time.
 	Good Outcome = iota
-	// Failed is an answer that says the target failed, or a broken one.
+	// Failed is a failure that came at once, or a broken answer.
 	Failed
+	// Erred is a failure after the usual time, most often the request's own.
+	Erred
 	// Slow is an answer that has not come, or came far later than usual.
 	Slow
 	// Full is an answer that says the target has no room for the request.
@@ -68,6 +74,8 @@
 		ratio = (1 - illFailures) / (1 - wellFailures)
 	case Failed:
 		ratio = illFailures / wellFailures
+	case Erred:
+		ratio = erredRatio
 	case Slow:
 		ratio = slowRatio
 	}
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -79,7 +79,7 @@
 		target.failures++
 	case Full:
 		target.pausedUntil = max(target.pausedUntil, now+fullPause)
-	case Good, Failed, Slow:
+	case Good, Failed, Erred, Slow:
 		target.failures = 0
 	}
 }
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -143,6 +143,14 @@
 	estimator.deviation += deviationWeight * (max(difference, -difference) - estimator.deviation)
 }
 
+// Usual returns the mean latency, 0 while too little is known.
+func (estimator *Estimator) Usual() time.Duration {
+	if estimator.answers < warmUpAnswers {
+		return 0
+	}
+	return time.Duration(estimator.mean)
+}
+
 // Delay returns how long to wait before the same request is sent over another
 // connection: at most longest, and just that while too little is known.
 func (estimator *Estimator) Delay(longest time.Duration) time.Duration {
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -43,18 +43,19 @@
 	body     []byte
 	verdict  assessor.Verdict
 	dialed   atomic.Bool
+	started  time.Time
 }
 
 // send does the exchange and judges it.
 func (attempt *attempt) send(ctx context.Context) {
-	started := time.Now()
+	attempt.started = time.Now()
 	answer, err := attempt.dispatcher.Exchanger.Do(ctx, attempt.call())
 	if err != nil {
 		attempt.verdict = assessor.OfFailure(attempt.failureOf(ctx, err))
 	} else {
 		attempt.read(ctx, answer)
 	}
-	attempt.settle(time.Since(started))
+	attempt.settle(time.Since(attempt.started))
 }
 
 func (attempt *attempt) call() exchanger.Call {
@@ -137,7 +138,7 @@
 	failure := assessor.Failure{
 		Written: true, Dialed: attempt.dialed.Load(),
 		Cancelled: errors.Is(ctx.Err(), context.Canceled), TimedOut: errors.Is(ctx.Err(), context.DeadlineExceeded),
-		Withheld: errors.Is(err, errWithheld),
+		Withheld: errors.Is(err, errWithheld), Patient: attempt.patient(),
 	}
 	var exchange *exchanger.Error
 	if errors.As(err, &exchange) {
@@ -160,9 +161,17 @@
 	attempt.verdict = assessor.OfAnswer(assessor.Answer{
 		Status: response.StatusCode, Signed: reply.Signed, NotRun: reply.NotRun, OtherTarget: reply.OtherTarget,
 		Encoded: len(response.Header["Content-Encoding"]) > 0, Whole: err == nil && len(body) <= maxAnswerBytes,
+		Patient: attempt.patient(),
+		Quick:   attempt.dispatcher.latency.quick(attempt.job.service, time.Since(attempt.started)),
 	})
 }
 
+// patient reports whether the attempt has lasted far longer than is usual.
+func (attempt *attempt) patient() bool {
+	usual := attempt.dispatcher.latency.delay(attempt.job.service, attempt.job.route.Objective)
+	return time.Since(attempt.started) >= usual
+}
+
 // settle tells the outcome to this VM and the others.
 func (attempt *attempt) settle(latency time.Duration) {
 	dispatcher, verdict := attempt.dispatcher, attempt.verdict
--- a/gateway/internal/dispatcher/latency.go
+++ b/gateway/internal/dispatcher/latency.go
@@ -35,3 +35,22 @@
 	}
 	return longest
 }
+
+const (
+	// quickPart of the usual latency is what hardly any answer takes that comes
+	// after work.
+	quickPart = 1.0 / 8
+	// quickDefault holds while the usual latency isn't known: the way to a
+	// target in another region and back, without work.
+	quickDefault = 25 * time.Millisecond
+)
+
+// quick reports whether an answer came far sooner than is usual.
+func (latencies *latencies) quick(service string, latency time.Duration) bool {
+	latencies.mutex.Lock()
+	defer latencies.mutex.Unlock()
+	if estimator := latencies.byService[service]; estimator != nil && estimator.Usual() > 0 {
+		return latency < time.Duration(quickPart*float64(estimator.Usual()))
+	}
+	return latency < quickDefault
+}
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,7 +21,7 @@
 		dispatcher.logRefusal(call, refused)
 		return refused.reply()
 	}
-	run := &run{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.route.Attempts+1)}
+	run := &run{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.route.Attempts+maxRepeats)}
 	reply := run.serve(ctx)
 	run.log(ctx, reply)
 	return reply
@@ -32,8 +33,13 @@
 	job        *job
 	results    chan *attempt
 
-	tried    []string
-	attempts int
+	// tried are the targets that an attempt was sent to, without those that
+	// could not be reached.
+	tried       []string
+	unreachable []string
+	attempts    int
+	// arrivals counts the attempts that may have reached a target.
+	arrivals int
 	running  int
 	// mayHaveRun is true once an attempt may have run the request.
 	mayHaveRun bool
@@ -80,25 +86,25 @@
 
 // start begins one attempt. It reports false if none is allowed or possible.
 func (run *run) start(ctx context.Context) bool {
-	if run.attempts >= run.job.route.Attempts || ctx.Err() != nil {
+	if ctx.Err() != nil || run.attempts >= run.job.route.Attempts+maxRepeats {
 		return false
 	}
 	dispatcher := run.dispatcher
-	target, ok := dispatcher.state.pick(placer.Ask{
-		Service: run.job.service, Tried: run.tried, Now: dispatcher.Clock(),
-		Repeatable: run.job.route.Idempotent && run.attempts+1 < run.job.route.Attempts,
-	})
+	target, ok := dispatcher.state.pick(run.ask(), run.arrivals > 0)
 	if !ok {
 		return false
 	}
 	kind := messenger.Begun
-	if run.attempts > 0 {
+	if run.arrivals > 0 {
 		kind = messenger.BegunAgain
 	}
 	dispatcher.Messenger.Tell(messenger.Note{Kind: kind, Name: target.ID, Service: run.job.service})
 	run.attempts++
+	run.arrivals++
 	run.running++
-	run.tried = append(run.tried, target.ID)
+	if !slices.Contains(run.tried, target.ID) {
+		run.tried = append(run.tried, target.ID)
+	}
 	attempt := &attempt{dispatcher: dispatcher, job: run.job, target: target, number: run.attempts}
 	go func() {
 		attempt.send(ctx)
@@ -107,6 +113,23 @@
 	return true
 }
 
+// maxRepeats bounds the attempts beyond the targets that a route allows: those
+// that reached no target, and those at a target that was tried before.
+const maxRepeats = 2
+
+// ask says which target the next attempt wants: another one while the route
+// allows more targets, and then the best of those that were tried.
+func (run *run) ask() placer.Ask {
+	ask := placer.Ask{Service: run.job.service, Now: run.dispatcher.Clock()}
+	if len(run.tried) < run.job.route.Attempts {
+		ask.Tried = append(slices.Clone(run.tried), run.unreachable...)
+		ask.Repeatable = run.job.route.Idempotent && len(run.tried)+1 < run.job.route.Attempts
+	} else {
+		ask.Tried, ask.Again = run.tried, true
+	}
+	return ask
+}
+
 // await waits for the attempts until one settles the request.
 func (run *run) await(ctx context.Context) receiver.Reply {
 	hedge := run.hedgeTimer()
@@ -143,6 +166,9 @@
 func (run *run) take(ctx context.Context, attempt *attempt) *receiver.Reply {
 	verdict := attempt.verdict
 	run.last = verdict
+	if verdict.Outcome == placer.Unreachable {
+		run.missed(attempt.target.ID)
+	}
 	run.mayHaveRun = run.mayHaveRun || verdict.MayHaveRun
 	if verdict.Deliver == assessor.Always {
 		run.reason = verdict.Reason
@@ -162,6 +188,13 @@
 	return &reply
 }
 
+// missed takes back an attempt that could not reach its target.
+func (run *run) missed(target string) {
+	run.arrivals--
+	run.tried = slices.DeleteFunc(run.tried, func(id string) bool { return id == target })
+	run.unreachable = append(run.unreachable, target)
+}
+
 // expire answers when the time has run out. Attempts still in progress are
 // cancelled and may have run.
 func (run *run) expire(ctx context.Context) receiver.Reply {
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -81,9 +81,8 @@
 	return bucket.Take(now)
 }
 
-// pick returns a target, and takes a further attempt from the service's budget
-// if this is one.
-func (state *state) pick(ask placer.Ask) (placer.Target, bool) {
+// pick returns a target. A further attempt is taken from the service's budget.
+func (state *state) pick(ask placer.Ask, further bool) (placer.Target, bool) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	target, ok := state.placer.Pick(ask, state.random)
@@ -93,7 +92,7 @@
 	budget := state.budgets[ask.Service]
 	switch {
 	case budget == nil:
-	case len(ask.Tried) == 0:
+	case !further:
 		budget.Deposit(ask.Now)
 	case !budget.Withdraw(ask.Now):
 		state.placer.Done(target, placer.Unknown, ask.Now)
