throttler, placer: spend the retry budget, try fresh targets

Third and fourth attempts at targets that had just failed used it up.

Ruled out: a larger ratio; the extra attempts are most of the budget at 20 requests a second.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -55,11 +55,15 @@
 	// the slots.
 	costOfWait = 0.8
 	// costOfWarmup is what a target costs that has just started and is slow.
-	costOfWarmup = 0.2
+	costOfWarmup = 0.04
 	// jitter spreads the VMs over targets that cost the same.
 	jitter = 0.04
 )
 
+// maxSuspicionAgain is the suspicion above which a target isn't tried again for
+// the same request: more likely than not, it would fail it again.
+const maxSuspicionAgain = 0.5
+
 // Ask says what a target is wanted for.
 type Ask struct {
 	Service string
@@ -100,6 +104,9 @@
 		if candidate.Leaving || candidate.pausedUntil > ask.Now || slices.Contains(ask.Tried, candidate.ID) != ask.Again {
 			continue
 		}
+		if ask.Again && candidate.suspicion.at(ask.Now) > maxSuspicionAgain {
+			continue
+		}
 		cost := placer.cost(candidate, ask) + jitter*random.Float64()
 		if best == nil || cost < least {
 			best, least = candidate, cost
--- a/core/throttler/budget.go
+++ b/core/throttler/budget.go
@@ -10,17 +10,20 @@
 	bucket Bucket
 }
 
-// spareBudget is the part of the budget that is kept for further attempts of
-// VMs that have not heard of each other's yet.
-const spareBudget = 0.25
+const (
+	// spareBudget is the part of the budget that is kept for further attempts of
+	// VMs that have not heard of each other's yet.
+	spareBudget = 0.1
+	// savedExtra is the part of the extra attempts that may be saved up; the
+	// rest comes evenly over the window, so that no window sees more than all.
+	savedExtra = 0.35
+)
 
 // Set changes the extra attempts that the fleet may make in a window, of which
 // the group has a part.
 func (budget *Budget) Set(extra float64, window time.Duration, part float64, now time.Duration) {
-	burst := extra * part * (1 - spareBudget)
-	// Half of the extra attempts come back over the window; what was saved
-	// before it and what comes in it stay within the whole.
-	budget.bucket.Set(Limit{Rate: burst / 2 / window.Seconds(), Burst: burst / 2}, now)
+	usable := extra * part * (1 - spareBudget)
+	budget.bucket.Set(Limit{Rate: usable * (1 - savedExtra) / window.Seconds(), Burst: usable * savedExtra}, now)
 }
 
 // SetPart changes the share of the group's budget that this VM may use.
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -41,6 +41,8 @@
 	// arrivals counts the attempts that may have reached a target.
 	arrivals int
 	running  int
+	// erred counts the attempts that failed after their work.
+	erred int
 	// mayHaveRun is true once an attempt may have run the request.
 	mayHaveRun bool
 	// failure is a target's own failure, passed on if nothing better comes.
@@ -178,7 +180,7 @@
 	if verdict.Deliver == assessor.IfLast {
 		run.failure = attempt
 	}
-	if (run.job.route.Idempotent || !run.mayHaveRun) && run.start(ctx) {
+	if run.worthRepeating(verdict) && run.start(ctx) {
 		return nil
 	}
 	if run.running > 0 {
@@ -188,6 +190,22 @@
 	return &reply
 }
 
+// worthRepeating reports whether another attempt is allowed after the verdict
+// and may end better. A request that failed twice after its work fails
+// everywhere.
+func (run *run) worthRepeating(verdict assessor.Verdict) bool {
+	if !run.job.route.Idempotent && run.mayHaveRun {
+		return false
+	}
+	if verdict.Outcome == placer.Erred {
+		run.erred++
+	}
+	return run.erred < maxErred
+}
+
+// maxErred bounds the failures after work of one request.
+const maxErred = 2
+
 // missed takes back an attempt that could not reach its target.
 func (run *run) missed(target string) {
 	run.arrivals--
