poller: ask the store once for a group of VMs

The first VM of a group polls, and claims to the others up to which time of the store's clock nothing has changed. The others ask when claims stop, early enough for the bound on changes; a VM that the store does not answer has no rank.

Ruled out: claims by age, which a datagram that waited in the buffer of a suspended VM would make too young; sending rows with the claims, for now.

TestOthersTakeOverInOrder holds the bound.

--- a/core/dater/dater.go
+++ b/core/dater/dater.go
@@ -34,3 +34,9 @@
 	}
 	return stored + dater.offset
 }
+
+// Of returns the earliest time of the VM's clock for a time of the store's. It
+// reports false if no call has been dated.
+func (dater *Dater) Of(stored time.Duration) (time.Duration, bool) {
+	return stored + dater.offset, dater.known
+}
--- /dev/null
+++ b/core/poller/poller.go
@@ -0,0 +1,170 @@
+// Package poller decides when a VM asks the store for changes of a table, and
+// when it relies on what the VMs of its group say.
+//
+// A call of every VM each second is dear and grows with the fleet. So the first
+// VM of a group, by name, keeps a long poll at the store and claims to the others
+// what it learned: that nothing has changed after a version, up to a time of the
+// store's clock. A VM whose own knowledge reaches that version is as fresh as
+// the claim; one that is behind asks the store itself. When claims stop, because
+// the first VM is gone, cut off or can't reach the store, the others take over in
+// the order of their ranks.
+//
+// # Usage
+//
+//	next := poller.Next(rank, now)
+//	switch next.Action {
+//	case poller.Rest: // for next.Wait, or until Hear reports true
+//	case poller.Read:
+//	case poller.Watch: // for at most next.Wait
+//	}
+package poller
+
+import "time"
+
+// Action is what a VM does next.
+type Action int
+
+// The actions.
+const (
+	// Rest waits without a call.
+	Rest Action = iota
+	// Read reads the whole table.
+	Read
+	// Watch waits at the store for a change.
+	Watch
+)
+
+// Next is an action and the longest time that it takes.
+type Next struct {
+	Action Action
+	Wait   time.Duration
+}
+
+const (
+	// callTime is kept of the bound for a call of a VM that asks by itself.
+	callTime = 400 * time.Millisecond
+	// claimTime is the time between two claims beyond the poll itself: the way
+	// of a claim, or one more heartbeat if a claim is lost.
+	claimTime = 500 * time.Millisecond
+	// patienceOfRank keeps the VMs of a group from asking all at once.
+	patienceOfRank = 60 * time.Millisecond
+	lastRank       = 5
+	// shortestWatch is how long the store holds a poll at least.
+	shortestWatch = 200 * time.Millisecond
+	// firstRetry and longestRetry bound the pause after a failed call of the
+	// first VM, longestRetryOfOthers that of the others, which learn from it
+	// when the store is back.
+	firstRetry           = 100 * time.Millisecond
+	longestRetry         = 800 * time.Millisecond
+	longestRetryOfOthers = 2 * time.Second
+)
+
+// Poller is what a VM knows of one table. It isn't safe for concurrent use.
+type Poller struct {
+	// Bound is how soon every VM has to know of a change, set before the first
+	// call. Even if the claims of others stop, a VM asks early enough.
+	Bound time.Duration
+
+	known bool
+	// version is that of the store up to which all changes are known.
+	version uint64
+	// change is the newest version at which the table may have changed.
+	change uint64
+	// heard is the newest change that another VM claims.
+	heard    uint64
+	asOf     time.Duration
+	failures int
+	retryAt  time.Duration
+}
+
+// Next returns what to do now, given the VM's rank in its group, 0 for the
+// first.
+func (poller *Poller) Next(rank int, now time.Duration) Next {
+	if wait := poller.retryAt - now; wait > 0 {
+		return Next{Action: Rest, Wait: wait}
+	}
+	if !poller.known {
+		return Next{Action: Read}
+	}
+	if poller.Behind() || rank == 0 {
+		return Next{Action: Watch, Wait: poller.watchWait()}
+	}
+	limit := poller.patience() + patienceOfRank*time.Duration(min(rank, lastRank))
+	if wait := poller.asOf + limit - now; wait > 0 {
+		return Next{Action: Rest, Wait: wait}
+	}
+	return Next{Action: Watch, Wait: poller.watchWait()}
+}
+
+// patience returns the age of the knowledge of a group's second VM from which it
+// asks by itself.
+func (poller *Poller) patience() time.Duration {
+	return poller.Bound - callTime - patienceOfRank*lastRank
+}
+
+// watchWait returns how long the store holds a poll, so that claims come within
+// the patience.
+func (poller *Poller) watchWait() time.Duration {
+	return max(shortestWatch, poller.patience()-claimTime)
+}
+
+// Took takes an answer of the store in: the version that it reaches, the newest
+// change in it (0 if there is none), and the time as of which it was made.
+func (poller *Poller) Took(version, change uint64, asOf time.Duration, whole bool) {
+	if whole {
+		// What was deleted before isn't in a whole answer.
+		change = version
+	}
+	poller.known = true
+	poller.version = max(poller.version, version)
+	poller.change = max(poller.change, change)
+	poller.asOf = max(poller.asOf, asOf)
+	poller.failures = 0
+	poller.retryAt = 0
+}
+
+// Failed takes note of a failed call. The random number, from 0 to 1, spreads
+// the VMs.
+func (poller *Poller) Failed(rank int, now time.Duration, random float64) {
+	longest := longestRetry
+	if rank > 0 {
+		longest = longestRetryOfOthers
+	}
+	pause := min(longest, firstRetry<<min(poller.failures, 5))
+	poller.failures++
+	poller.retryAt = now + time.Duration((0.5+random/2)*float64(pause))
+}
+
+// Forget makes the next call read the whole table.
+func (poller *Poller) Forget() { poller.known = false }
+
+// Failures returns the number of calls that failed since the last answer.
+func (poller *Poller) Failures() int { return poller.failures }
+
+// Version returns the version of the store after which to watch.
+func (poller *Poller) Version() uint64 { return poller.version }
+
+// AsOf returns the time up to which all changes are known.
+func (poller *Poller) AsOf() time.Duration { return poller.asOf }
+
+// Change returns the newest version at which the table may have changed, and
+// false if nothing is known.
+func (poller *Poller) Change() (uint64, bool) { return poller.change, poller.known }
+
+// Hear takes another VM's claim in: that the table has not changed after a
+// version up to a time. It reports whether the VM should look at Next again.
+func (poller *Poller) Hear(change uint64, asOf time.Duration) bool {
+	if !poller.known {
+		return false
+	}
+	if change > poller.version {
+		news := change > poller.heard
+		poller.heard = max(poller.heard, change)
+		return news
+	}
+	poller.asOf = max(poller.asOf, asOf)
+	return false
+}
+
+// Behind reports whether another VM knows of a change that this one doesn't.
+func (poller *Poller) Behind() bool { return poller.known && poller.heard > poller.version }
--- /dev/null
+++ b/core/poller/poller_test.go
@@ -0,0 +1,110 @@
+package poller_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/poller"
+)
+
+// bound is how soon VMs have to know of a change.
+const bound = 2 * time.Second
+
+// start returns a poller that has read its table at version 10.
+func start() *poller.Poller {
+	poller := &poller.Poller{Bound: bound}
+	poller.Took(10, 0, 0, true)
+	return poller
+}
+
+func TestFirstVMAlwaysWatches(t *testing.T) {
+	is := is.New(t)
+	first := start()
+	is.Equal(first.Next(0, time.Second).Action, poller.Watch)
+	is.Equal(first.Next(0, time.Minute).Action, poller.Watch)
+}
+
+func TestOthersRestWhileClaimsCome(t *testing.T) {
+	is := is.New(t)
+	other := start()
+	for now := time.Duration(0); now < time.Minute; now += 1300 * time.Millisecond {
+		is.True(!other.Hear(10, now)) // nothing new
+		is.Equal(other.Next(3, now+1200*time.Millisecond).Action, poller.Rest)
+		is.Equal(other.AsOf(), now)
+	}
+}
+
+func TestOthersTakeOverInOrder(t *testing.T) {
+	is := is.New(t)
+	second, third := start(), start()
+	asks := func(vm *poller.Poller, rank int) time.Duration {
+		for now := time.Duration(0); ; now += 10 * time.Millisecond {
+			if vm.Next(rank, now).Action == poller.Watch {
+				return now
+			}
+		}
+	}
+	is.True(asks(second, 1) < asks(third, 2))
+	// If the claims stop, the last one still knows of a change within the bound.
+	is.True(asks(start(), 1000) <= bound-300*time.Millisecond)
+}
+
+// A claim that is lost must not make all VMs of a group ask.
+func TestOneLostClaimIsBorne(t *testing.T) {
+	is := is.New(t)
+	first, second := start(), start()
+	second.Hear(10, 0)
+	wait := first.Next(0, 0).Wait
+	is.Equal(second.Next(1, wait+400*time.Millisecond).Action, poller.Rest)
+}
+
+func TestVMThatIsBehindAsksAtOnceAndStaysOld(t *testing.T) {
+	is := is.New(t)
+	other := start()
+	is.True(other.Hear(12, time.Second))
+	is.Equal(other.Next(5, time.Second).Action, poller.Watch)
+	is.Equal(other.AsOf(), time.Duration(0)) // the claim is about what it doesn't know
+	is.True(!other.Hear(12, time.Second))    // heard already
+	other.Took(12, 12, 1100*time.Millisecond, false)
+	is.Equal(other.Next(5, 1200*time.Millisecond).Action, poller.Rest)
+}
+
+// A deletion isn't seen in a whole answer, so a VM that has read the whole table
+// must not claim that nothing changed since the newest row.
+func TestWholeAnswerClaimsItsOwnVersion(t *testing.T) {
+	is := is.New(t)
+	reader := &poller.Poller{}
+	reader.Took(20, 7, 0, true)
+	change, known := reader.Change()
+	is.True(known)
+	is.Equal(change, uint64(20))
+}
+
+func TestFailedCallsPause(t *testing.T) {
+	is := is.New(t)
+	vm := start()
+	now := 10 * time.Second
+	var last time.Duration
+	for range 8 {
+		vm.Failed(1, now, 1)
+		next := vm.Next(1, now)
+		is.Equal(next.Action, poller.Rest)
+		is.True(next.Wait >= last && next.Wait <= 2*time.Second)
+		last = next.Wait
+	}
+	vm.Hear(10, now) // the store is back, as another VM says
+	vm.Took(10, 0, now, false)
+	is.Equal(vm.Next(0, now).Action, poller.Watch)
+}
+
+func TestForgetReadsAnew(t *testing.T) {
+	is := is.New(t)
+	vm := start()
+	vm.Forget()
+	is.Equal(vm.Next(4, 0).Action, poller.Read)
+	is.True(!vm.Hear(30, time.Second)) // what it knows is no base for claims
+	_, known := vm.Change()
+	is.True(!known)
+}
--- a/gateway/internal/loader/loader.go
+++ b/gateway/internal/loader/loader.go
@@ -40,6 +40,10 @@
 	MemoryMB    int
 	Descriptors int
 
+	// Propagation is how soon a configuration must be in force, Leaving how soon
+	// a target that leaves must get nothing more.
+	Propagation time.Duration
+	Leaving     time.Duration
 	// Withdrawal is how soon a withdrawn key must have stopped working.
 	Withdrawal time.Duration
 	// StopGrace is how long a planned stop may last.
@@ -87,6 +91,12 @@
 		Set: address(func(s *Settings) *string { return &s.Messages })},
 	{Section: "store", Name: "address", Required: true, Allowed: allowedAddress, Doc: "Address of the platform's store.",
 		Set: address(func(s *Settings) *string { return &s.Store })},
+	{Section: "changes", Name: "propagation", Default: "2s", Allowed: allowedTime,
+		Doc: "Time within which a configuration is in force on every VM.",
+		Set: duration(func(s *Settings) *time.Duration { return &s.Propagation })},
+	{Section: "changes", Name: "leaving", Default: "2s", Allowed: allowedTime,
+		Doc: "Time within which a target that leaves gets nothing more.",
+		Set: duration(func(s *Settings) *time.Duration { return &s.Leaving })},
 	{Section: "keys", Name: "withdrawal", Default: "5s", Allowed: allowedTime,
 		Doc: "Time within which a withdrawn key stops working, also on a VM that is cut off.",
 		Set: duration(func(s *Settings) *time.Duration { return &s.Withdrawal })},
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -51,6 +52,17 @@
 	// Leaving tells that the sender stops for good or for a restart.
 	Leaving bool
 	Notes   []Note
+	Claims  []Claim
+	// Lost is true while the store does not answer the sender.
+	Lost bool
+}
+
+// Claim is what the sender knows of a table of the store by itself.
+type Claim struct {
+	Table  string
+	Change uint64
+	// Stored is a time of the store's clock.
+	Stored time.Duration
 }
 
 // sealer encrypts letters with the fleet's key.
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -52,6 +52,12 @@
 	Key []byte
 	// Receive takes the notes of another VM. It is called from one goroutine.
 	Receive func(from Peer, note Note)
+	// Claims, if set, returns what this VM knows of the store. HearClaim takes
+	// what another VM of the group knows.
+	Claims    func() []Claim
+	HearClaim func(claim Claim)
+	// Lost, if set, reports whether the store does not answer this VM.
+	Lost func() bool
 	// Changed, if set, is called when the number of members of the group, or of
 	// those that are heard, has changed.
 	Changed func()
@@ -78,6 +84,8 @@
 	address netip.AddrPort
 	heard   time.Duration
 	silent  bool
+	// lost is true while the store does not answer it.
+	lost bool
 }
 
 // Open binds the address. It comes before all other calls.
@@ -140,6 +148,13 @@
 	for _, note := range letter.Notes {
 		messenger.Receive(from, note)
 	}
+	if len(letter.Claims) == 0 || messenger.HearClaim == nil || !messenger.InGroup(from.Name) {
+		return
+	}
+	messenger.setLost(from.Name, letter.Lost)
+	for _, claim := range letter.Claims {
+		messenger.HearClaim(claim)
+	}
 }
 
 // beat is heard by the group and notices who isn't.
@@ -152,11 +167,21 @@
 			return
 		case <-ticker.C:
 		}
-		messenger.Tell()
+		messenger.Beat()
 		messenger.checkSilence()
 	}
 }
 
+// Beat tells the group that this VM is there, and what it knows of the store.
+func (messenger *Messenger) Beat() {
+	letter := messenger.letter(false, nil)
+	if messenger.Claims != nil {
+		letter.Claims = messenger.Claims()
+		letter.Lost = messenger.Lost()
+	}
+	messenger.sendAll(messenger.groupPeers(), letter)
+}
+
 // Tell sends notes to the group.
 func (messenger *Messenger) Tell(notes ...Note) { messenger.tell(messenger.groupPeers(), notes) }
 
@@ -164,10 +189,14 @@
 func (messenger *Messenger) TellRegion(notes ...Note) { messenger.tell(messenger.otherPeers(), notes) }
 
 func (messenger *Messenger) tell(addresses []netip.AddrPort, notes []Note) {
+	messenger.sendAll(addresses, messenger.letter(false, notes))
+}
+
+func (messenger *Messenger) sendAll(addresses []netip.AddrPort, letter letter) {
 	if len(addresses) == 0 {
 		return
 	}
-	sealed, err := messenger.sealer.seal(messenger.letter(false, notes))
+	sealed, err := messenger.sealer.seal(letter)
 	if err != nil {
 		messenger.Log.WithError(err).Error("message-not-sealed")
 		return
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -144,6 +144,28 @@
 	}
 }
 
+func (messenger *Messenger) setLost(name string, lost bool) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	if peer := messenger.peers[name]; peer != nil {
+		peer.lost = lost
+	}
+}
+
+// Rank returns the VM's place by name among those of its group that are heard
+// and that the store answers, 0 for the first.
+func (messenger *Messenger) Rank() int {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	rank := 0
+	for _, peer := range messenger.group {
+		if !peer.silent && !peer.lost && peer.Name < messenger.Self.Name {
+			rank++
+		}
+	}
+	return rank
+}
+
 // InGroup reports whether the VM shares rates with this one.
 func (messenger *Messenger) InGroup(name string) bool {
 	messenger.mutex.Lock()
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -28,6 +28,21 @@
 	}
 }
 
+// Rank returns the VM's place in its group.
+func (messages *messages) Rank() int {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		return messenger.Rank()
+	}
+	return 0
+}
+
+// Claim tells the group what this VM knows of the store.
+func (messages *messages) Claim() {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		messenger.Beat()
+	}
+}
+
 func (messages *messages) leave() {
 	if messenger := messages.messenger.Load(); messenger != nil {
 		messenger.Leave()
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -96,7 +96,10 @@
 func (starter *Starter) assemble(store *platform.Store) {
 	settings := starter.Settings
 	starter.messages = &messages{}
-	starter.tracker = &tracker.Tracker{Store: store, Clock: timer.Now, Log: starter.Log}
+	starter.tracker = &tracker.Tracker{
+		Store: store, Group: starter.messages, Clock: timer.Now, Log: starter.Log,
+		ConfigurationBound: settings.Propagation, TargetBound: settings.Leaving,
+	}
 	starter.dispatcher = &dispatcher.Dispatcher{
 		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{},
 		Place:   placer.Place{Region: settings.Region, DataCentre: settings.DataCentre},
@@ -112,6 +115,7 @@
 	starter.dispatcher.Open()
 	starter.tracker.OnConfiguration = starter.dispatcher.Configure
 	starter.tracker.OnTargets = starter.dispatcher.Target
+	starter.tracker.Open()
 	starter.receiver = &receiver.Receiver{
 		Handler: starter.dispatcher, Limits: starter.limits,
 		MaxConnections: int(callerDescriptors * float64(settings.Descriptors)),
@@ -142,6 +146,8 @@
 	messenger.Receive = func(from messengerPeer, note messengerNote) {
 		starter.dispatcher.Hear(note, messenger.InGroup(from.Name))
 	}
+	messenger.Claims, messenger.Lost = starter.claims, starter.tracker.Lost
+	messenger.HearClaim = func(claim messengerClaim) { starter.tracker.Hear(tracker.Claim(claim)) }
 	messenger.Changed = func() { starter.dispatcher.Share(messenger.Share()) }
 	if err := messenger.Open(); err != nil {
 		starter.Log.WithError(err).Error("messages-unavailable")
@@ -162,6 +168,16 @@
 }
 
 type (
-	messengerPeer = messenger.Peer
-	messengerNote = messenger.Note
+	messengerPeer  = messenger.Peer
+	messengerNote  = messenger.Note
+	messengerClaim = messenger.Claim
 )
+
+// claims returns what this VM knows of the store.
+func (starter *Starter) claims() []messengerClaim {
+	var claims []messengerClaim
+	for _, claim := range starter.tracker.Claims() {
+		claims = append(claims, messengerClaim(claim))
+	}
+	return claims
+}
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -4,97 +4,182 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"godwitramp.example/core/poller"
 	"godwitramp.example/platform"
 )
 
-const (
-	// watchWait is how long the store holds a poll. A connection that went
-	// silent is found after it, within the three seconds after which a VM is
-	// expected to know what the store knows.
-	watchWait = 2200 * time.Millisecond
-	// batchPause gathers changes that come in quick succession. It is a small
-	// part of the time within which changes must be in force.
-	batchPause = 250 * time.Millisecond
-	// firstRetry and longestRetry bound the pause after a failed call.
-	firstRetry   = 100 * time.Millisecond
-	longestRetry = 900 * time.Millisecond
-)
+// batchPause gathers changes that come in quick succession. It is a small part
+// of the time within which changes must be in force.
+const batchPause = 250 * time.Millisecond
 
 // Store is what the tracker needs of the platform's store.
 type Store interface {
 	Read(ctx context.Context, table, part string) (platform.Reading, error)
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Reading, error)
+	// Date returns the time of the VM's clock for one of the store's clock.
+	Date(stored time.Duration) (time.Duration, bool)
+}
+
+// Group is the VMs that tell each other what they know of the store.
+type Group interface {
+	// Rank is the VM's place in its group, 0 for the first.
+	Rank() int
+	// Claim tells the group that Claims has news.
+	Claim()
 }
 
-// follower reads one table and then its changes.
+// Claim says that a table has not changed after a version up to a time of the
+// store's clock.
+type Claim struct {
+	Table  string
+	Change uint64
+	Stored time.Duration
+}
+
+// follower keeps up with one table.
 type follower struct {
 	store Store
+	group Group
 	table string
+	clock func() time.Duration
 	log   *logrus.Entry
 	// take takes an answer in. Whole answers have all rows of the table, others
 	// those that changed. Returned is true for the first answer after the store
 	// was away.
 	take func(reading platform.Reading, whole, returned bool)
+	// fresh is told the time up to which all changes are known.
+	fresh func(asOf time.Duration)
 
-	version  uint64
-	known    bool
-	failures int
+	mutex  sync.Mutex
+	poller poller.Poller
+	// stored is the store's time of the newest answer.
+	stored time.Duration
+	// wake ends a rest.
+	wake chan struct{}
 }
 
 func (follower *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !follower.step(ctx) {
-			return
+		follower.mutex.Lock()
+		next := follower.poller.Next(follower.group.Rank(), follower.clock())
+		after := follower.poller.Version()
+		follower.mutex.Unlock()
+		switch next.Action {
+		case poller.Rest:
+			follower.rest(ctx, next.Wait)
+		case poller.Read:
+			reading, err := follower.store.Read(ctx, follower.table, "")
+			follower.took(ctx, reading, err, true)
+		case poller.Watch:
+			reading, err := follower.store.Watch(ctx, follower.table, after, next.Wait)
+			follower.took(ctx, reading, err, false)
 		}
 	}
 }
 
-// step makes one call. It reports false when the context has ended.
-func (follower *follower) step(ctx context.Context) bool {
-	whole := !follower.known
-	var reading platform.Reading
-	var err error
-	if whole {
-		reading, err = follower.store.Read(ctx, follower.table, "")
-	} else {
-		reading, err = follower.store.Watch(ctx, follower.table, follower.version, watchWait)
-	}
-	if ctx.Err() != nil {
-		return false
-	}
-	if errors.Is(err, platform.ErrHistoryGone) {
-		follower.log.WithFields(logrus.Fields{"table": follower.table, "version": follower.version}).Warn("store-history-gone")
-		follower.known = false
-		return true
+func (follower *follower) rest(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-follower.wake:
 	}
-	if err != nil {
-		return follower.failed(ctx, err)
+}
+
+// took takes the end of a call in.
+func (follower *follower) took(ctx context.Context, reading platform.Reading, err error, whole bool) {
+	switch {
+	case ctx.Err() != nil:
+		return
+	case errors.Is(err, platform.ErrHistoryGone):
+		follower.mutex.Lock()
+		version := follower.poller.Version()
+		follower.poller.Forget()
+		follower.mutex.Unlock()
+		follower.log.WithFields(logrus.Fields{"table": follower.table, "version": version}).Warn("store-history-gone")
+		return
+	case err != nil:
+		follower.failed(err)
+		return
 	}
-	returned := follower.failures > 0
-	if returned {
-		follower.log.WithFields(logrus.Fields{"table": follower.table, "failures": follower.failures}).Info("store-regained")
-		follower.failures = 0
+	follower.mutex.Lock()
+	failures := follower.poller.Failures()
+	follower.mutex.Unlock()
+	if failures > 0 {
+		follower.log.WithFields(logrus.Fields{"table": follower.table, "failures": failures}).Info("store-regained")
 	}
-	follower.known = true
-	follower.version = max(follower.version, reading.Version)
-	follower.take(reading, whole, returned)
+	follower.take(reading, whole, failures > 0)
+	follower.mutex.Lock()
+	follower.poller.Took(reading.Version, newest(reading.Rows), reading.AsOf, whole)
+	follower.stored = reading.Stored
+	asOf := follower.poller.AsOf()
+	follower.mutex.Unlock()
+	follower.fresh(asOf)
+	follower.group.Claim()
 	if len(reading.Rows) > 0 {
-		return sleep(ctx, batchPause)
+		sleep(ctx, batchPause)
+	}
+}
+
+// newest returns the version of the newest row, 0 if there is none.
+func newest(rows []platform.Row) uint64 {
+	var version uint64
+	for _, row := range rows {
+		version = max(version, row.Version)
 	}
-	return true
+	return version
 }
 
-func (follower *follower) failed(ctx context.Context, err error) bool {
-	if follower.failures == 0 {
+func (follower *follower) failed(err error) {
+	rank := follower.group.Rank()
+	follower.mutex.Lock()
+	first := follower.poller.Failures() == 0
+	follower.poller.Failed(rank, follower.clock(), rand.Float64())
+	follower.mutex.Unlock()
+	if first {
 		follower.log.WithError(err).WithField("table", follower.table).Warn("store-lost")
+		follower.group.Claim()
+	}
+}
+
+// lost reports whether the last call failed.
+func (follower *follower) lost() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.poller.Failures() > 0
+}
+
+// claim returns what this VM knows by itself, if anything.
+func (follower *follower) claim() (Claim, bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	change, known := follower.poller.Change()
+	return Claim{Table: follower.table, Change: change, Stored: follower.stored}, known && follower.stored > 0
+}
+
+// hear takes the claim of another VM in.
+func (follower *follower) hear(claim Claim) {
+	asOf, ok := follower.store.Date(claim.Stored)
+	if !ok {
+		return
+	}
+	follower.mutex.Lock()
+	news := follower.poller.Hear(claim.Change, asOf)
+	asOf = follower.poller.AsOf()
+	follower.mutex.Unlock()
+	follower.fresh(asOf)
+	if news {
+		select {
+		case follower.wake <- struct{}{}:
+		default: // it is woken already
+		}
 	}
-	pause := min(longestRetry, firstRetry<<min(follower.failures, 4))
-	follower.failures++
-	return sleep(ctx, pause/2+rand.N(pause/2))
 }
 
 // sleep reports false if the context ends meanwhile.
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -23,12 +23,18 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/poller"
 	"godwitramp.example/platform"
 )
 
 // Tracker follows the store. Fields are set before Run.
 type Tracker struct {
 	Store Store
+	Group Group
+	// ConfigurationBound and TargetBound are how soon a VM has to know of
+	// changes.
+	ConfigurationBound time.Duration
+	TargetBound        time.Duration
 	// Clock is a steady clock that goes on while the VM is suspended.
 	Clock func() time.Duration
 	// OnConfiguration is called with each new configuration.
@@ -41,19 +47,68 @@
 	// asOf is the time as of which the index is the newest, as nanoseconds.
 	asOf       atomic.Int64
 	hasTargets atomic.Bool
+	// refused is true while the newest configuration is one that can't be used.
+	refused atomic.Bool
+
+	followers []*follower
 
 	mutex   sync.Mutex
 	targets targets
 }
 
+// Open prepares the tracker. It comes before all other calls.
+func (tracker *Tracker) Open() {
+	tracker.targets = targets{log: tracker.Log}
+	tracker.followers = []*follower{
+		tracker.follow(
+			platform.ConfigurationTable, tracker.ConfigurationBound, tracker.takeConfiguration, tracker.freshConfiguration),
+		tracker.follow(platform.TargetTable, tracker.TargetBound, tracker.takeTargets, func(time.Duration) {}),
+	}
+}
+
+func (tracker *Tracker) follow(
+	table string, bound time.Duration, take func(platform.Reading, bool, bool), fresh func(time.Duration),
+) *follower {
+	return &follower{
+		store: tracker.Store, group: tracker.Group, table: table, clock: tracker.Clock, log: tracker.Log,
+		take: take, fresh: fresh, wake: make(chan struct{}, 1), poller: poller.Poller{Bound: bound},
+	}
+}
+
+// Claims returns what this VM knows of the store by itself.
+func (tracker *Tracker) Claims() []Claim {
+	var claims []Claim
+	for _, follower := range tracker.followers {
+		if claim, ok := follower.claim(); ok {
+			claims = append(claims, claim)
+		}
+	}
+	return claims
+}
+
+// Lost reports whether the store does not answer this VM.
+func (tracker *Tracker) Lost() bool {
+	for _, follower := range tracker.followers {
+		if follower.lost() {
+			return true
+		}
+	}
+	return false
+}
+
+// Hear takes over a claim of another VM of the group.
+func (tracker *Tracker) Hear(claim Claim) {
+	for _, follower := range tracker.followers {
+		if follower.table == claim.Table {
+			follower.hear(claim)
+		}
+	}
+}
+
 // Run follows the store until the context ends.
 func (tracker *Tracker) Run(ctx context.Context) error {
-	tracker.targets = targets{log: tracker.Log}
 	var group sync.WaitGroup
-	for _, follower := range []*follower{
-		{store: tracker.Store, table: platform.ConfigurationTable, log: tracker.Log, take: tracker.takeConfiguration},
-		{store: tracker.Store, table: platform.TargetTable, log: tracker.Log, take: tracker.takeTargets},
-	} {
+	for _, follower := range tracker.followers {
 		group.Go(func() { follower.run(ctx) })
 	}
 	group.Go(func() { tracker.dropLapsed(ctx) })
@@ -81,14 +136,18 @@
 }
 
 func (tracker *Tracker) takeConfiguration(reading platform.Reading, _, _ bool) {
-	// A row that can't be used leaves open whether keys were withdrawn, so that
-	// the date stays that of the last good one.
 	for _, row := range reading.Rows {
-		if !tracker.apply(row) {
-			return
-		}
+		tracker.refused.Store(!tracker.apply(row))
+	}
+}
+
+// freshConfiguration moves the date of the configuration. A newest one that
+// can't be used leaves open whether keys were withdrawn, so that the date stays
+// that of the last good one.
+func (tracker *Tracker) freshConfiguration(asOf time.Duration) {
+	if !tracker.refused.Load() {
+		tracker.asOf.Store(int64(asOf))
 	}
-	tracker.asOf.Store(max(tracker.asOf.Load(), int64(reading.AsOf)))
 }
 
 // apply puts the configuration in a row in force. It reports false if the row
