placer: try idle targets of a service that loses a tenth of its requests

Cause: targets that failed were left out until others were loaded.

The VMs of a data centre count what is served and what is not; while a tenth is not, each of their targets gets a request every 1.5 s unless it failed less than three seconds ago.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -37,6 +37,7 @@
 
 	byID      map[string]*target
 	byService map[string][]*target
+	strains   map[string]*strain
 }
 
 // The costs of an attempt, as parts of what a request is worth that can't be
@@ -56,6 +57,9 @@
 	costOfWait = 0.8
 	// costOfWarmup is what a target costs that has just started and is slow.
 	costOfWarmup = 0.04
+	// gainOfTrial is what an attempt gains that finds out whether an idle target
+	// of a strained service is well. It goes before all costs.
+	gainOfTrial = 2
 	// jitter spreads the VMs over targets that cost the same.
 	jitter = 0.04
 )
@@ -85,7 +89,7 @@
 	for _, declared := range targets {
 		known := placer.byID[declared.ID]
 		if known == nil || known.Incarnation != declared.Incarnation || known.Address != declared.Address {
-			known = &target{suspicion: suspicion{probability: freshSuspicion, updated: now}, warmUntil: now + declared.Warmup}
+			known = &target{suspicion: suspicion{probability: freshSuspicion, updated: now}, warmUntil: now + declared.Warmup, usedAt: now}
 		}
 		known.Target = declared
 		byID[declared.ID] = known
@@ -100,6 +104,7 @@
 func (placer *Placer) Pick(ask Ask, random *rand.Rand) (Target, bool) {
 	var best *target
 	least := 0.0
+	strained := placer.strainOf(ask.Service).strained(ask.Now)
 	for _, candidate := range placer.byService[ask.Service] {
 		if candidate.Leaving || candidate.pausedUntil > ask.Now || slices.Contains(ask.Tried, candidate.ID) != ask.Again {
 			continue
@@ -108,6 +113,9 @@
 			continue
 		}
 		cost := placer.cost(candidate, ask) + jitter*random.Float64()
+		if strained && placer.wantsTrial(candidate, ask.Now) {
+			cost -= gainOfTrial
+		}
 		if best == nil || cost < least {
 			best, least = candidate, cost
 		}
@@ -116,6 +124,7 @@
 		return Target{}, false
 	}
 	best.running++
+	best.usedAt = ask.Now
 	return best.Target, true
 }
 
--- /dev/null
+++ b/core/placer/strain.go
@@ -0,0 +1,85 @@
+package placer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// strainMemory is the time over which requests are counted.
+	strainMemory = 3 * time.Second
+	// strainedShare is the part of a service's requests that aren't served from
+	// which the floor of used targets is promised.
+	strainedShare = 0.1
+	// strainedRequests is the number of requests that a share is taken of.
+	strainedRequests = 6
+	// longestIdle is how long a target of a strained service stays without a
+	// request, so that all that are well are in use within two seconds.
+	longestIdle = 1500 * time.Millisecond
+	// maxSuspicionOfTrial leaves out targets that failed less than three seconds
+	// ago, most of which still fail.
+	maxSuspicionOfTrial = 0.6
+)
+
+// strain counts the requests of a service that were served and those that were
+// not, with weights that fade.
+type strain struct {
+	served, unserved float64
+	updated          time.Duration
+}
+
+func (strain *strain) fade(now time.Duration) {
+	if passed := now - strain.updated; passed > 0 {
+		factor := math.Exp(-passed.Seconds() / strainMemory.Seconds())
+		strain.served *= factor
+		strain.unserved *= factor
+		strain.updated = now
+	}
+}
+
+func (strain *strain) add(served bool, now time.Duration) {
+	strain.fade(now)
+	if served {
+		strain.served++
+	} else {
+		strain.unserved++
+	}
+}
+
+// strained reports whether so many requests aren't served that targets which
+// are avoided may be needed.
+func (strain *strain) strained(now time.Duration) bool {
+	strain.fade(now)
+	total := strain.served + strain.unserved
+	return total >= strainedRequests && strain.unserved >= strainedShare*total
+}
+
+// Served takes note of a request that was served, at this VM or another of its
+// data centre.
+func (placer *Placer) Served(service string, now time.Duration) {
+	placer.strainOf(service).add(true, now)
+}
+
+// Unserved takes note of a request that was refused or failed.
+func (placer *Placer) Unserved(service string, now time.Duration) {
+	placer.strainOf(service).add(false, now)
+}
+
+func (placer *Placer) strainOf(service string) *strain {
+	if placer.strains == nil {
+		placer.strains = make(map[string]*strain)
+	}
+	known := placer.strains[service]
+	if known == nil {
+		known = &strain{}
+		placer.strains[service] = known
+	}
+	return known
+}
+
+// wantsTrial reports whether an idle target of a strained service should get the
+// next request. The VMs of each data centre try the targets of their own.
+func (placer *Placer) wantsTrial(target *target, now time.Duration) bool {
+	return target.DataCentre == placer.Place.DataCentre && now-target.usedAt > longestIdle &&
+		target.suspicion.at(now) < maxSuspicionOfTrial
+}
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -42,6 +42,8 @@
 	running int
 	// others are the starts of attempts of other VMs.
 	others []time.Duration
+	// usedAt is when an attempt was last begun, as far as is known.
+	usedAt time.Duration
 	// pausedUntil is when a target that can't be reached or is full is tried
 	// again.
 	pausedUntil time.Duration
@@ -58,7 +60,10 @@
 	return target.running + len(target.others)
 }
 
-func (target *target) begun(now time.Duration) { target.others = append(target.others, now) }
+func (target *target) begun(now time.Duration) {
+	target.others = append(target.others, now)
+	target.usedAt = now
+}
 
 func (target *target) ended() {
 	if len(target.others) > 0 {
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -178,7 +178,9 @@
 	now := dispatcher.Clock()
 	before := dispatcher.state.suspicion(attempt.target.ID, now)
 	dispatcher.state.done(attempt.target, verdict.Outcome, now)
-	dispatcher.Messenger.Tell(messenger.Note{Kind: messenger.Ended, Name: attempt.target.ID, Outcome: verdict.Outcome})
+	dispatcher.Messenger.Tell(messenger.Note{
+		Kind: messenger.Ended, Name: attempt.target.ID, Service: attempt.job.service, Outcome: verdict.Outcome,
+	})
 	switch verdict.Outcome {
 	case placer.Good:
 		dispatcher.latency.observe(attempt.job.service, latency)
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -23,6 +23,7 @@
 	}
 	run := &run{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.route.Attempts+maxRepeats)}
 	reply := run.serve(ctx)
+	run.count(reply)
 	run.log(ctx, reply)
 	return reply
 }
@@ -51,6 +52,15 @@
 	reason  string
 }
 
+// count tells this VM and its group of a request that was refused or failed.
+func (run *run) count(reply receiver.Reply) {
+	if reply.Abort || reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests {
+		return
+	}
+	run.dispatcher.state.unserved(run.job.service, run.dispatcher.Clock())
+	run.dispatcher.Messenger.Tell(messenger.Note{Kind: messenger.Unserved, Service: run.job.service})
+}
+
 // hedgePart is the part of the latency objective after which an idempotent
 // request is sent to a second target at the latest.
 const hedgePart = 0.7
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -118,6 +118,15 @@
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	state.placer.Done(target, outcome, now)
+	if outcome == placer.Good {
+		state.placer.Served(target.Service, now)
+	}
+}
+
+func (state *state) unserved(service string, now time.Duration) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.placer.Unserved(service, now)
 }
 
 func (state *state) suspicion(target string, now time.Duration) float64 {
@@ -151,5 +160,10 @@
 		}
 	case note.Kind == messenger.Ended:
 		state.placer.Ended(note.Name, note.Outcome, now)
+		if note.Outcome == placer.Good {
+			state.placer.Served(note.Service, now)
+		}
+	case note.Kind == messenger.Unserved:
+		state.placer.Unserved(note.Service, now)
 	}
 }
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -27,6 +27,8 @@
 	BegunAgain
 	// Ended tells how an attempt ended whose beginning was told.
 	Ended
+	// Unserved tells of a request that was refused or failed.
+	Unserved
 	// Told tells how an attempt ended, to VMs that aren't told of beginnings.
 	Told
 )
@@ -36,7 +38,7 @@
 	Kind Kind
 	// Name is the organisation of Admitted, and otherwise the target.
 	Name string
-	// Service is that of Begun and BegunAgain.
+	// Service is that of Begun, BegunAgain, Ended and Unserved.
 	Service string
 	// Outcome is that of Ended and Told.
 	Outcome placer.Outcome
