--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -58,7 +58,7 @@
 	// costOfWarmup is what a target costs that has just started and is slow.
 	costOfWarmup = 0.04
 	// gainOfTrial is what an attempt gains that finds out whether an idle target
-	// of a strained service is well. It goes before all costs.
+	// is well. It goes before all costs.
 	gainOfTrial = 2
 	// jitter spreads the VMs over targets that cost the same.
 	jitter = 0.04
@@ -113,7 +113,7 @@
 			continue
 		}
 		cost := placer.cost(candidate, ask) + jitter*random.Float64()
-		if strained && placer.wantsTrial(candidate, ask.Now) {
+		if (strained || ask.Repeatable) && placer.wantsTrial(candidate, ask.Now) {
 			cost -= gainOfTrial
 		}
 		if best == nil || cost < least {
--- a/core/placer/strain.go
+++ b/core/placer/strain.go
@@ -77,8 +77,9 @@
 	return known
 }
 
-// wantsTrial reports whether an idle target of a strained service should get the
-// next request. The VMs of each data centre try the targets of their own.
+// wantsTrial reports whether an idle target should get the next request that can
+// be sent again, or the next one at all if its service is strained. The VMs of
+// each data centre try the targets of their own.
 func (placer *Placer) wantsTrial(target *target, now time.Duration) bool {
 	return target.DataCentre == placer.Place.DataCentre && now-target.usedAt > longestIdle &&
 		target.suspicion.at(now) < maxSuspicionOfTrial
--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -55,8 +55,11 @@
 	// first VM, longestRetryOfOthers that of the others, which learn from it
 	// when the store is back.
 	firstRetry           = 100 * time.Millisecond
-	longestRetry         = 800 * time.Millisecond
-	longestRetryOfOthers = 2 * time.Second
+	longestRetry         = 600 * time.Millisecond
+	longestRetryOfOthers = 800 * time.Millisecond
+	// soonAfter is how long after a failure an answer to another VM shows that
+	// the store is there. Later ones may show that it has come back.
+	soonAfter = 1500 * time.Millisecond
 )
 
 // Poller is what a VM knows of one table. It isn't safe for concurrent use.
@@ -75,6 +78,10 @@
 	asOf     time.Duration
 	failures int
 	retryAt  time.Duration
+	// failedAt is when the first of the failed calls ended.
+	failedAt time.Duration
+	// othersServed is true if the store answered others meanwhile.
+	othersServed bool
 }
 
 // Next returns what to do now, given the VM's rank in its group, 0 for the
@@ -86,6 +93,9 @@
 	if !poller.known {
 		return Next{Action: Read}
 	}
+	if poller.failures > 0 {
+		return Next{Action: Watch, Wait: shortestWatch} // finds soon whether the store is back
+	}
 	if poller.Behind() || rank == 0 {
 		return Next{Action: Watch, Wait: poller.watchWait()}
 	}
@@ -121,6 +131,7 @@
 	poller.asOf = max(poller.asOf, asOf)
 	poller.failures = 0
 	poller.retryAt = 0
+	poller.othersServed = false
 }
 
 // Failed takes note of a failed call. The random number, from 0 to 1, spreads
@@ -130,6 +141,9 @@
 	if rank > 0 {
 		longest = longestRetryOfOthers
 	}
+	if poller.failures == 0 {
+		poller.failedAt = now
+	}
 	pause := min(longest, firstRetry<<min(poller.failures, 5))
 	poller.failures++
 	poller.retryAt = now + time.Duration((0.5+random/2)*float64(pause))
@@ -141,6 +155,10 @@
 // Failures returns the number of calls that failed since the last answer.
 func (poller *Poller) Failures() int { return poller.failures }
 
+// Away reports whether the calls fail and no other VM is known to be answered, so
+// that the store may be away for all.
+func (poller *Poller) Away() bool { return poller.failures > 0 && !poller.othersServed }
+
 // Version returns the version of the store after which to watch.
 func (poller *Poller) Version() uint64 { return poller.version }
 
@@ -154,6 +172,9 @@
 // Hear takes another VM's claim in: that the table has not changed after a
 // version up to a time. It reports whether the VM should look at Next again.
 func (poller *Poller) Hear(change uint64, asOf time.Duration) bool {
+	if poller.failures > 0 && asOf > poller.failedAt && asOf < poller.failedAt+soonAfter {
+		poller.othersServed = true
+	}
 	if !poller.known {
 		return false
 	}
--- a/core/poller/poller_test.go
+++ b/core/poller/poller_test.go
@@ -99,6 +99,36 @@
 	is.Equal(vm.Next(0, now).Action, poller.Watch)
 }
 
+// What lapsed while the store was away may come back; what went while only this
+// VM was cut off is gone.
+func TestCutOfOneVMIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	cutOff, outage := start(), start()
+	for _, vm := range []*poller.Poller{cutOff, outage} {
+		vm.Hear(10, 4900*time.Millisecond)
+		vm.Failed(1, 5*time.Second, 1)
+		is.True(vm.Away())
+	}
+	cutOff.Hear(10, 5500*time.Millisecond)
+	outage.Hear(10, 9*time.Second) // another VM found the store first
+	is.True(!cutOff.Away())
+	is.True(outage.Away())
+}
+
+// A call to a store that doesn't answer must not take long, so that a VM knows
+// what has gone within the time to get in touch.
+func TestLostStoreIsFoundSoon(t *testing.T) {
+	is := is.New(t)
+	vm := start()
+	for range 5 {
+		vm.Failed(4, 10*time.Second, 1)
+	}
+	rest := vm.Next(4, 10*time.Second)
+	call := vm.Next(4, 10*time.Second+rest.Wait)
+	is.Equal(call.Action, poller.Watch)
+	is.True(rest.Wait+call.Wait <= time.Second)
+}
+
 func TestForgetReadsAnew(t *testing.T) {
 	is := is.New(t)
 	vm := start()
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -109,12 +109,12 @@
 		return
 	}
 	follower.mutex.Lock()
-	failures := follower.poller.Failures()
+	failures, away := follower.poller.Failures(), follower.poller.Away()
 	follower.mutex.Unlock()
 	if failures > 0 {
-		follower.log.WithFields(logrus.Fields{"table": follower.table, "failures": failures}).Info("store-regained")
+		follower.log.WithFields(logrus.Fields{"table": follower.table, "failures": failures, "away-for-all": away}).Info("store-regained")
 	}
-	follower.take(reading, whole, failures > 0)
+	follower.take(reading, whole, away)
 	follower.mutex.Lock()
 	follower.poller.Took(reading.Version, newest(reading.Rows), reading.AsOf, whole)
 	follower.stored = reading.Stored
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -46,6 +46,7 @@
 }
 
 func main() {
+	signal.Ignore(syscall.SIGHUP) // the settings file is watched
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	program := program{out: os.Stdout, problems: os.Stderr}
