messenger: tell failures to the whole fleet through one VM a group

Cause: each region learned of an ill target by failures of its own, and knew nothing of the targets of other regions that it turns to when its own are ill. Each VM sent its failures to all VMs of the other data centre of its region.

A failure that is news goes to one VM of each other group, which passes it on.

--- a/core/placer/load_test.go
+++ b/core/placer/load_test.go
@@ -45,7 +45,7 @@
 	atRandom policy = iota
 	// alone places by what each VM sees itself.
 	alone
-	// together places by what the VMs of a data centre and region tell.
+	// together places by what the VMs of a data centre tell, and failures over the fleet.
 	together
 )
 
@@ -144,7 +144,7 @@
 			case i == ended.vm:
 			case other.Place.DataCentre == teller.Place.DataCentre:
 				other.Ended(ended.target.ID, ended.outcome, ended.at)
-			case other.Place.Region == teller.Place.Region && ended.outcome == placer.Failed:
+			case ended.outcome == placer.Failed:
 				other.Told(ended.target.ID, ended.outcome, ended.at)
 			}
 		}
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -30,6 +30,9 @@
 	maxAnswerBytes = 32 << 20
 )
 
+// newsBelow is the suspicion from which another failure is no news to the fleet.
+const newsBelow = 0.6
+
 var errWithheld = errors.New("the attempt must not be sent any more")
 
 // attempt is one attempt of a request at one target.
@@ -185,7 +188,9 @@
 	case placer.Good:
 		dispatcher.latency.observe(attempt.job.service, latency)
 	case placer.Failed:
-		dispatcher.Messenger.TellRegion(messenger.Note{Kind: messenger.Told, Name: attempt.target.ID, Outcome: placer.Failed})
+		if before < newsBelow {
+			dispatcher.Messenger.TellFleet(messenger.Note{Kind: messenger.Told, Name: attempt.target.ID, Outcome: placer.Failed})
+		}
 	}
 	fields := logrus.Fields{
 		"request": attempt.job.ask.ID, "attempt": attempt.number, "target": attempt.target.ID, "reason": verdict.Reason,
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -37,7 +37,7 @@
 // Messenger tells other VMs.
 type Messenger interface {
 	Tell(notes ...messenger.Note)
-	TellRegion(notes ...messenger.Note)
+	TellFleet(notes ...messenger.Note)
 }
 
 // Dispatcher serves requests. Fields are set before Open.
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -29,7 +29,7 @@
 	Ended
 	// Unserved tells of a request that was refused or failed.
 	Unserved
-	// Told tells how an attempt ended, to VMs that aren't told of beginnings.
+	// Told tells how an attempt ended, to VMs that weren't told of its beginning.
 	Told
 )
 
@@ -53,8 +53,10 @@
 	Hello bool
 	// Leaving tells that the sender stops for good or for a restart.
 	Leaving bool
-	Notes   []Note
-	Claims  []Claim
+	// Relay asks to pass the notes on in the receiver's group.
+	Relay  bool
+	Notes  []Note
+	Claims []Claim
 	// Lost is true while the store does not answer the sender.
 	Lost bool
 }
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -1,9 +1,11 @@
-// Package messenger carries short notes between the VMs of a region, as
+// Package messenger carries short notes between the VMs of the fleet, as
 // encrypted datagrams.
 //
 // The VMs of a data centre fall into groups of bounded size, which share rates
-// and tell each other of every attempt. A note that is lost is not sent again:
-// what notes tell is worth little a moment later.
+// and tell each other of every attempt. What the whole fleet should know goes to
+// one VM of each other group, which passes it on in its own: bytes between data
+// centres and regions are paid for. A note that is lost is not sent again: what
+// notes tell is worth little a moment later.
 //
 // # Usage
 //
@@ -11,7 +13,7 @@
 //	messenger.Know(peers)
 //	go messenger.Run(ctx)
 //	messenger.Tell(note)       // to the group
-//	messenger.TellRegion(note) // to the rest of the region
+//	messenger.TellFleet(note)  // to the rest of the fleet
 package messenger
 
 import (
@@ -25,7 +27,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Peer is a VM of the region.
+// Peer is a VM of the fleet.
 type Peer struct {
 	Name       string
 	DataCentre string
@@ -44,8 +46,8 @@
 	maxDatagram = 4 << 10
 )
 
-// Messenger exchanges notes with the other VMs of the region. Fields are set
-// before Run.
+// Messenger exchanges notes with the other VMs of the fleet. Fields are set before
+// Run.
 type Messenger struct {
 	Self Peer
 	// Key encrypts the datagrams.
@@ -69,10 +71,13 @@
 	sealer     *sealer
 
 	mutex sync.Mutex
-	peers map[string]*peer
-	group []*peer
-	// others are the VMs of the region that aren't of the group.
-	others []*peer
+	// peers are the other VMs of the data centre, group those of the VM's group,
+	// and others those of each other group.
+	peers  map[string]*peer
+	group  []*peer
+	others map[int][]*peer
+	// contacts are VMs of each other data centre.
+	contacts map[string][]netip.AddrPort
 	// size is the number of VMs of the data centre.
 	size    int
 	leaving bool
@@ -103,6 +108,7 @@
 	}
 	messenger.size = 1
 	messenger.peers = make(map[string]*peer)
+	messenger.contacts = make(map[string][]netip.AddrPort)
 	return nil
 }
 
@@ -141,7 +147,12 @@
 		messenger.forget(from.Name)
 		return
 	}
-	messenger.hear(from)
+	if from.DataCentre == messenger.Self.DataCentre {
+		messenger.hear(from)
+	}
+	if letter.Relay {
+		messenger.Tell(letter.Notes...)
+	}
 	if letter.Hello {
 		messenger.send(from.Address, messenger.letter(false, nil))
 	}
@@ -183,13 +194,15 @@
 }
 
 // Tell sends notes to the group.
-func (messenger *Messenger) Tell(notes ...Note) { messenger.tell(messenger.groupPeers(), notes) }
-
-// TellRegion sends notes to the VMs of the region that aren't of the group.
-func (messenger *Messenger) TellRegion(notes ...Note) { messenger.tell(messenger.otherPeers(), notes) }
+func (messenger *Messenger) Tell(notes ...Note) {
+	messenger.sendAll(messenger.groupPeers(), messenger.letter(false, notes))
+}
 
-func (messenger *Messenger) tell(addresses []netip.AddrPort, notes []Note) {
-	messenger.sendAll(addresses, messenger.letter(false, notes))
+// TellFleet sends notes to the VMs that aren't of the group.
+func (messenger *Messenger) TellFleet(notes ...Note) {
+	letter := messenger.letter(false, notes)
+	letter.Relay = true
+	messenger.sendAll(messenger.relays(), letter)
 }
 
 func (messenger *Messenger) sendAll(addresses []netip.AddrPort, letter letter) {
@@ -215,7 +228,6 @@
 	messenger.leaving = true
 	messenger.mutex.Unlock()
 	messenger.Tell()
-	messenger.TellRegion()
 }
 
 func (messenger *Messenger) letter(hello bool, notes []Note) letter {
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strings"
@@ -9,18 +10,36 @@
 // maxGroup bounds the VMs that share a rate, and so the datagrams of a VM.
 const maxGroup = 16
 
-// maxOthers bounds the VMs of the region that a VM tells of failures.
-const maxOthers = 32
+// maxContacts bounds the VMs of another data centre that a VM knows.
+const maxContacts = 16
 
-// Know takes VMs of the region in, and greets those that were not known.
+// Know takes VMs of the fleet in, and greets those of the data centre that were
+// not known.
 func (messenger *Messenger) Know(peers []Peer) {
 	for _, peer := range peers {
-		if peer.Name != messenger.Self.Name && messenger.add(peer, false) {
+		switch {
+		case peer.Name == messenger.Self.Name:
+		case peer.DataCentre != messenger.Self.DataCentre:
+			messenger.addContact(peer)
+		case messenger.add(peer, false):
 			messenger.send(peer.Address, messenger.letter(true, nil))
 		}
 	}
 }
 
+func (messenger *Messenger) addContact(from Peer) {
+	address, err := netip.ParseAddrPort(from.Address)
+	if err != nil {
+		messenger.Log.WithError(err).WithField("peer", from.Name).Warn("peer-address-malformed")
+		return
+	}
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	if known := messenger.contacts[from.DataCentre]; len(known) < maxContacts {
+		messenger.contacts[from.DataCentre] = append(known, address)
+	}
+}
+
 // hear takes note of a VM that has just spoken.
 func (messenger *Messenger) hear(from Peer) {
 	if messenger.add(from, true) {
@@ -97,22 +116,21 @@
 // groups of nearly equal size. The mutex is held.
 func (messenger *Messenger) regroup() {
 	names := []string{messenger.Self.Name}
-	for _, peer := range messenger.peers {
-		if peer.DataCentre == messenger.Self.DataCentre {
-			names = append(names, peer.Name)
-		}
+	for name := range messenger.peers {
+		names = append(names, name)
 	}
 	slices.SortFunc(names, strings.Compare)
 	messenger.size = len(names)
 	groups := (len(names) + maxGroup - 1) / maxGroup
 	own := groupOf(slices.Index(names, messenger.Self.Name), len(names), groups)
-	messenger.group, messenger.others = nil, nil
+	messenger.group = nil
+	messenger.others = make(map[int][]*peer)
 	for _, peer := range messenger.peers {
-		index := slices.Index(names, peer.Name)
-		if index >= 0 && groupOf(index, len(names), groups) == own {
+		group := groupOf(slices.Index(names, peer.Name), len(names), groups)
+		if group == own {
 			messenger.group = append(messenger.group, peer)
-		} else if len(messenger.others) < maxOthers {
-			messenger.others = append(messenger.others, peer)
+		} else {
+			messenger.others[group] = append(messenger.others[group], peer)
 		}
 	}
 }
@@ -178,19 +196,24 @@
 func (messenger *Messenger) groupPeers() []netip.AddrPort {
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
-	return addresses(messenger.group)
+	addresses := make([]netip.AddrPort, 0, len(messenger.group))
+	for _, peer := range messenger.group {
+		addresses = append(addresses, peer.address)
+	}
+	return addresses
 }
 
-func (messenger *Messenger) otherPeers() []netip.AddrPort {
+// relays returns a VM of each other group of the data centre and of each other
+// data centre.
+func (messenger *Messenger) relays() []netip.AddrPort {
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
-	return addresses(messenger.others)
-}
-
-func addresses(peers []*peer) []netip.AddrPort {
-	found := make([]netip.AddrPort, 0, len(peers))
-	for _, peer := range peers {
-		found = append(found, peer.address)
+	var addresses []netip.AddrPort
+	for _, group := range messenger.others {
+		addresses = append(addresses, group[rand.IntN(len(group))].address)
+	}
+	for _, contacts := range messenger.contacts {
+		addresses = append(addresses, contacts[rand.IntN(len(contacts))])
 	}
-	return found
+	return addresses
 }
--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -1,9 +1,9 @@
-// Package registrar makes a VM known to the others of its region through the
-// store, and finds them there, together with the key of their messages.
+// Package registrar makes a VM known to the others of the fleet through the store,
+// and finds them there, together with the key of their messages.
 //
 // # Usage
 //
-//	registrar := &registrar.Registrar{Store: store, Region: region, Log: log}
+//	registrar := &registrar.Registrar{Store: store, Log: log}
 //	members, err := registrar.Join(ctx, registrar.Member{Name: name, DataCentre: dataCentre, Address: address})
 package registrar
 
@@ -21,8 +21,8 @@
 	"godwitramp.example/platform"
 )
 
-// Rows of the table: one with the key of the region's messages, and one for
-// each VM. Each region has a part of its own.
+// Rows of the table: one with the key of the fleet's messages, and one for each
+// VM.
 const (
 	table     = "vms"
 	keyRow    = "key"
@@ -33,7 +33,7 @@
 // retryPause is the wait after a failed call.
 const retryPause = 300 * time.Millisecond
 
-// Member is a VM of the region.
+// Member is a VM of the fleet.
 type Member struct {
 	Name       string `json:"-"`
 	DataCentre string `json:"data-centre"`
@@ -41,7 +41,7 @@
 	Address string `json:"address"`
 }
 
-// Members are the VMs of a region that have ever joined, and their key.
+// Members are the VMs that have ever joined, and their key.
 type Members struct {
 	Key []byte
 	All []Member
@@ -55,9 +55,8 @@
 
 // Registrar joins the fleet. Fields are set before Join.
 type Registrar struct {
-	Store  Store
-	Region string
-	Log    *logrus.Entry
+	Store Store
+	Log   *logrus.Entry
 }
 
 // Join records the VM and returns all that have joined before it. It tries
@@ -82,7 +81,7 @@
 	if err := registrar.record(ctx, member); err != nil {
 		return Members{}, err
 	}
-	reading, err := registrar.Store.Read(ctx, table, registrar.Region)
+	reading, err := registrar.Store.Read(ctx, table, "")
 	if err != nil {
 		return Members{}, fmt.Errorf("read members: %w", err)
 	}
@@ -102,7 +101,7 @@
 		}
 	}
 	if len(members.Key) != keyLength {
-		return Members{}, fmt.Errorf("the key of the region has %d bytes, must be %d", len(members.Key), keyLength)
+		return Members{}, fmt.Errorf("the key of the fleet has %d bytes, must be %d", len(members.Key), keyLength)
 	}
 	return members, nil
 }
@@ -117,10 +116,10 @@
 	if _, err := rand.Read(key); err != nil {
 		return fmt.Errorf("draw key: %w", err)
 	}
-	own := platform.Write{Table: table, Part: registrar.Region, Key: vmPrefix + member.Name, Value: value}
+	own := platform.Write{Table: table, Key: vmPrefix + member.Name, Value: value}
 	first := platform.Transaction{
-		Conditions: []platform.Condition{{Table: table, Part: registrar.Region, Key: keyRow}},
-		Writes:     []platform.Write{own, {Table: table, Part: registrar.Region, Key: keyRow, Value: key}},
+		Conditions: []platform.Condition{{Table: table, Key: keyRow}},
+		Writes:     []platform.Write{own, {Table: table, Key: keyRow, Value: key}},
 	}
 	err = registrar.Store.Commit(ctx, first)
 	var conflict *platform.ConflictError
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -6,7 +6,7 @@
 	"godwitramp.example/gateway/internal/messenger"
 )
 
-// messages passes notes on once the VM has joined its region. Until then there
+// messages passes notes on once the VM has joined the fleet. Until then there
 // is nobody to tell.
 type messages struct {
 	messenger atomic.Pointer[messenger.Messenger]
@@ -21,10 +21,10 @@
 	}
 }
 
-// TellRegion sends notes to the rest of the region.
-func (messages *messages) TellRegion(notes ...messenger.Note) {
+// TellFleet sends notes to the rest of the fleet.
+func (messages *messages) TellFleet(notes ...messenger.Note) {
 	if messenger := messages.messenger.Load(); messenger != nil {
-		messenger.TellRegion(notes...)
+		messenger.TellFleet(notes...)
 	}
 }
 
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -131,10 +131,10 @@
 	return indexer.Limits{}
 }
 
-// join makes the VM known to its region and exchanges messages with it.
+// join makes the VM known to the fleet and exchanges messages with it.
 func (starter *Starter) join(ctx context.Context, store *platform.Store) {
 	settings := starter.Settings
-	registrar := &registrar.Registrar{Store: store, Region: settings.Region, Log: starter.Log}
+	registrar := &registrar.Registrar{Store: store, Log: starter.Log}
 	self := messenger.Peer{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages}
 	members, err := registrar.Join(ctx, memberOf(self))
 	if err != nil {
