--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -75,6 +75,9 @@
 // whether this VM reaches the target.
 func (target *target) learn(outcome Outcome, own bool, now time.Duration) {
 	target.suspicion.observe(outcome, now)
+	if outcome == Gone {
+		target.pausedUntil = now + longestPause // its entry will go too
+	}
 	if !own {
 		return
 	}
