gateway: whole path over sockets, settings watched, logs that never wait, counters

Cause: the parts had tests of their own but nothing ran the program with the store's protocol outside the users' platform; a changed settings file was not seen; and a reader of the log that stopped reading would have stopped requests.

platform/faker is a stand-in of the store with its faults.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 check:
 	scripts/check.sh
+	scripts/names.sh
 
 unit:
 	scripts/test.sh
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -178,6 +178,7 @@
 // settle tells the outcome to this VM and the others.
 func (attempt *attempt) settle(latency time.Duration) {
 	dispatcher, verdict := attempt.dispatcher, attempt.verdict
+	meterAttempt(verdict, latency)
 	now := dispatcher.Clock()
 	before := dispatcher.state.suspicion(attempt.target.ID, now)
 	dispatcher.state.done(attempt.target, verdict.Outcome, now)
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -45,8 +45,9 @@
 	Tracker   Tracker
 	Messenger Messenger
 	Exchanger *exchanger.Exchanger
-	Policy    Policy
-	Place     placer.Place
+	// Policy holds until SetPolicy changes it.
+	Policy Policy
+	Place  placer.Place
 	// Regions tells the region of each data centre.
 	Regions map[string]string
 	// Clock goes on while the VM is suspended.
@@ -71,6 +72,14 @@
 	dispatcher.state.configure(index, dispatcher.Clock())
 }
 
+// SetPolicy takes over changed bounds of the fleet.
+func (dispatcher *Dispatcher) SetPolicy(policy Policy) {
+	dispatcher.state.setPolicy(policy)
+	if index := dispatcher.Tracker.Index(); index != nil {
+		dispatcher.Configure(index)
+	}
+}
+
 // Target takes over the targets.
 func (dispatcher *Dispatcher) Target(targets []placer.Target) {
 	state := &dispatcher.state
@@ -99,7 +108,7 @@
 // trusted reports whether requests with a key may run: whether no key can have
 // been withdrawn for longer than a withdrawal may take.
 func (dispatcher *Dispatcher) trusted() bool {
-	return dispatcher.Clock()-dispatcher.Tracker.AsOf() < dispatcher.Policy.Trust
+	return dispatcher.Clock()-dispatcher.Tracker.AsOf() < dispatcher.state.trust()
 }
 
 // await waits for a channel, and reports false if the context ends first.
--- /dev/null
+++ b/gateway/internal/dispatcher/meter.go
@@ -0,0 +1,23 @@
+package dispatcher
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"godwitramp.example/core/assessor"
+)
+
+// meter counts an answer. Its labels have few values: reasons are those of the
+// program, and statuses those of targets.
+func meter(reason string, status int, duration time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_answers_total{status="%d",reason=%q}`, status, reason)).Inc()
+	metrics.GetOrCreateHistogram("gateway_answer_seconds").Update(duration.Seconds())
+}
+
+// meterAttempt counts the end of an attempt.
+func meterAttempt(verdict assessor.Verdict, duration time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_attempts_total{reason=%q}`, verdict.Reason)).Inc()
+	metrics.GetOrCreateHistogram("gateway_attempt_seconds").Update(duration.Seconds())
+}
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -18,12 +18,14 @@
 func (dispatcher *Dispatcher) Serve(ctx context.Context, call *receiver.Call) receiver.Reply {
 	job, refused := dispatcher.admit(call)
 	if refused != nil {
+		meter(refused.reason, refused.status, time.Since(call.Received))
 		dispatcher.logRefusal(call, refused)
 		return refused.reply()
 	}
 	run := &run{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.route.Attempts+maxRepeats)}
 	reply := run.serve(ctx)
 	run.count(reply)
+	meter(run.reason, reply.Status, time.Since(call.Received))
 	run.log(ctx, reply)
 	return reply
 }
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -37,6 +37,21 @@
 	Trust time.Duration
 }
 
+func (state *state) setPolicy(policy Policy) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.policy = policy
+	for _, budget := range state.budgets {
+		budget.Ratio = policy.RetryRatio
+	}
+}
+
+func (state *state) trust() time.Duration {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.policy.Trust
+}
+
 // configure takes over the rates and services of a configuration.
 func (state *state) configure(index *indexer.Index, now time.Duration) {
 	state.mutex.Lock()
--- /dev/null
+++ b/gateway/internal/loader/loader_test.go
@@ -0,0 +1,98 @@
+package loader_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/gateway/internal/loader"
+)
+
+const good = `[vm]
+name = front-rajkot-a-1
+region = saurashtra
+data-centre = rajkot-a
+memory-mb = 284
+descriptors = 4100
+
+[fleet]
+regions = rajkot-a:saurashtra,bhuj-a:kutch,
+
+[listen]
+callers = 10.1.0.24:8045
+readiness = 10.1.0.24:8048
+operators = 10.1.0.24:7101
+messages = 10.1.0.24:7100
+
+[store]
+address = 10.200.1.7:8041
+
+[keys]
+withdrawal = 5000ms
+`
+
+func TestLoad(t *testing.T) {
+	is := is.New(t)
+	settings, problems := loader.Load("vm.ini", []byte(good))
+	is.Equal(len(problems), 0)
+	is.Equal(settings.Name, "front-rajkot-a-1")
+	is.Equal(settings.Regions, map[string]string{"rajkot-a": "saurashtra", "bhuj-a": "kutch"})
+	is.Equal(settings.Withdrawal, 5*time.Second)
+	is.Equal(settings.RetryRatio, 0.2) // the default
+}
+
+// Each mistake is told with its line, name, value and what is allowed.
+func TestMistakes(t *testing.T) {
+	for _, test := range []struct{ old, changed, want string }{
+		{"memory-mb = 284", "memory-mb = many", `vm.ini:5: [vm] memory-mb = "many": is not a whole number above 0; allowed: a whole number above 0`},
+		{"name = front-rajkot-a-1", "name =", `[vm] name: is missing; allowed: a text`},
+		{"10.1.0.24:8045", "somewhere", `vm.ini:12: [listen] callers = "somewhere"`},
+		{"5000ms", "5m", `vm.ini:21: [keys] withdrawal = "5m": is not a duration above 0; allowed: a number and its unit, ms or s, such as 1.5s`},
+		{"withdrawal", "withdrawel", `the nearest known name is "keys.withdrawal"`},
+		{"rajkot-a:saurashtra,", "", `lacks the data centre "rajkot-a"`},
+		{"bhuj-a:kutch", "bhuj-a", `which is not a pair`},
+	} {
+		t.Run(test.changed, func(t *testing.T) {
+			is := is.New(t)
+			text := strings.Replace(good, test.old, test.changed, 1)
+			is.True(text != good)
+			_, problems := loader.Load("vm.ini", []byte(text))
+			is.Equal(len(problems), 1)
+			is.True(strings.Contains(problems[0].Error(), test.want))
+		})
+	}
+}
+
+// The template of the platform gives each setting that has no default, under a
+// name that the program knows.
+func TestTemplateNamesAllSettings(t *testing.T) {
+	is := is.New(t)
+	template, err := os.ReadFile("../../../deploy/vm.ini")
+	is.NoErr(err)
+	filled := regexp.MustCompile(`\{\{[#/][^}]*\}\}`).ReplaceAllString(string(template), "")
+	filled = strings.ReplaceAll(filled, "{{@}}:{{.}},", "z:r,")
+	for placeholder, value := range map[string]string{
+		"{{Zone}}": "z", "{{Region}}": "r", "{{IpAddress}}:{{InternalPortRange.0}}": "10.0.0.1:7100",
+		"{{IpAddress}}:{{InternalPortRange.1}}": "10.0.0.1:7101",
+		"{{Platform.Address}}":                  "10.0.0.2:80", "{{Bounds.RetryBudgetRatio}}": "0.2",
+		"{{Bounds.RetryBudgetExtra}}": "60", "{{Bounds.QuotaOvershoot}}": "0.1", "{{Bounds.QuotaTolerance}}": "20",
+	} {
+		is.True(strings.Contains(filled, placeholder))
+		filled = strings.ReplaceAll(filled, placeholder, value)
+	}
+	filled = regexp.MustCompile(`\{\{Bounds\.[A-Za-z]+\}\}`).ReplaceAllString(filled, "5s")
+	filled = regexp.MustCompile(`\{\{Limits\.[A-Za-z]+\}\}`).ReplaceAllString(filled, "300")
+	filled = regexp.MustCompile(`\{\{Listen\.[A-Za-z]+\}\}`).ReplaceAllString(filled, "10.0.0.1:80")
+	filled = strings.ReplaceAll(filled, "{{Node}}", "vm-1")
+	_, problems := loader.Load("vm.ini", []byte(filled))
+	for _, problem := range problems {
+		t.Error(problem)
+	}
+	for _, setting := range loader.All {
+		is.True(strings.Contains(string(template), setting.Name+" = "))
+	}
+}
--- /dev/null
+++ b/gateway/internal/registrar/registrar_test.go
@@ -0,0 +1,102 @@
+package registrar_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/gateway/internal/registrar"
+	"godwitramp.example/platform"
+	"godwitramp.example/platform/faker"
+)
+
+// start returns a store and a registrar that uses it.
+func start(t *testing.T) (*faker.Store, *registrar.Registrar) {
+	t.Helper()
+	store := &faker.Store{}
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	began := time.Now()
+	client := &platform.Store{
+		Address: strings.TrimPrefix(server.URL, "http://"), Clock: func() time.Duration { return time.Since(began) },
+	}
+	return store, &registrar.Registrar{Store: client, Log: logrus.NewEntry(log)}
+}
+
+// Of any two VMs that join at once, one finds the other, and all have one key.
+func TestVMsFindEachOther(t *testing.T) {
+	is := is.New(t)
+	_, fleet := start(t)
+	const vms = 12
+	found := make([]registrar.Members, vms)
+	var group sync.WaitGroup
+	for i := range vms {
+		group.Go(func() {
+			members, err := fleet.Join(context.Background(), registrar.Member{Name: fmt.Sprint("vm-", i), DataCentre: "d", Address: "127.0.0.1:1"})
+			if err != nil {
+				t.Error(err)
+			}
+			found[i] = members
+		})
+	}
+	group.Wait()
+	knows := func(i, j int) bool {
+		for _, member := range found[i].All {
+			if member.Name == fmt.Sprint("vm-", j) {
+				return true
+			}
+		}
+		return false
+	}
+	for i := range vms {
+		is.Equal(found[i].Key, found[0].Key)
+		for j := range vms {
+			is.True(knows(i, j) || knows(j, i))
+		}
+	}
+}
+
+func TestJoinWaitsForTheStore(t *testing.T) {
+	is := is.New(t)
+	store, fleet := start(t)
+	store.SetFaults(faker.Faults{LoseAnswers: true})
+	joined := make(chan registrar.Members)
+	go func() {
+		members, err := fleet.Join(context.Background(), registrar.Member{Name: "vm", DataCentre: "d", Address: "127.0.0.1:1"})
+		if err != nil {
+			t.Error(err)
+		}
+		joined <- members
+	}()
+	for store.Calls() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	store.SetFaults(faker.Faults{Refuse: http.StatusServiceUnavailable})
+	for store.Calls() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	store.SetFaults(faker.Faults{})
+	members := <-joined
+	is.Equal(len(members.All), 1)
+}
+
+func TestJoinEndsWithTheContext(t *testing.T) {
+	is := is.New(t)
+	store, fleet := start(t)
+	store.SetFaults(faker.Faults{Refuse: http.StatusServiceUnavailable})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := fleet.Join(ctx, registrar.Member{Name: "vm"})
+	is.True(err != nil)
+}
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -4,6 +4,7 @@
 // # Usage
 //
 //	starter := &starter.Starter{Settings: settings, Log: log}
+//	starter.Open()
 //	err := starter.Run(ctx) // ctx ends when the planned stop begins
 package starter
 
@@ -35,7 +36,7 @@
 const (
 	// trustMargin is kept of the time within which a withdrawn key must have
 	// stopped, for the way of an attempt to its target.
-	trustMargin = 600 * time.Millisecond
+	trustMargin = 300 * time.Millisecond
 	// callerDescriptors is the part of the descriptors that callers may take;
 	// the rest is for targets and files.
 	callerDescriptors = 0.6
@@ -45,12 +46,13 @@
 	heapMemory = 0.7
 )
 
-// Starter runs one VM. Fields are set before Run.
+// Starter runs one VM. Fields are set before Open.
 type Starter struct {
 	Settings loader.Settings
 	Log      *logrus.Entry
 
 	leaving    atomic.Bool
+	store      *platform.Store
 	tracker    *tracker.Tracker
 	messages   *messages
 	dispatcher *dispatcher.Dispatcher
@@ -71,15 +73,13 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stopWork()
-	store := &platform.Store{Address: settings.Store, Clock: timer.Now}
-	starter.assemble(store)
 	endpoints, err := starter.startEndpoints()
 	if err != nil {
 		return err
 	}
 	defer endpoints.close()
 	group.Go(func() { _ = starter.tracker.Run(work) })
-	group.Go(func() { starter.join(work, store) })
+	group.Go(func() { starter.join(work) })
 	group.Go(func() { _ = starter.dispatcher.Exchanger.Run(work) })
 	failed := make(chan error, 1)
 	group.Go(func() { failed <- starter.receiver.Run(work, callers) })
@@ -93,24 +93,20 @@
 	return nil
 }
 
-func (starter *Starter) assemble(store *platform.Store) {
+// Open puts the parts together. It comes before all other calls.
+func (starter *Starter) Open() {
 	settings := starter.Settings
+	starter.store = &platform.Store{Address: settings.Store, Clock: timer.Now}
 	starter.messages = &messages{}
 	starter.tracker = &tracker.Tracker{
-		Store: store, Group: starter.messages, Clock: timer.Now, Log: starter.Log,
+		Store: starter.store, Group: starter.messages, Clock: timer.Now, Log: starter.Log,
 		ConfigurationBound: settings.Propagation, TargetBound: settings.Leaving,
 	}
 	starter.dispatcher = &dispatcher.Dispatcher{
 		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{},
 		Place:   placer.Place{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions: settings.Regions, Clock: timer.Now, Log: starter.Log,
-		Policy: dispatcher.Policy{
-			Rates: throttler.Tolerance{
-				Window: settings.RateWindow, Overshoot: settings.RateOvershoot, Extra: settings.RateTolerance,
-			},
-			RetryRatio: settings.RetryRatio, RetryExtra: settings.RetryExtra, RetryWindow: settings.RetryWindow,
-			Trust: settings.Withdrawal - trustMargin,
-		},
+		Policy: policyOf(settings),
 	}
 	starter.dispatcher.Open()
 	starter.tracker.OnConfiguration = starter.dispatcher.Configure
@@ -124,6 +120,23 @@
 	}
 }
 
+func policyOf(settings loader.Settings) dispatcher.Policy {
+	return dispatcher.Policy{
+		Rates: throttler.Tolerance{
+			Window: settings.RateWindow, Overshoot: settings.RateOvershoot, Extra: settings.RateTolerance,
+		},
+		RetryRatio: settings.RetryRatio, RetryExtra: settings.RetryExtra, RetryWindow: settings.RetryWindow,
+		Trust: settings.Withdrawal - trustMargin,
+	}
+}
+
+// Reload takes over new settings while the VM runs: those of keys, retries and
+// rates. The others hold from the next start on.
+func (starter *Starter) Reload(settings loader.Settings) {
+	starter.dispatcher.SetPolicy(policyOf(settings))
+	starter.Log.Info("settings-reloaded")
+}
+
 func (starter *Starter) limits() indexer.Limits {
 	if index := starter.tracker.Index(); index != nil {
 		return index.Limits
@@ -132,9 +145,9 @@
 }
 
 // join makes the VM known to the fleet and exchanges messages with it.
-func (starter *Starter) join(ctx context.Context, store *platform.Store) {
+func (starter *Starter) join(ctx context.Context) {
 	settings := starter.Settings
-	registrar := &registrar.Registrar{Store: store, Log: starter.Log}
+	registrar := &registrar.Registrar{Store: starter.store, Log: starter.Log}
 	self := messenger.Peer{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages}
 	members, err := registrar.Join(ctx, memberOf(self))
 	if err != nil {
--- /dev/null
+++ b/gateway/internal/starter/starter_test.go
@@ -0,0 +1,236 @@
+package starter_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/gateway/internal/loader"
+	"godwitramp.example/gateway/internal/starter"
+	"godwitramp.example/platform"
+	"godwitramp.example/platform/faker"
+)
+
+// fleet is VMs, a store and a target, over sockets.
+type fleet struct {
+	t        *testing.T
+	store    *faker.Store
+	address  string
+	upstream string
+	runs     atomic.Int32
+	vms      []*vm
+}
+
+// vm is one running VM.
+type vm struct {
+	settings loader.Settings
+	stop     context.CancelFunc
+	stopped  chan struct{}
+}
+
+// start runs VMs that serve one target.
+func start(t *testing.T, vms int) *fleet {
+	t.Helper()
+	fleet := &fleet{t: t, store: &faker.Store{}}
+	store := httptest.NewServer(fleet.store)
+	t.Cleanup(store.Close)
+	t.Cleanup(store.CloseClientConnections)
+	fleet.address = strings.TrimPrefix(store.URL, "http://")
+	target := httptest.NewServer(http.HandlerFunc(fleet.serveTarget))
+	t.Cleanup(target.Close)
+	fleet.upstream = strings.TrimPrefix(target.URL, "http://")
+	fleet.configure(1, "key")
+	fleet.store.Put(platform.TargetTable, "", "t", fmt.Appendf(nil,
+		`{"Service":"s","Address":%q,"Zone":"d","Slots":4,"State":"ready","Sequence":1}`, fleet.upstream))
+	for i := range vms {
+		fleet.run(fmt.Sprint("vm-", i))
+	}
+	return fleet
+}
+
+func (fleet *fleet) serveTarget(writer http.ResponseWriter, request *http.Request) {
+	fleet.runs.Add(1)
+	if strings.HasSuffix(request.URL.Path, "/slow") {
+		time.Sleep(1200 * time.Millisecond)
+	}
+	writer.Header().Set("X-Attempt-Id", request.Header.Get("X-Attempt-Id"))
+	writer.Header().Set("X-Response-Signature", "signature")
+	_, _ = io.WriteString(writer, "served")
+}
+
+func (fleet *fleet) configure(version int, key string) {
+	fleet.store.Put(platform.ConfigurationTable, "", "config", fmt.Appendf(nil, `{"Version":"r%d","Resources":[
+		{"ResourceKind":"Routes","Metadata":{"Name":"r"},"Specification":{"Host":"a.example","Prefix":"/","Kind":"idempotent",
+		"Timeout":"5s","ObjectiveLatency":"4s","Service":"s","Attempts":2}},
+		{"ResourceKind":"Services","Metadata":{"Name":"s"},"Specification":{"HealthCheckPath":"/health","ConnectionLimit":9}},
+		{"ResourceKind":"Tenants","Metadata":{"Name":"crews"},"Specification":{"ApiKeys":[%q]}},
+		{"ResourceKind":"Limits","Metadata":{},"Specification":{"MaxHeaderBytes":4096,"MaxBodyBytes":4096,
+		"HeaderTimeout":"3s","IdleTimeout":"15s"}}]}`, version, key))
+}
+
+// free returns an address of loopback that nobody listens on.
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (fleet *fleet) run(name string) {
+	t := fleet.t
+	settings := loader.Settings{
+		Name: name, Region: "r", DataCentre: "d", Regions: map[string]string{"d": "r"},
+		Callers: free(t), Readiness: free(t), Operators: free(t), Messages: free(t), Store: fleet.address,
+		MemoryMB: 256, Descriptors: 1000, Propagation: 2 * time.Second, Leaving: 2 * time.Second,
+		Withdrawal: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
+		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	starter := &starter.Starter{Settings: settings, Log: logrus.NewEntry(log)}
+	starter.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	vm := &vm{settings: settings, stop: cancel, stopped: make(chan struct{})}
+	go func() {
+		defer close(vm.stopped)
+		if err := starter.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-vm.stopped
+	})
+	fleet.vms = append(fleet.vms, vm)
+	fleet.until("the VM is ready", vm.ready)
+}
+
+// until waits for a condition. The limit only guards against hanging.
+func (fleet *fleet) until(what string, condition func() bool) {
+	fleet.t.Helper()
+	end := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(end) {
+			fleet.t.Fatalf("never came true: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (vm *vm) ready() bool {
+	response, err := http.Get("http://" + vm.settings.Readiness + platform.ReadinessPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// ask sends a request on a connection and returns the answer.
+func ask(connection net.Conn, path, key string) (*http.Response, error) {
+	_, err := fmt.Fprintf(connection, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a1\r\n"+
+		"X-Remaining-Milliseconds: 5000\r\nX-Credential: %s\r\n\r\n", path, key)
+	if err != nil {
+		return nil, fmt.Errorf("send request: %w", err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if _, err := io.ReadAll(response.Body); err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	return response, nil
+}
+
+func (vm *vm) status(t *testing.T, key string) int {
+	t.Helper()
+	connection, err := net.Dial("tcp", vm.settings.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	response, err := ask(connection, "/", key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode
+}
+
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 3)
+	for _, vm := range fleet.vms {
+		is.Equal(vm.status(t, "key"), http.StatusOK)
+		is.Equal(vm.status(t, "other"), http.StatusUnauthorized)
+	}
+	fleet.configure(2, "other")
+	for _, vm := range fleet.vms {
+		fleet.until("the withdrawn key is refused", func() bool { return vm.status(t, "key") == http.StatusUnauthorized })
+		is.Equal(vm.status(t, "other"), http.StatusOK)
+	}
+	response, err := http.Get("http://" + fleet.vms[0].settings.Operators + "/metrics")
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.True(strings.Contains(string(body), `gateway_answers_total{status="200"`))
+}
+
+// A VM that the store doesn't answer refuses keys in time and tells the balancer;
+// the fleet serves again when the store is back.
+func TestStoreAway(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 2)
+	fleet.store.SetFaults(faker.Faults{Silent: true})
+	silentSince := time.Now()
+	for _, vm := range fleet.vms {
+		fleet.until("the balancer is told", func() bool { return !vm.ready() })
+		fleet.until("the key is refused", func() bool { return vm.status(t, "key") == http.StatusServiceUnavailable })
+	}
+	is.True(time.Since(silentSince) < 6*time.Second)
+	fleet.store.SetFaults(faker.Faults{})
+	for _, vm := range fleet.vms {
+		fleet.until("the VM serves again", func() bool { return vm.ready() && vm.status(t, "key") == http.StatusOK })
+	}
+}
+
+// A planned stop cuts no request and ends by itself within the grace.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	vm := fleet.vms[0]
+	connection, err := net.Dial("tcp", vm.settings.Callers)
+	is.NoErr(err)
+	defer func() { _ = connection.Close() }()
+	var group sync.WaitGroup
+	var response *http.Response
+	var askErr error
+	group.Go(func() { response, askErr = ask(connection, "/slow", "key") })
+	fleet.until("the target works", func() bool { return fleet.runs.Load() == 1 })
+	began := time.Now()
+	vm.stop()
+	fleet.until("the balancer is told", func() bool { return !vm.ready() })
+	is.Equal(vm.status(t, "key"), http.StatusOK) // new connections are served meanwhile
+	group.Wait()
+	is.NoErr(askErr)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(response.Close)
+	<-vm.stopped
+	is.True(time.Since(began) < vm.settings.StopGrace)
+}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -8,7 +8,8 @@
 //	gateway --settings vm.ini --check
 //	gateway --describe
 //
-// SIGTERM and SIGINT begin a planned stop.
+// SIGTERM and SIGINT begin a planned stop. SIGHUP reads the settings file anew, and
+// so does a change of the file.
 package main
 
 import (
@@ -38,6 +39,10 @@
 	exitUsage  = 2
 )
 
+// linesPerEvent bounds the lines of one kind in ten seconds: 50 a second, twenty
+// times the requests of a VM on a usual day.
+const linesPerEvent = 500
+
 type options struct {
 	Settings string `long:"settings" description:"file with the settings of this VM" value-name:"FILE"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -46,7 +51,6 @@
 }
 
 func main() {
-	signal.Ignore(syscall.SIGHUP) // the settings file is watched
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	program := program{out: os.Stdout, problems: os.Stderr}
@@ -85,7 +89,8 @@
 		program.say(loader.All.Page())
 		return 0
 	}
-	settings, ok := program.load(cmp.Or(options.Settings, os.Getenv(platform.SettingsVariable)))
+	file := cmp.Or(options.Settings, os.Getenv(platform.SettingsVariable))
+	settings, ok := program.load(file)
 	if !ok {
 		return exitUsage
 	}
@@ -93,7 +98,7 @@
 		program.say("settings are good\n")
 		return 0
 	}
-	return program.serve(ctx, settings)
+	return program.serve(ctx, file, settings)
 }
 
 func (program *program) load(file string) (loader.Settings, bool) {
@@ -109,10 +114,23 @@
 	return settings, len(problems) == 0
 }
 
-func (program *program) serve(ctx context.Context, settings loader.Settings) int {
-	log := logger.New(program.out, "gateway", settings.Name)
+func (program *program) serve(ctx context.Context, file string, settings loader.Settings) int {
+	lines := logger.NewWriter(program.out)
+	logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
+	written := make(chan struct{})
+	go func() {
+		lines.Run(logging)
+		close(written)
+	}()
+	defer func() { <-written }()
+	defer stopLogging()
+	log := logger.NewLimited(lines, "gateway", settings.Name, linesPerEvent)
 	starter := &starter.Starter{Settings: settings, Log: log}
+	starter.Open()
+	watcher := &watcher{file: file, settings: settings, log: log, changed: starter.Reload}
+	go watcher.run(ctx)
 	if err := starter.Run(ctx); err != nil {
+		log.WithError(err).Error("stopped-by-failure")
 		program.complain(err)
 		return exitFailed
 	}
--- /dev/null
+++ b/scripts/names.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Fails if names of the users' platform stand outside platform/ in the code that
+# ships. Tests speak the platform's protocol over sockets and may use them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+names='X-Attempt-Id|X-Remaining-Milliseconds|X-Not-Executed|X-Response-Signature|X-Expected-Instance|X-Instance-Id'
+names+='|X-Credential|X-Tenant|EntryVersion|rows-(tx|get|feed)|AllowAnonymous|WarmupRemaining|GODWITRAMP_SETTINGS'
+if git grep -nE "$names" -- '*.go' ':!platform/**' ':!*_test.go'; then
+  echo "names of the platform outside platform/" >&2
+  exit 1
+fi
+echo "the platform's names stand in platform/ only"
--- a/shell/logger/logger.go
+++ b/shell/logger/logger.go
@@ -27,7 +27,7 @@
 // written.
 const (
 	ratePeriod    = 10 * time.Second
-	burstPerEvent = 500
+	burstPerEvent = 20
 	// maxKinds bounds the kinds that are counted apart.
 	maxKinds = 1024
 )
@@ -38,9 +38,15 @@
 // New returns a logger that writes to out and adds the program and the name of
 // the VM to each line.
 func New(out io.Writer, program, name string) *logrus.Entry {
+	return NewLimited(out, program, name, burstPerEvent)
+}
+
+// NewLimited is New with another bound on the events of one kind in a period, for
+// programs that write a line for each request.
+func NewLimited(out io.Writer, program, name string, burst int) *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(out)
-	log.SetFormatter(&limiter{next: &cleaner{next: &logrus.TextFormatter{
+	log.SetFormatter(&limiter{burst: burst, next: &cleaner{next: &logrus.TextFormatter{
 		DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano,
 		FieldMap: logrus.FieldMap{logrus.FieldKeyMsg: "event"},
 	}}})
@@ -50,6 +56,7 @@
 // limiter is a formatter that drops events which repeat too often.
 type limiter struct {
 	next  logrus.Formatter
+	burst int
 	mutex sync.Mutex
 	seen  map[string]*window
 }
@@ -130,7 +137,7 @@
 		current = &window{start: now}
 		limiter.seen[event] = current
 	}
-	if current.written >= burstPerEvent {
+	if current.written >= limiter.burst {
 		current.dropped++
 		return false
 	}
