tracker, dispatcher: pass changed targets on; let requests wait for a VM that starts

Cause: with claims, each change still cost a call of every VM, and calls were the largest price on the grown sites.

Changed rows of targets come with the claim of the VM that read them; what follows the version that a VM knows is taken in, in order. A request waits up to 0.4 s for a VM that has just started.

Tried and not kept: passing configurations on too.

--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -134,6 +134,17 @@
 	poller.othersServed = false
 }
 
+// Learn takes over what another VM has passed on: all changes up to a version, as
+// of a time. It is for a VM that knows the version which they follow.
+func (poller *Poller) Learn(version uint64, asOf time.Duration) {
+	poller.version = max(poller.version, version)
+	poller.change = max(poller.change, version)
+	poller.asOf = max(poller.asOf, asOf)
+}
+
+// Follows reports whether changes after a version complete what is known.
+func (poller *Poller) Follows(after uint64) bool { return poller.known && poller.version >= after }
+
 // Failed takes note of a failed call. The random number, from 0 to 1, spreads
 // the VMs.
 func (poller *Poller) Failed(rank int, now time.Duration, random float64) {
--- a/core/poller/poller_test.go
+++ b/core/poller/poller_test.go
@@ -82,6 +82,23 @@
 	is.Equal(change, uint64(20))
 }
 
+// Changes that another VM passes on spare the call, also while the store turns
+// this VM away.
+func TestPassedChangesSpareTheCall(t *testing.T) {
+	is := is.New(t)
+	vm := start()
+	vm.Failed(3, 0, 1)
+	is.True(vm.Follows(10))
+	is.True(!vm.Follows(11)) // something between is missing
+	vm.Learn(14, time.Second)
+	vm.Hear(14, time.Second)
+	is.True(!vm.Behind())
+	is.Equal(vm.AsOf(), time.Second)
+	is.Equal(vm.Failures(), 1) // the store still doesn't answer
+	vm.Forget()
+	is.True(!vm.Follows(14))
+}
+
 func TestFailedCallsPause(t *testing.T) {
 	is := is.New(t)
 	vm := start()
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -52,7 +52,10 @@
 	Regions map[string]string
 	// Clock goes on while the VM is suspended.
 	Clock func() time.Duration
-	Log   *logrus.Entry
+	// Started is closed once the configuration and targets are read and the group
+	// is found. Nil means that they are.
+	Started <-chan struct{}
+	Log     *logrus.Entry
 
 	state   state
 	latency latencies
@@ -108,6 +111,29 @@
 	return dispatcher.Clock()-dispatcher.Tracker.AsOf() < dispatcher.state.trust()
 }
 
+// startPatience is how long a request waits for a VM that has just started. It
+// reads what it needs within a tenth of that, if the store answers.
+const startPatience = 400 * time.Millisecond
+
+// awaitStart waits until the VM has started, within the patience.
+func (dispatcher *Dispatcher) awaitStart(ctx context.Context) {
+	select {
+	case <-dispatcher.Started:
+		return
+	default:
+	}
+	if dispatcher.Started == nil {
+		return
+	}
+	patience := time.NewTimer(startPatience)
+	defer patience.Stop()
+	select {
+	case <-dispatcher.Started:
+	case <-patience.C:
+	case <-ctx.Done():
+	}
+}
+
 // await waits for a channel, and reports false if the context ends first.
 func await(ctx context.Context, channel <-chan struct{}) bool {
 	select {
--- a/gateway/internal/dispatcher/dispatcher_test.go
+++ b/gateway/internal/dispatcher/dispatcher_test.go
@@ -221,6 +221,23 @@
 	is.Equal(status("/open/1", ""), http.StatusServiceUnavailable)
 }
 
+// A request that meets a VM which has just started waits a moment for it, and is
+// refused if it can't serve then.
+func TestStartingVMIsAwaited(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, answer(http.StatusOK, "")))
+	index := vm.knowledge.index.Swap(nil)
+	started := make(chan struct{})
+	vm.Started = started
+	is.Equal(vm.read().Status, http.StatusServiceUnavailable)
+	replies := make(chan receiver.Reply)
+	go func() { replies <- vm.read() }()
+	time.Sleep(20 * time.Millisecond)
+	vm.knowledge.index.Store(index)
+	close(started)
+	is.Equal((<-replies).Status, http.StatusOK)
+}
+
 // A withdrawn key stops working also for a request that has waited.
 func TestWithdrawnKeyIsNotSent(t *testing.T) {
 	is := is.New(t)
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -16,6 +16,7 @@
 
 // Serve answers one request.
 func (dispatcher *Dispatcher) Serve(ctx context.Context, call *receiver.Call) receiver.Reply {
+	dispatcher.awaitStart(ctx)
 	job, refused := dispatcher.admit(call)
 	if refused != nil {
 		meter(refused.reason, refused.status, time.Since(call.Received))
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -67,6 +67,34 @@
 	Change uint64
 	// Stored is a time of the store's clock.
 	Stored time.Duration
+	// Rows are what changed between After and Change, if there are any.
+	After    uint64
+	Rows     []Row
+	Returned bool
+}
+
+// Row is a changed row of the store.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version uint64
+	Deleted bool
+}
+
+// maxClaimBytes bounds the rows of a claim. The VMs ask the store for longer ones
+// by themselves.
+const maxClaimBytes = 24 << 10
+
+// bounded leaves the rows out if they are too long for a datagram.
+func (claim Claim) bounded() Claim {
+	size := 0
+	for _, row := range claim.Rows {
+		size += len(row.Key) + len(row.Value)
+	}
+	if size > maxClaimBytes {
+		claim.After, claim.Rows = 0, nil
+	}
+	return claim
 }
 
 // sealer encrypts letters with the fleet's key.
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -43,7 +43,7 @@
 	// it; three heartbeats can be lost.
 	silence = 1700 * time.Millisecond
 	// maxDatagram is above the size of the longest letter.
-	maxDatagram = 4 << 10
+	maxDatagram = 48 << 10
 )
 
 // Messenger exchanges notes with the other VMs of the fleet. Fields are set before
@@ -187,7 +187,9 @@
 func (messenger *Messenger) Beat() {
 	letter := messenger.letter(false, nil)
 	if messenger.Claims != nil {
-		letter.Claims = messenger.Claims()
+		for _, claim := range messenger.Claims() {
+			letter.Claims = append(letter.Claims, claim.bounded())
+		}
 		letter.Lost = messenger.Lost()
 	}
 	messenger.sendAll(messenger.groupPeers(), letter)
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -10,6 +10,8 @@
 // is nobody to tell.
 type messages struct {
 	messenger atomic.Pointer[messenger.Messenger]
+	// onJoin is called once the group is known.
+	onJoin func()
 }
 
 func (messages *messages) set(messenger *messenger.Messenger) { messages.messenger.Store(messenger) }
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -56,7 +56,9 @@
 	tracker    *tracker.Tracker
 	messages   *messages
 	dispatcher *dispatcher.Dispatcher
-	receiver   *receiver.Receiver
+	// started is closed once the VM can serve.
+	started  chan struct{}
+	receiver *receiver.Receiver
 }
 
 // Run serves until the context ends, then stops as planned: it says that it
@@ -98,6 +100,7 @@
 	settings := starter.Settings
 	starter.store = &platform.Store{Address: settings.Store, Clock: timer.Now}
 	starter.messages = &messages{}
+	starter.started = make(chan struct{})
 	starter.tracker = &tracker.Tracker{
 		Store: starter.store, Group: starter.messages, Clock: timer.Now, Log: starter.Log,
 		ConfigurationBound: settings.Propagation, TargetBound: settings.Leaving,
@@ -106,11 +109,19 @@
 		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{},
 		Place:   placer.Place{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions: settings.Regions, Clock: timer.Now, Log: starter.Log,
-		Policy: policyOf(settings),
+		Policy: policyOf(settings), Started: starter.started,
 	}
 	starter.dispatcher.Open()
+	var once sync.Once
+	check := func() {
+		if starter.messages.joined() && starter.tracker.Complete() {
+			once.Do(func() { close(starter.started) })
+		}
+	}
 	starter.tracker.OnConfiguration = starter.dispatcher.Configure
 	starter.tracker.OnTargets = starter.dispatcher.Target
+	starter.tracker.OnComplete = check
+	starter.messages.onJoin = check
 	starter.tracker.Open()
 	starter.receiver = &receiver.Receiver{
 		Handler: starter.dispatcher, Limits: starter.limits,
@@ -160,7 +171,7 @@
 		starter.dispatcher.Hear(note, messenger.InGroup(from.Name))
 	}
 	messenger.Claims, messenger.Lost = starter.claims, starter.tracker.Lost
-	messenger.HearClaim = func(claim messengerClaim) { starter.tracker.Hear(tracker.Claim(claim)) }
+	messenger.HearClaim = func(claim messengerClaim) { starter.tracker.Hear(heardClaim(claim)) }
 	messenger.Changed = func() { starter.dispatcher.Share(messenger.Share()) }
 	if err := messenger.Open(); err != nil {
 		starter.Log.WithError(err).Error("messages-unavailable")
@@ -174,6 +185,7 @@
 	starter.Log.WithField("peers", len(peers)).Info("joined")
 	messenger.Know(peers)
 	starter.dispatcher.Share(messenger.Share())
+	starter.messages.onJoin()
 	_ = messenger.Run(ctx)
 }
 
@@ -190,8 +202,26 @@
 // claims returns what this VM knows of the store.
 func (starter *Starter) claims() []messengerClaim {
 	var claims []messengerClaim
-	for _, claim := range starter.tracker.Claims() {
-		claims = append(claims, messengerClaim(claim))
+	for _, known := range starter.tracker.Claims() {
+		claim := messengerClaim{
+			Table: known.Table, Change: known.Change, Stored: known.Stored, After: known.After, Returned: known.Returned,
+		}
+		for _, row := range known.Rows {
+			claim.Rows = append(claim.Rows, messenger.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
+		}
+		claims = append(claims, claim)
 	}
 	return claims
 }
+
+func heardClaim(heard messengerClaim) tracker.Claim {
+	claim := tracker.Claim{
+		Table: heard.Table, Change: heard.Change, Stored: heard.Stored, After: heard.After, Returned: heard.Returned,
+	}
+	for _, row := range heard.Rows {
+		claim.Rows = append(claim.Rows, platform.Row{
+			Table: heard.Table, Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted,
+		})
+	}
+	return claim
+}
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -39,6 +39,13 @@
 	Table  string
 	Change uint64
 	Stored time.Duration
+	// After is the version that Rows follow: they are all rows that changed
+	// between it and Change. It is 0 without rows.
+	After uint64
+	Rows  []platform.Row
+	// Returned is true if the rows came in the first answer after the store was
+	// away for all.
+	Returned bool
 }
 
 // follower keeps up with one table.
@@ -46,8 +53,10 @@
 	store Store
 	group Group
 	table string
-	clock func() time.Duration
-	log   *logrus.Entry
+	// passes is true if the VMs of the group pass changes of the table on.
+	passes bool
+	clock  func() time.Duration
+	log    *logrus.Entry
 	// take takes an answer in. Whole answers have all rows of the table, others
 	// those that changed. Returned is true for the first answer after the store
 	// was away.
@@ -55,10 +64,14 @@
 	// fresh is told the time up to which all changes are known.
 	fresh func(asOf time.Duration)
 
-	mutex  sync.Mutex
-	poller poller.Poller
+	// applying is held while rows are taken in, so that they are in order.
+	applying sync.Mutex
+	mutex    sync.Mutex
+	poller   poller.Poller
 	// stored is the store's time of the newest answer.
 	stored time.Duration
+	// passing is the claim with the rows of the newest answer, told once.
+	passing *Claim
 	// wake ends a rest.
 	wake chan struct{}
 }
@@ -114,17 +127,70 @@
 	if failures > 0 {
 		follower.log.WithFields(logrus.Fields{"table": follower.table, "failures": failures, "away-for-all": away}).Info("store-regained")
 	}
+	if !follower.apply(reading, whole, away) {
+		return
+	}
+	follower.group.Claim()
+	if len(reading.Rows) > 0 {
+		sleep(ctx, batchPause)
+	}
+}
+
+// apply takes an answer of the store in. It reports false for a whole one that is
+// older than what another VM has passed on meanwhile; the table is read again then.
+func (follower *follower) apply(reading platform.Reading, whole, away bool) bool {
+	follower.applying.Lock()
+	defer follower.applying.Unlock()
+	follower.mutex.Lock()
+	before := follower.poller.Version()
+	follower.mutex.Unlock()
+	if whole && reading.Version < before {
+		return false
+	}
+	rows := reading.Rows
+	if !whole {
+		reading.Rows = newer(rows, before)
+	}
 	follower.take(reading, whole, away)
 	follower.mutex.Lock()
 	follower.poller.Took(reading.Version, newest(reading.Rows), reading.AsOf, whole)
-	follower.stored = reading.Stored
+	follower.stored = max(follower.stored, reading.Stored)
+	if follower.passes && !whole && len(rows) > 0 {
+		follower.passing = &Claim{
+			Table: follower.table, Change: reading.Version, Stored: reading.Stored, After: before, Rows: rows, Returned: away,
+		}
+	}
 	asOf := follower.poller.AsOf()
 	follower.mutex.Unlock()
 	follower.fresh(asOf)
-	follower.group.Claim()
-	if len(reading.Rows) > 0 {
-		sleep(ctx, batchPause)
+	return true
+}
+
+// learn takes the rows of another VM's claim in, if they follow what is known.
+func (follower *follower) learn(claim Claim, asOf time.Duration) {
+	follower.applying.Lock()
+	defer follower.applying.Unlock()
+	follower.mutex.Lock()
+	follows, before := follower.poller.Follows(claim.After), follower.poller.Version()
+	follower.mutex.Unlock()
+	if !follows || claim.Change <= before {
+		return
+	}
+	follower.take(platform.Reading{Rows: newer(claim.Rows, before), Version: claim.Change, AsOf: asOf}, false, claim.Returned)
+	follower.mutex.Lock()
+	follower.poller.Learn(claim.Change, asOf)
+	follower.mutex.Unlock()
+}
+
+// newer returns the rows that changed after the version.
+func newer(rows []platform.Row, version uint64) []platform.Row {
+	var found []platform.Row
+	for _, row := range rows {
+		if row.Version > version {
+			found = append(found, row)
+		}
 	}
+	return found
 }
 
 // newest returns the version of the newest row, 0 if there is none.
@@ -159,6 +225,10 @@
 func (follower *follower) claim() (Claim, bool) {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
+	if passing := follower.passing; passing != nil {
+		follower.passing = nil
+		return *passing, true
+	}
 	change, known := follower.poller.Change()
 	return Claim{Table: follower.table, Change: change, Stored: follower.stored}, known && follower.stored > 0
 }
@@ -169,6 +239,9 @@
 	if !ok {
 		return
 	}
+	if len(claim.Rows) > 0 {
+		follower.learn(claim, asOf)
+	}
 	follower.mutex.Lock()
 	news := follower.poller.Hear(claim.Change, asOf)
 	asOf = follower.poller.AsOf()
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -41,7 +41,9 @@
 	OnConfiguration func(index *indexer.Index)
 	// OnTargets is called with all targets when one has changed.
 	OnTargets func(targets []placer.Target)
-	Log       *logrus.Entry
+	// OnComplete, if set, is called after an answer once both have been read.
+	OnComplete func()
+	Log        *logrus.Entry
 
 	index atomic.Pointer[indexer.Index]
 	// asOf is the time as of which the index is the newest, as nanoseconds.
@@ -59,11 +61,13 @@
 // Open prepares the tracker. It comes before all other calls.
 func (tracker *Tracker) Open() {
 	tracker.targets = targets{log: tracker.Log}
-	tracker.followers = []*follower{
-		tracker.follow(
-			platform.ConfigurationTable, tracker.ConfigurationBound, tracker.takeConfiguration, tracker.freshConfiguration),
-		tracker.follow(platform.TargetTable, tracker.TargetBound, tracker.takeTargets, func(time.Duration) {}),
-	}
+	// Each VM reads configurations by itself, so that one which the store turns
+	// away finds out: it must not go on serving keys on what others say.
+	configuration := tracker.follow(
+		platform.ConfigurationTable, tracker.ConfigurationBound, tracker.takeConfiguration, tracker.freshConfiguration)
+	targets := tracker.follow(platform.TargetTable, tracker.TargetBound, tracker.takeTargets, func(time.Duration) {})
+	targets.passes = true
+	tracker.followers = []*follower{configuration, targets}
 }
 
 func (tracker *Tracker) follow(
@@ -141,12 +145,19 @@
 	}
 }
 
+func (tracker *Tracker) complete() {
+	if tracker.OnComplete != nil && tracker.Complete() {
+		tracker.OnComplete()
+	}
+}
+
 // freshConfiguration moves the date of the configuration. A newest one that
 // can't be used leaves open whether keys were withdrawn, so that the date stays
 // that of the last good one.
 func (tracker *Tracker) freshConfiguration(asOf time.Duration) {
 	if !tracker.refused.Load() {
 		tracker.asOf.Store(int64(asOf))
+		tracker.complete()
 	}
 }
 
@@ -190,6 +201,7 @@
 		tracker.OnTargets(all)
 		tracker.hasTargets.Store(true)
 	}
+	tracker.complete()
 }
 
 // lapseCheck is how often lapsed targets are looked through, a small part of
--- a/gateway/internal/tracker/tracker_test.go
+++ b/gateway/internal/tracker/tracker_test.go
@@ -241,3 +241,29 @@
 	until(t, "the second VM knows of the change", func() bool { return second.has("a", "b") })
 	is.True(second.AsOf() > asOf)
 }
+
+// A VM that the store turns away learns of targets from its group, but must not
+// serve keys on a configuration that it can't read.
+func TestChangesArePassedOn(t *testing.T) {
+	store, address := fresh(t, "a")
+	turningAway, lonely := httptest.NewServer(store), &group{rank: 1}
+	second := start(t, strings.TrimPrefix(turningAway.URL, "http://"), lonely)
+	until(t, "all is read", func() bool { return second.Complete() })
+	group := &group{told: second}
+	first := start(t, address, group)
+	group.from.Store(first.Tracker)
+	until(t, "all is read", func() bool { return first.Complete() })
+	turningAway.CloseClientConnections()
+	turningAway.Close()
+	until(t, "the second VM has lost the store", second.Lost)
+	asOf := second.AsOf()
+	put(store, "b", "ready")
+	store.Delete(platform.TargetTable, "", "a")
+	until(t, "the second VM knows of the changes", func() bool { return second.has("b") })
+	until(t, "it is fresh", func() bool { return second.AsOf() > asOf+bound })
+	configure(store, 8)
+	until(t, "the first VM knows of the configuration", func() bool { return first.version() == 8 })
+	asOf = second.AsOf()
+	time.Sleep(bound)
+	is.New(t).True(second.AsOf() <= asOf+bound/2)
+}
