--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -115,6 +115,9 @@
 	}
 }
 
+// Withheld is the reason of an attempt that was not to be sent after all.
+const Withheld = "withheld"
+
 // Failure is an attempt without an answer.
 type Failure struct {
 	// Written is true unless no byte of the request was written.
@@ -137,7 +140,7 @@
 func OfFailure(failure Failure) Verdict {
 	switch {
 	case failure.Withheld:
-		return Verdict{Outcome: placer.Unknown, Reason: "withheld"}
+		return Verdict{Outcome: placer.Unknown, Reason: Withheld}
 	case failure.Cancelled:
 		return Verdict{Outcome: placer.Unknown, MayHaveRun: failure.Written, Reason: "cancelled"}
 	case !failure.Dialed:
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -256,7 +256,7 @@
 		return run.refuse(refusal{status: http.StatusBadGateway, reason: run.last.Reason})
 	case run.attempts == 0:
 		return run.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no-target", retryAfter: comeBack})
-	case run.last.Reason == "withheld":
+	case run.last.Reason == assessor.Withheld:
 		return run.refuse(refusalStale)
 	default:
 		return run.refuse(refusal{status: http.StatusServiceUnavailable, reason: run.last.Reason, retryAfter: comeBack})
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -41,6 +41,20 @@
 	return 0
 }
 
+// inGroup reports whether a VM is of this VM's group.
+func (messages *messages) inGroup(name string) bool {
+	messenger := messages.messenger.Load()
+	return messenger != nil && messenger.InGroup(name)
+}
+
+// share returns the state of the group, that of a VM alone before it has joined.
+func (messages *messages) share() messenger.Share {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		return messenger.Share()
+	}
+	return messenger.Share{Group: 1, Heard: 1, VMs: 1}
+}
+
 // Claim tells the group what this VM knows of the store.
 func (messages *messages) Claim() {
 	if messenger := messages.messenger.Load(); messenger != nil {
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -24,9 +24,7 @@
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/gateway/internal/dispatcher"
 	"godwitramp.example/gateway/internal/loader"
-	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
-	"godwitramp.example/gateway/internal/registrar"
 	"godwitramp.example/gateway/internal/tracker"
 	"godwitramp.example/platform"
 	"godwitramp.example/shell/exchanger"
@@ -154,74 +152,3 @@
 	}
 	return indexer.Limits{}
 }
-
-// join makes the VM known to the fleet and exchanges messages with it.
-func (starter *Starter) join(ctx context.Context) {
-	settings := starter.Settings
-	registrar := &registrar.Registrar{Store: starter.store, Log: starter.Log}
-	self := messenger.Peer{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages}
-	members, err := registrar.Join(ctx, memberOf(self))
-	if err != nil {
-		return // the VM stops
-	}
-	messenger := &messenger.Messenger{
-		Self: self, Key: members.Key, Clock: timer.Now, Log: starter.Log,
-	}
-	messenger.Receive = func(from messengerPeer, note messengerNote) {
-		starter.dispatcher.Hear(note, messenger.InGroup(from.Name))
-	}
-	messenger.Claims, messenger.Lost = starter.claims, starter.tracker.Lost
-	messenger.HearClaim = func(claim messengerClaim) { starter.tracker.Hear(heardClaim(claim)) }
-	messenger.Changed = func() { starter.dispatcher.Share(messenger.Share()) }
-	if err := messenger.Open(); err != nil {
-		starter.Log.WithError(err).Error("messages-unavailable")
-		return
-	}
-	starter.messages.set(messenger)
-	var peers []messengerPeer
-	for _, member := range members.All {
-		peers = append(peers, messengerPeer{Name: member.Name, DataCentre: member.DataCentre, Address: member.Address})
-	}
-	starter.Log.WithField("peers", len(peers)).Info("joined")
-	messenger.Know(peers)
-	starter.dispatcher.Share(messenger.Share())
-	starter.messages.onJoin()
-	_ = messenger.Run(ctx)
-}
-
-func memberOf(self messenger.Peer) registrar.Member {
-	return registrar.Member{Name: self.Name, DataCentre: self.DataCentre, Address: self.Address}
-}
-
-type (
-	messengerPeer  = messenger.Peer
-	messengerNote  = messenger.Note
-	messengerClaim = messenger.Claim
-)
-
-// claims returns what this VM knows of the store.
-func (starter *Starter) claims() []messengerClaim {
-	var claims []messengerClaim
-	for _, known := range starter.tracker.Claims() {
-		claim := messengerClaim{
-			Table: known.Table, Change: known.Change, Stored: known.Stored, After: known.After, Returned: known.Returned,
-		}
-		for _, row := range known.Rows {
-			claim.Rows = append(claim.Rows, messenger.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
-		}
-		claims = append(claims, claim)
-	}
-	return claims
-}
-
-func heardClaim(heard messengerClaim) tracker.Claim {
-	claim := tracker.Claim{
-		Table: heard.Table, Change: heard.Change, Stored: heard.Stored, After: heard.After, Returned: heard.Returned,
-	}
-	for _, row := range heard.Rows {
-		claim.Rows = append(claim.Rows, platform.Row{
-			Table: heard.Table, Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted,
-		})
-	}
-	return claim
-}
