syncer: isolate the restarted VM before it starts in a test

The test started a VM and cut it off right after, in one virtual instant; if the VM ran first, it put itself on record in the place of its predecessor, which the test says must stay.

The check is the same; the cut comes before the start.

--- a/entry/internal/syncer/syncer_test.go
+++ b/entry/internal/syncer/syncer_test.go
@@ -175,8 +175,8 @@
 		network.startAll()
 		time.Sleep(15 * time.Second)
 		network.kill(5)
-		network.start(5)
 		network.faults.Store(isolated(5))
+		network.start(5) // it can't put itself on record
 		is.NoErr(network.vms[6].Leave(t.Context()))
 		network.kill(6)
 		network.vms[6].Syncer = nil
