placer, dispatcher: drop what nothing calls

The package comment says who tells of outcomes since failures go to the whole fleet. No change of behaviour; checks and the tests of placer, dispatcher and the program pass.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -2,8 +2,7 @@
 // requests before targets with few slots that fail in part.
 //
 // Each target has a suspicion, the probability that it is ill, which the
-// outcomes of attempts move: those of this VM, and those that other VMs of the
-// region tell. An attempt goes where it costs least: the suspicion weighs what
+// outcomes of attempts move: those of this VM, and those that other VMs tell. An attempt goes where it costs least: the suspicion weighs what
 // a failure would lose, which is more for a request that can't be sent again;
 // the attempts in progress weigh the wait for a slot; and the way to the target
 // has a price.
@@ -168,13 +167,6 @@
 	known.learn(outcome, true, now)
 }
 
-// Waiting takes note that an attempt of this VM takes far longer than usual.
-func (placer *Placer) Waiting(picked Target, now time.Duration) {
-	if known := placer.byID[picked.ID]; known != nil {
-		known.learn(Slow, true, now)
-	}
-}
-
 // Begun takes note of an attempt of another VM.
 func (placer *Placer) Begun(id string, now time.Duration) {
 	if known := placer.byID[id]; known != nil {
@@ -206,14 +198,3 @@
 	}
 	return 0
 }
-
-// Count returns the number of targets of the service that don't leave.
-func (placer *Placer) Count(service string) int {
-	count := 0
-	for _, target := range placer.byService[service] {
-		if !target.Leaving {
-			count++
-		}
-	}
-	return count
-}
--- a/gateway/internal/dispatcher/refusal.go
+++ b/gateway/internal/dispatcher/refusal.go
@@ -16,9 +16,6 @@
 	reason string
 	// retryAfter is when the caller may come back, 0 if unsaid.
 	retryAfter time.Duration
-	// closes ends the connection, so that the caller's next requests reach
-	// another VM.
-	closes bool
 }
 
 // reply returns the answer as JSON.
@@ -31,7 +28,7 @@
 	if refusal.retryAfter > 0 {
 		header["Retry-After"] = []string{strconv.FormatFloat(refusal.retryAfter.Seconds(), 'f', 3, 64)}
 	}
-	return receiver.Reply{Status: refusal.status, Header: header, Body: append(body, '\n'), Close: refusal.closes}
+	return receiver.Reply{Status: refusal.status, Header: header, Body: append(body, '\n')}
 }
 
 // Refuse returns the answer to a request that can't be handled.
