soak: seeded faults against VMs as processes

The soak draws faults from a seed, plays store, targets and the ways to them, and audits calls against arrivals.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run smoke test build check unit model failures measure install
+.PHONY: run smoke test build check unit model failures soak measure install
 
 # Starts a sample fleet and serves until interrupted.
 run: build
@@ -9,7 +9,7 @@
 	scripts/fleet.sh smoke
 
 # Everything that CI runs.
-test: install check unit model smoke failures
+test: install check unit model smoke failures soak
 
 install:
 	scripts/install.sh
@@ -17,7 +17,9 @@
 build:
 	mkdir -p build/bin
 	go build -o build/bin/entry ./entry
+	go build -o build/bin/gateway ./gateway
 	go build -o build/bin/operator ./operator
+	go build -o build/bin/soak ./soak
 	go build -o build/bin/standin ./standin
 
 check:
@@ -35,6 +37,10 @@
 failures: build
 	scripts/failures.sh
 
+# Plays seeded faults against VMs of the users' platform.
+soak: build
+	scripts/soak.sh
+
 # Prints the tables of docs/MEASUREMENTS.md.
 measure:
 	scripts/measure.sh
--- /dev/null
+++ b/soak/internal/planner/planner_test.go
@@ -0,0 +1,35 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/soak/internal/planner"
+)
+
+func TestFaults(t *testing.T) {
+	is := is.New(t)
+	plan := planner.Plan{Seed: 5, Duration: 5 * time.Minute, VMs: 12, Targets: 8}
+	faults := plan.Faults()
+	is.Equal(faults, plan.Faults())
+	other := plan
+	other.Seed++
+	is.True(len(other.Faults()) != len(faults) || other.Faults()[0] != faults[0])
+
+	kinds := make(map[planner.Kind]int)
+	overlaps := 0
+	end := time.Duration(0)
+	for _, fault := range faults {
+		kinds[fault.Kind]++
+		is.True(fault.At+fault.For <= plan.Duration)
+		is.True(fault.Subject < plan.VMs)
+		if fault.At < end {
+			overlaps++
+		}
+		end = max(end, fault.At+fault.For)
+	}
+	is.True(len(kinds) >= 30)            // almost every kind comes in five minutes
+	is.True(overlaps > len(faults)*9/10) // most faults begin while another lasts
+}
--- /dev/null
+++ b/soak/internal/runner/configuration.go
@@ -0,0 +1,129 @@
+package runner
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"godwitramp.example/core/indexer"
+	"godwitramp.example/platform"
+	"godwitramp.example/platform/faker"
+	"godwitramp.example/soak/internal/auditor"
+)
+
+// services in the order in which places get their first targets.
+var services = []string{"lists", "jobs", "notes"}
+
+const (
+	host       = "soak.example"
+	floodedKey = "key-of-the-small-one"
+	// routeTimeout is the longest time that requests are kept waiting.
+	routeTimeout = 2 * time.Second
+	// smallRate and smallBurst bound the organisation whose callers flood.
+	smallRate  = 20
+	smallBurst = 10
+	// versionStep keeps versions uneven.
+	versionStep = 3
+)
+
+// configuration is what operators have declared.
+type configuration struct {
+	runner *Runner
+
+	mutex   sync.Mutex
+	all     []auditor.Version
+	current indexer.Configuration
+	keys    int
+	added   int
+}
+
+func (configuration *configuration) open(runner *Runner) {
+	configuration.runner = runner
+	limits := indexer.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	configuration.current = indexer.Configuration{
+		Routes: []indexer.Route{
+			route("lists", true, "lists"), route("jobs", false, "jobs"), route("moves", true, "lists"), route(addedName(0), true, "notes"),
+		},
+		Organisations: []indexer.Organisation{
+			{Name: "large", Keys: []string{"key-0"}},
+			{Name: "small", Keys: []string{floodedKey}, Rate: smallRate, Burst: smallBurst},
+		},
+		Limits: limits,
+	}
+	for _, service := range services {
+		configuration.current.Services = append(configuration.current.Services,
+			indexer.Service{Name: service, HealthPath: "/health", ConnectionLimit: 360})
+	}
+	configuration.change(func(*indexer.Configuration) {})
+}
+
+func route(name string, idempotent bool, service string) indexer.Route {
+	return indexer.Route{
+		Name: name, Host: host, Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: routeTimeout, Objective: time.Second,
+		Attempts: 2, Priority: 1, Shares: []indexer.Share{{Service: service, Weight: 1}},
+	}
+}
+
+// change writes a new version.
+func (configuration *configuration) change(edit func(*indexer.Configuration)) {
+	configuration.mutex.Lock()
+	defer configuration.mutex.Unlock()
+	next := configuration.current
+	next.Routes, next.Organisations = slices.Clone(next.Routes), slices.Clone(next.Organisations)
+	next.Version += versionStep
+	edit(&next)
+	configuration.current = next
+	sent := time.Now()
+	configuration.runner.store.Put(platform.ConfigurationTable, "", "config", faker.EncodeConfiguration(next))
+	configuration.all = append(configuration.all, auditor.Version{Configuration: next, Sent: sent, Acknowledged: time.Now()})
+}
+
+// withdraw replaces the key of the large organisation.
+func (configuration *configuration) withdraw() {
+	configuration.change(func(next *indexer.Configuration) {
+		configuration.keys++
+		next.Organisations[0].Keys = []string{fmt.Sprint("key-", configuration.keys)}
+	})
+}
+
+// move sends requests of one route to another service.
+func (configuration *configuration) move() {
+	configuration.change(func(next *indexer.Configuration) {
+		for i := range next.Routes {
+			if next.Routes[i].Name != "moves" {
+				continue
+			}
+			service := "lists"
+			if next.Routes[i].Shares[0].Service == service {
+				service = "notes"
+			}
+			next.Routes[i].Shares = []indexer.Share{{Service: service, Weight: 1}}
+		}
+	})
+}
+
+// add adds a route, and takes away the one that was added before.
+func (configuration *configuration) add() {
+	configuration.change(func(next *indexer.Configuration) {
+		last := addedName(configuration.added)
+		next.Routes = slices.DeleteFunc(next.Routes, func(route indexer.Route) bool { return route.Name == last })
+		configuration.added++
+		next.Routes = append(next.Routes, route(addedName(configuration.added), true, "notes"))
+	})
+}
+
+func addedName(number int) string { return fmt.Sprint("added-", number) }
+
+// names returns the numbers of the newest key and of the newest added route.
+func (configuration *configuration) names() (key, added int) {
+	configuration.mutex.Lock()
+	defer configuration.mutex.Unlock()
+	return configuration.keys, configuration.added
+}
+
+func (configuration *configuration) versions() []auditor.Version {
+	configuration.mutex.Lock()
+	defer configuration.mutex.Unlock()
+	return slices.Clone(configuration.all)
+}
--- /dev/null
+++ b/soak/internal/runner/vm.go
@@ -0,0 +1,190 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"godwitramp.example/soak/internal/relayer"
+)
+
+// dataCentres and their regions; VMs and targets stand in them in turn.
+var dataCentres = []string{"rajkot-a", "junagadh-b", "bhuj-a", "anjar-b"}
+
+const regions = "rajkot-a:saurashtra, junagadh-b:saurashtra, bhuj-a:kutch, anjar-b:kutch"
+
+// vm is a VM: a process that is started again under the same name and addresses.
+type vm struct {
+	runner *Runner
+	number int
+
+	name               string
+	callers, readiness string
+	settings           string
+	// toStore is the VM's way to the store.
+	toStore *relayer.Relayer
+	ready   atomic.Bool
+
+	mutex   sync.Mutex
+	process *process
+	// starts counts the processes so far.
+	starts int
+}
+
+// process is one start of a VM.
+type process struct {
+	command *exec.Cmd
+	started time.Time
+	// signalled is true if the soak has asked the process to end.
+	signalled atomic.Bool
+	ended     chan struct{}
+	err       error // set before ended is closed
+}
+
+func (vm *vm) open(ctx context.Context, group *sync.WaitGroup) error {
+	network := &vm.runner.network
+	vm.name = fmt.Sprintf("vm-%03d", vm.number+1)
+	vm.callers, vm.readiness = network.address(vmHosts, vm.number, port), network.address(vmHosts, vm.number, port+1)
+	listener, err := net.Listen("tcp", network.address(storeHosts, vm.number, port))
+	if err != nil {
+		return fmt.Errorf("open the way of %s to the store: %w", vm.name, err)
+	}
+	vm.toStore = &relayer.Relayer{Listener: listener, To: network.address(0, 0, port)}
+	group.Go(func() { vm.toStore.Run(ctx) })
+	dataCentre := vm.number % len(dataCentres)
+	region := "saurashtra"
+	if dataCentre >= len(dataCentres)/2 {
+		region = "kutch"
+	}
+	vm.settings = filepath.Join(vm.runner.Directory, vm.name+".ini")
+	text := fmt.Sprintf(`[vm]
+name = %s
+region = %s
+data-centre = %s
+memory-mb = 284
+descriptors = 4100
+[fleet]
+regions = %s
+[listen]
+callers = %s
+readiness = %s
+operators = %s
+messages = %s
+[store]
+address = %s
+[changes]
+propagation = %s
+leaving = %s
+[keys]
+withdrawal = %s
+[stop]
+grace = %s
+`, vm.name, region, dataCentres[dataCentre], regions, vm.callers, vm.readiness,
+		network.address(vmHosts, vm.number, port+2), network.address(vmHosts, vm.number, port+3), listener.Addr(),
+		propagation, leaving, withdrawal, stopGrace)
+	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	if err := vm.start(); err != nil {
+		return err
+	}
+	group.Go(func() { check(ctx, vm) })
+	return nil
+}
+
+// start starts a process unless there is one.
+func (vm *vm) start() error {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if vm.process != nil {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(vm.runner.Directory, vm.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("open log of %s: %w", vm.name, err)
+	}
+	defer func() { _ = log.Close() }() // the process has its own descriptor
+	command := exec.Command(vm.runner.Program, "--settings", vm.settings)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", vm.name, err)
+	}
+	process := &process{command: command, started: time.Now(), ended: make(chan struct{})}
+	vm.starts++
+	vm.process = process
+	go func() {
+		process.err = command.Wait()
+		vm.mutex.Lock()
+		vm.process = nil
+		vm.mutex.Unlock()
+		if !process.signalled.Load() {
+			vm.runner.violate("stays-up", "%s ended by itself: %v", vm.name, process.err)
+		}
+		close(process.ended)
+	}()
+	return nil
+}
+
+// startAgain starts a VM whose settings were good before.
+func (vm *vm) startAgain() {
+	if err := vm.start(); err != nil {
+		vm.runner.violate("starts", "%v", err)
+	}
+}
+
+// current returns the process and how many there have been, nil without one.
+func (vm *vm) current() (*process, int) {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	return vm.process, vm.starts
+}
+
+// signal sends a signal to the process if there is one, and returns it.
+func (vm *vm) signal(signal os.Signal) *process {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	if vm.process == nil {
+		return nil
+	}
+	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
+		vm.process.signalled.Store(true)
+	}
+	if err := vm.process.command.Process.Signal(signal); err != nil {
+		return nil // it has just ended
+	}
+	return vm.process
+}
+
+// kill ends the process, if there is one, and waits for its end.
+func (vm *vm) kill() {
+	if process := vm.signal(syscall.SIGKILL); process != nil {
+		<-process.ended
+	}
+}
+
+// stop ends the process as planned. It must end by itself within its grace.
+func (vm *vm) stop() {
+	began := time.Now()
+	process := vm.signal(syscall.SIGTERM)
+	if process == nil {
+		return
+	}
+	select {
+	case <-process.ended:
+		if process.err != nil && !vm.runner.disturbed(vm.name, began) {
+			vm.runner.violate("planned-stop", "%s ended with %v", vm.name, process.err)
+		}
+	case <-time.After(stopGrace + stopSlack):
+		if !vm.runner.disturbed(vm.name, began) {
+			vm.runner.violate("planned-stop", "%s did not end within %s", vm.name, stopGrace)
+		}
+		vm.kill()
+	}
+}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,138 @@
+// Command soak runs VMs as processes on loopback, brings about faults drawn from
+// a seed, and holds what callers and targets see against what the fleet promises.
+//
+// # Usage
+//
+//	soak --program build/bin/gateway --seed 7
+//	soak --program build/bin/gateway --seed 7 --duration 2m --size 40
+//
+// It prints the broken promises with the IDs of the requests, and keeps the logs
+// of a soak that broke one.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"godwitramp.example/soak/internal/planner"
+	"godwitramp.example/soak/internal/runner"
+)
+
+type options struct {
+	Program  string        `long:"program" required:"yes" description:"program of a VM" value-name:"FILE"`
+	Seed     uint64        `long:"seed" required:"yes" description:"seed of the plan of faults"`
+	Duration time.Duration `long:"duration" default:"30s" description:"how long faults are brought about"`
+	Size     int           `long:"size" default:"12" description:"number of VMs"`
+	Logs     string        `long:"logs" default:"build/soak" description:"where logs are kept" value-name:"DIRECTORY"`
+	Plan     bool          `long:"plan" description:"print the plan of faults and exit"`
+}
+
+const (
+	exitBroken = 1
+	exitUsage  = 2
+	// targetsPerVM keeps the targets from being the limit.
+	targetsPerVM = 0.75
+	leastTargets = 9
+	callersPerVM = 3
+	// printedViolations bounds the output.
+	printedViolations = 20
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	var options options
+	if _, err := flags.Parse(&options); err != nil {
+		var help *flags.Error
+		if errors.As(err, &help) && help.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	os.Exit(run(ctx, options, os.Stdout))
+}
+
+func run(ctx context.Context, options options, out io.Writer) int {
+	if options.Size < 1 || options.Duration <= 0 {
+		_, _ = fmt.Fprintf(out, "size is %d and duration %s; allowed: 1 or more, and above 0\n", options.Size, options.Duration)
+		return exitUsage
+	}
+	plan := planner.Plan{
+		Seed: options.Seed, Duration: options.Duration, VMs: options.Size,
+		Targets: max(leastTargets, int(targetsPerVM*float64(options.Size))),
+	}
+	if options.Plan {
+		for _, fault := range plan.Faults() {
+			_, _ = fmt.Fprintf(out, "%s for %s: %s %d\n", fault.At, fault.For, fault.Kind, fault.Subject)
+		}
+		return 0
+	}
+	directory := filepath.Join(options.Logs, fmt.Sprint("seed-", options.Seed))
+	result, err := soak(ctx, options.Program, directory, plan)
+	if err != nil {
+		_, _ = fmt.Fprintf(out, "seed=%d: %v; logs are in %s\n", options.Seed, err, directory)
+		return exitBroken
+	}
+	report(out, plan, result)
+	if len(result.Violations) > 0 {
+		_, _ = fmt.Fprintf(out, "seed=%d broke promises; logs are in %s\n", options.Seed, directory)
+		return exitBroken
+	}
+	if err := os.RemoveAll(directory); err != nil {
+		_, _ = fmt.Fprintln(out, "remove logs:", err)
+	}
+	return 0
+}
+
+func soak(ctx context.Context, program, directory string, plan planner.Plan) (runner.Result, error) {
+	if err := os.RemoveAll(directory); err != nil {
+		return runner.Result{}, fmt.Errorf("remove old logs: %w", err)
+	}
+	if err := os.MkdirAll(directory, 0o700); err != nil {
+		return runner.Result{}, fmt.Errorf("make directory for logs: %w", err)
+	}
+	return (&runner.Runner{Program: program, Directory: directory, Plan: plan, CallersPerVM: callersPerVM}).Run(ctx)
+}
+
+// report prints what was done and found.
+func report(out io.Writer, plan planner.Plan, result runner.Result) {
+	answers := make(map[string]int)
+	for _, call := range result.Calls {
+		if call.Answer.Status > 0 {
+			answers[fmt.Sprint(call.Answer.Status)]++
+		} else {
+			answers[string(call.End)]++
+		}
+	}
+	faults := 0
+	for _, count := range result.Faults {
+		faults += count
+	}
+	_, _ = fmt.Fprintf(out, "seed=%d vms=%d targets=%d faults=%d kinds=%d requests=%d arrivals=%d violations=%d\n",
+		plan.Seed, plan.VMs, plan.Targets, faults, len(result.Faults), len(result.Calls), result.Arrivals, len(result.Violations))
+	_, _ = fmt.Fprintln(out, "answers:", counts(answers))
+	_, _ = fmt.Fprintln(out, "checked:", counts(result.Checked))
+	for _, violation := range result.Violations[:min(len(result.Violations), printedViolations)] {
+		_, _ = fmt.Fprintf(out, "broken: seed=%d %s\n", plan.Seed, violation)
+	}
+}
+
+// counts returns the pairs of a map in the order of their names.
+func counts(values map[string]int) string {
+	text := ""
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		text += fmt.Sprintf("%s=%d ", name, values[name])
+	}
+	return text
+}
