standin: the users' platform as processes for make run and smoke

The store, targets that enter themselves and leave as planned, and a caller speak the platform's protocol through platform/faker, so that its names stay in platform/. Ruled out: ports above 32768, which outgoing connections of other runs hold (seen once: address already in use beside a soak).

--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,16 @@
-.PHONY: run smoke test build check unit model failures soak measure install
+.PHONY: run run-own smoke test build check unit model failures soak measure install
 
-# Starts a sample fleet and serves until interrupted.
+# Starts a sample fleet of the users' platform and serves until interrupted.
 run: build
+	scripts/gateway.sh run
+
+# Starts a sample fleet of the project's own platform and serves until interrupted.
+run-own: build
 	scripts/fleet.sh run
 
-# Starts a sample fleet, checks it and stops it.
+# Starts both sample fleets, checks them and stops them.
 smoke: build
+	scripts/gateway.sh smoke
 	scripts/fleet.sh smoke
 
 # Everything that CI runs.
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -231,9 +231,7 @@
   [ "$served" -le "$bound" ] || fail "$served requests were admitted, the rate and burst allow $bound"
 }
 
-# Runs on one machine share ports, so that one waits for the other.
-exec {lock}>"${TMPDIR:-/tmp}/godwitramp-failures-$digit.lock"
-flock "$lock"
+lock_ports "failures-$digit"
 
 mkdir -p "$declarations"
 cp -r settings/. "$declarations"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -13,6 +13,7 @@
 digit=1 # first digit of the ports
 grace=2s
 source scripts/lib.sh
+lock_ports fleet
 
 stop_all() {
   local failed=0 name
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -19,6 +19,12 @@
 operators() { echo "$host:${digit}710$1"; }
 target() { echo "$host:${digit}700$1"; }
 
+# Waits for another run on this machine that uses the same ports.
+lock_ports() {
+  exec {lock}>"${TMPDIR:-/tmp}/godwitramp-$1.lock"
+  flock "$lock"
+}
+
 start() {
   local name=$1
   shift
--- a/soak/internal/runner/configuration.go
+++ b/soak/internal/runner/configuration.go
@@ -75,7 +75,7 @@
 	edit(&next)
 	configuration.current = next
 	sent := time.Now()
-	configuration.runner.store.Put(platform.ConfigurationTable, "", "config", faker.EncodeConfiguration(next))
+	configuration.runner.store.Put(platform.ConfigurationTable, "", platform.ConfigurationKey, faker.EncodeConfiguration(next))
 	configuration.all = append(configuration.all, auditor.Version{Configuration: next, Sent: sent, Acknowledged: time.Now()})
 }
 
--- a/standin/internal/balancer/balancer.go
+++ b/standin/internal/balancer/balancer.go
@@ -31,6 +31,8 @@
 type Balancer struct {
 	Listener net.Listener
 	VMs      []VM
+	// Path is where VMs say whether they take connections; /ready unless set.
+	Path string
 	// CheckPeriod is the time between two health checks of a VM; 1 s unless
 	// set.
 	CheckPeriod time.Duration
@@ -50,6 +52,9 @@
 	if balancer.CheckPeriod == 0 {
 		balancer.CheckPeriod = defaultCheckPeriod
 	}
+	if balancer.Path == "" {
+		balancer.Path = "/ready"
+	}
 	balancer.ready = make([]atomic.Bool, len(balancer.VMs))
 	for i := range balancer.VMs {
 		balancer.group.Go(func() { balancer.check(ctx, i) })
@@ -71,7 +76,7 @@
 func (balancer *Balancer) check(ctx context.Context, i int) {
 	client := &http.Client{Timeout: checkTimeout}
 	for ctx.Err() == nil {
-		response, err := client.Get("http://" + balancer.VMs[i].Operators + "/ready")
+		response, err := client.Get("http://" + balancer.VMs[i].Operators + balancer.Path)
 		balancer.ready[i].Store(err == nil && response.StatusCode == http.StatusOK)
 		if err == nil {
 			_ = response.Body.Close()
--- /dev/null
+++ b/standin/internal/registrant/registrant.go
@@ -0,0 +1,117 @@
+// Package registrant runs a target of the users' platform as a process: it enters
+// itself in the store's stand-in, and leaves as planned when its context ends.
+//
+// # Usage
+//
+//	registrant := &registrant.Registrant{Listener: listener, Store: client, Target: placer.Target{ID: "i-1"}}
+//	err := registrant.Run(ctx)
+//
+// POST /stand-in/faults with the JSON form of faker.TargetFaults switches faults;
+// GET /stand-in/record returns what the target has got.
+package registrant
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"godwitramp.example/core/placer"
+	"godwitramp.example/platform"
+	"godwitramp.example/platform/faker"
+	"godwitramp.example/standin/internal/storekeeper"
+)
+
+// Registrant is a target. Fields are set before Run.
+type Registrant struct {
+	Listener net.Listener
+	Store    storekeeper.Client
+	// Target is what the entry says, but for the address.
+	Target placer.Target
+	// Work is how long a request takes.
+	Work time.Duration
+	// Linger is how long the target goes on serving after it has said that it
+	// leaves.
+	Linger time.Duration
+
+	mutex    sync.Mutex
+	arrivals []faker.Arrival
+}
+
+const enterTimeout = 10 * time.Second
+
+// Run serves until the context has ended and the target has left.
+func (registrant *Registrant) Run(ctx context.Context) error {
+	registrant.Target.Address = registrant.Listener.Addr().String()
+	registrant.Target.Incarnation = time.Now().UnixMilli()
+	server := &http.Server{Handler: registrant.handler(), ReadHeaderTimeout: time.Minute}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(registrant.Listener) }()
+	if err := registrant.enter(ctx, false); err != nil {
+		return err
+	}
+	select {
+	case err := <-served:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), enterTimeout)
+	defer cancel()
+	if err := registrant.enter(leave, true); err != nil {
+		return err
+	}
+	time.Sleep(registrant.Linger)
+	row := platform.Row{Table: platform.TargetTable, Key: registrant.Target.ID, Deleted: true}
+	return errors.Join(registrant.Store.Put(leave, row), server.Close())
+}
+
+// enter writes the target's entry. The store may be starting, so that it is
+// tried for a while.
+func (registrant *Registrant) enter(ctx context.Context, leaving bool) error {
+	target := registrant.Target
+	target.Leaving = leaving
+	row := platform.Row{Table: platform.TargetTable, Key: target.ID, Value: faker.EncodeTarget(target)}
+	end := time.Now().Add(enterTimeout)
+	for {
+		err := registrant.Store.Put(ctx, row)
+		if err == nil || ctx.Err() != nil || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (registrant *Registrant) handler() http.Handler {
+	target := &faker.Target{
+		ID: registrant.Target.ID, Service: registrant.Target.Service, Slots: registrant.Target.Slots, Work: registrant.Work,
+		Record: registrant.record,
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", target)
+	mux.HandleFunc("POST /stand-in/faults", func(writer http.ResponseWriter, request *http.Request) {
+		var faults faker.TargetFaults
+		if err := json.NewDecoder(request.Body).Decode(&faults); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		target.SetFaults(faults)
+	})
+	mux.HandleFunc("GET /stand-in/record", func(writer http.ResponseWriter, _ *http.Request) {
+		registrant.mutex.Lock()
+		arrivals := slices.Clone(registrant.arrivals)
+		registrant.mutex.Unlock()
+		_ = json.NewEncoder(writer).Encode(arrivals) // the caller sees a cut answer
+	})
+	return mux
+}
+
+func (registrant *Registrant) record(arrival faker.Arrival) {
+	registrant.mutex.Lock()
+	defer registrant.mutex.Unlock()
+	registrant.arrivals = append(registrant.arrivals, arrival)
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -6,6 +6,9 @@
 //	standin platform --listen 127.0.0.1:6000 --vms vms.json
 //	standin upstream --listen 127.0.0.1:7001 --name bookings-t01 --slots 4
 //	standin balancer --listen 127.0.0.1:8000 --vm 127.0.0.1:8001,127.0.0.1:8101
+//	standin store --listen 127.0.0.2:16000
+//	standin target --listen 127.0.0.2:17001 --store 127.0.0.2:16000 --id i-1 --service bookings --data-centre rajkot-a
+//	standin visit --balancer 127.0.0.2:18000 --target 127.0.0.2:17001
 //	standin certify --directory certificates --name vm-01 --name operator
 package main
 
@@ -41,6 +44,9 @@
 	Probe    probeCommand    `command:"probe" description:"send a few requests through a sample fleet and check the answers"`
 	Load     loadCommand     `command:"load" description:"send requests and print how each ended"`
 	Audit    auditCommand    `command:"audit" description:"compare what a load was told with what the targets have run"`
+	Store    storeCommand    `command:"store" description:"play the store of the users' platform with a sample configuration"`
+	Target   targetCommand   `command:"target" description:"play one target of the users' platform"`
+	Visit    visitCommand    `command:"visit" description:"send a few requests through a sample fleet of the users' platform"`
 	Certify  certifyCommand  `command:"certify" description:"make an authority and certificates for a sample fleet"`
 }
 
@@ -110,6 +116,7 @@
 type balancerCommand struct {
 	Listen string   `long:"listen" required:"yes" description:"address to listen on"`
 	VMs    []string `long:"vm" required:"yes" description:"callers' and operators' address of a VM, separated by a comma"`
+	Path   string   `long:"path" default:"/ready" description:"where VMs say whether they take connections"`
 }
 
 // Execute carries connections to the VMs.
@@ -128,7 +135,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return (&balancer.Balancer{Listener: listener, VMs: vms}).Run(ctx)
+	return (&balancer.Balancer{Listener: listener, VMs: vms, Path: command.Path}).Run(ctx)
 }
 
 type probeCommand struct {
