exchanger: one removal of hop-by-hop headers for both programs

Cause: entry's forwarder and gateway's dispatcher had a copy each; one list lacked Expect, which entry dropped in a line of its own.

--- a/entry/internal/forwarder/answer.go
+++ b/entry/internal/forwarder/answer.go
@@ -12,6 +12,7 @@
 
 	"godwitramp.example/core/queuer"
 	"godwitramp.example/core/router"
+	"godwitramp.example/shell/exchanger"
 )
 
 const (
@@ -113,7 +114,7 @@
 
 func (run *run) writeHead(leg *leg, verdict verdict) {
 	response := leg.answer.Response
-	removeHopByHop(response.Header)
+	exchanger.RemoveHopByHop(response.Header)
 	removeOwn(response.Header)
 	header := run.writer.Header()
 	for name, values := range response.Header {
@@ -168,7 +169,7 @@
 }
 
 func copyTrailer(header, trailer http.Header) {
-	removeHopByHop(trailer)
+	exchanger.RemoveHopByHop(trailer)
 	removeOwn(trailer)
 	for name, values := range trailer {
 		header[http.TrailerPrefix+name] = values
--- a/entry/internal/forwarder/outgoing.go
+++ b/entry/internal/forwarder/outgoing.go
@@ -10,6 +10,7 @@
 
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/entry/internal/redactor"
+	"godwitramp.example/shell/exchanger"
 )
 
 // Headers that tell an upstream about a request. The deadline may come from
@@ -46,23 +47,6 @@
 	return min(timeout, time.Duration(milliseconds)*time.Millisecond), nil
 }
 
-// hopByHop are the fields that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
-func removeHopByHop(header http.Header) {
-	for _, line := range header["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(header, name)
-	}
-}
-
 func removeOwn(header http.Header) {
 	for name := range header {
 		if strings.HasPrefix(name, ownPrefix) {
@@ -77,10 +61,9 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	removeHopByHop(header)
+	exchanger.RemoveHopByHop(header)
 	removeOwn(header)
 	redactor.Header(header, job.Key)
-	header.Del("Expect") // the body is read before it is sent on
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -96,29 +96,12 @@
 	return told
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect",
-}
-
-func removeHopByHop(header http.Header) {
-	for _, line := range header["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		delete(header, name)
-	}
-}
-
 // request makes the request for the target, with the path and query as the
 // caller wrote them.
 func (attempt *attempt) request() *http.Request {
 	call := attempt.job.call
 	header := call.Request.Header.Clone()
-	removeHopByHop(header)
+	exchanger.RemoveHopByHop(header)
 	platform.Clean(header)
 	delete(header, "Content-Length")
 	if _, ok := header["User-Agent"]; !ok {
@@ -204,6 +187,6 @@
 // reply passes the target's answer on.
 func (attempt *attempt) reply() receiver.Reply {
 	header := attempt.response.Header
-	removeHopByHop(header)
+	exchanger.RemoveHopByHop(header)
 	return receiver.Reply{Status: attempt.response.StatusCode, Header: header, Body: attempt.body}
 }
