throttler: let requests wait for a token that is near

A request now waits for a token that comes within 0.4 s (0.4 of its latency objective if that is less), in the order of arrival, and never if the organisation presses, whose requests would all wait and not one more be served.

--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -12,9 +12,11 @@
 //	bucket := &throttler.Bucket{}
 //	bucket.Set(throttler.Limit{Rate: 40, Burst: 50}, now)
 //	bucket.SetPart(heard/members, now)
-//	if wait, ok := bucket.Take(now); !ok {
+//	wait, ok := bucket.Reserve(patience, now)
+//	if !ok {
 //		// Refuse; a token is there after the wait.
 //	}
+//	// Send the request after the wait.
 //	bucket.Spent(1, now) // another VM of the group took one
 package throttler
 
@@ -41,14 +43,29 @@
 	level   float64
 	updated time.Duration
 	set     bool
+	// calmAt is when the bucket last had more than the next request needs.
+	calmAt time.Duration
 }
 
+const (
+	// spareLevel is the level from which on a bucket has more than the next request
+	// needs: a token that nobody took for half the time in which one comes.
+	spareLevel = 1.5
+	// pressedTokens is in how many tokens' time a bucket that never had any to spare
+	// is taken to be pressed. An organisation that asks for more than its rate would
+	// keep all its requests waiting and have no more of them served.
+	pressedTokens = 4
+	// pressedAfter is the least time for that, so that a few requests that come
+	// together don't count.
+	pressedAfter = time.Second
+)
+
 // Set changes the limit of the group.
 func (bucket *Bucket) Set(limit Limit, now time.Duration) {
 	if !bucket.set {
 		bucket.set = true
 		bucket.part = 1
-		bucket.updated = now
+		bucket.updated, bucket.calmAt = now, now
 		bucket.limit = limit
 		bucket.level = startLevel * limit.Burst
 		return
@@ -77,21 +94,43 @@
 
 // Take takes a token. If there is none, it returns how long it takes until
 // there may be one.
-func (bucket *Bucket) Take(now time.Duration) (time.Duration, bool) {
+func (bucket *Bucket) Take(now time.Duration) (time.Duration, bool) { return bucket.Reserve(0, now) }
+
+// Reserve takes a token that is there or comes within the patience, and returns
+// how long the request has to wait for it. Reservations are served in their order,
+// and all later ones wait behind them. If no token comes in time, or the
+// organisation presses, it takes none and returns how long it takes until there may
+// be one.
+func (bucket *Bucket) Reserve(patience, now time.Duration) (time.Duration, bool) {
 	bucket.advance(now)
+	wait := bucket.wait()
+	if wait > patience || wait > 0 && bucket.pressed(now) {
+		return wait, false
+	}
+	bucket.level--
+	return wait, true
+}
+
+// pressed reports whether more is asked for than the bucket gives.
+func (bucket *Bucket) pressed(now time.Duration) bool {
+	rate := bucket.limit.Rate * bucket.part
+	after := time.Duration(pressedTokens / rate * float64(time.Second))
+	return now-bucket.calmAt > max(after, pressedAfter)
+}
+
+// wait returns how long it takes until there is a token.
+func (bucket *Bucket) wait() time.Duration {
 	if bucket.level >= 1 {
-		bucket.level--
-		return 0, true
+		return 0
 	}
 	rate := bucket.limit.Rate * bucket.part
 	if rate <= 0 {
-		return longestWait, false
+		return longestWait
 	}
-	wait := time.Duration((1 - bucket.level) / rate * float64(time.Second))
-	return min(wait, longestWait), false
+	return min(time.Duration((1-bucket.level)/rate*float64(time.Second)), longestWait)
 }
 
-// longestWait is what Take returns when no token is in sight.
+// longestWait is what Reserve returns when no token is in sight.
 const longestWait = 10 * time.Second
 
 // Spent takes note of tokens that others of the group took.
@@ -120,5 +159,8 @@
 	if passed := now - bucket.updated; passed > 0 {
 		bucket.level = min(bucket.burst(), bucket.level+bucket.limit.Rate*bucket.part*passed.Seconds())
 		bucket.updated = now
+		if bucket.level >= min(spareLevel, (1+bucket.burst())/2) {
+			bucket.calmAt = now
+		}
 	}
 }
--- a/core/throttler/throttler_test.go
+++ b/core/throttler/throttler_test.go
@@ -41,6 +41,24 @@
 	is.True(wait <= 6*time.Second) // bounded by the burst
 }
 
+// A request waits for a token that is near, behind those that wait already.
+func TestReserve(t *testing.T) {
+	is := is.New(t)
+	bucket := &throttler.Bucket{}
+	bucket.Set(throttler.Limit{Rate: 10, Burst: 5}, 0)
+	for _, want := range []time.Duration{0, 100 * time.Millisecond, 200 * time.Millisecond} {
+		wait, ok := bucket.Reserve(200*time.Millisecond, 0)
+		is.True(ok)
+		is.Equal(wait, want)
+	}
+	wait, ok := bucket.Reserve(200*time.Millisecond, 0)
+	is.True(!ok) // the fourth would wait for too long, and takes nothing
+	is.Equal(wait, 300*time.Millisecond)
+	wait, ok = bucket.Reserve(200*time.Millisecond, 100*time.Millisecond)
+	is.True(ok)
+	is.Equal(wait, 200*time.Millisecond)
+}
+
 // The VMs of a group that is divided spend no more than the whole.
 func TestDividedGroupSpendsOneLimit(t *testing.T) {
 	is := is.New(t)
@@ -110,16 +128,23 @@
 
 // take asks one VM for a token and tells the others that it hears.
 func (fleet *fleet) take(centre, vm int, now time.Duration) bool {
+	_, ok := fleet.reserve(centre, vm, 0, now)
+	return ok
+}
+
+// reserve is take for a request that may wait.
+func (fleet *fleet) reserve(centre, vm int, patience, now time.Duration) (time.Duration, bool) {
 	group := fleet.buckets[centre]
-	if _, ok := group[vm].Take(now); !ok {
-		return false
+	wait, ok := group[vm].Reserve(patience, now)
+	if !ok {
+		return wait, false
 	}
 	for i, other := range group {
 		if i != vm && !fleet.apart[centre][i] && !fleet.apart[centre][vm] {
 			other.Spent(1, now)
 		}
 	}
-	return true
+	return wait, true
 }
 
 // cut keeps a VM from hearing the others.
--- a/gateway/internal/dispatcher/dispatcher_test.go
+++ b/gateway/internal/dispatcher/dispatcher_test.go
@@ -408,6 +408,18 @@
 	}
 }
 
+// Requests beyond the saved tokens wait for the next ones if these come soon.
+func TestNearTokenIsAwaited(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, answer(http.StatusOK, "")))
+	limited := configuration(2)
+	limited.Organisations = []indexer.Organisation{{Name: "others", Keys: []string{"key"}, Rate: 50}}
+	vm.configure(limited)
+	for range 20 { // a VM starts with seven tokens
+		is.Equal(vm.read().Status, http.StatusOK)
+	}
+}
+
 func TestRateIsRefusedWithTheWait(t *testing.T) {
 	is := is.New(t)
 	vm := start(t, serve(t, answer(http.StatusOK, "")))
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -10,6 +10,7 @@
 
 	"godwitramp.example/core/assessor"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/throttler"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
 )
@@ -37,6 +38,8 @@
 	job        *job
 	results    chan *attempt
 
+	// waited is how long the request has waited for its organisation's rate.
+	waited time.Duration
 	// tried are the targets that an attempt was sent to, without those that
 	// could not be reached.
 	tried       []string
@@ -74,30 +77,51 @@
 	if !run.job.route.Idempotent && !await(ctx, run.job.call.Turn) {
 		return run.refuse(refusal{status: http.StatusServiceUnavailable, reason: "turn-did-not-come", retryAfter: elsewhere})
 	}
-	if refusal := run.charge(); refusal != nil {
+	if refusal := run.charge(ctx); refusal != nil {
 		return run.refuse(*refusal)
 	}
+	if ctx.Err() != nil {
+		return run.expire(ctx)
+	}
 	if !run.start(ctx) {
 		return run.giveUp()
 	}
 	return run.await(ctx)
 }
 
-// charge takes the request off its organisation's rate.
-func (run *run) charge() *refusal {
+// charge takes the request off its organisation's rate, and waits for a token
+// that comes soon. A caller that leaves meanwhile loses the token.
+func (run *run) charge(ctx context.Context) *refusal {
 	organisation := run.job.organisation
 	if organisation == nil {
 		return nil
 	}
-	if refusal := run.dispatcher.state.charge(organisation.Name, run.dispatcher.Clock()); refusal != nil {
+	dispatcher := run.dispatcher
+	patience := throttler.Patience(run.job.route.Objective, time.Until(run.job.deadline))
+	wait, refusal := dispatcher.state.charge(organisation.Name, patience, dispatcher.Clock())
+	if refusal != nil {
 		return refusal
 	}
 	if organisation.Rate > 0 {
-		run.dispatcher.Messenger.Tell(messenger.Note{Kind: messenger.Admitted, Name: organisation.Name})
+		dispatcher.Messenger.Tell(messenger.Note{Kind: messenger.Admitted, Name: organisation.Name})
+	}
+	run.waited = wait
+	if wait > 0 {
+		sleep(ctx, wait)
 	}
 	return nil
 }
 
+// sleep waits until the time has passed or the context ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // start begins one attempt. It reports false if none is allowed or possible.
 func (run *run) start(ctx context.Context) bool {
 	if ctx.Err() != nil || run.attempts >= run.job.route.Attempts+maxRepeats {
@@ -277,6 +301,9 @@
 		"duration": time.Since(job.call.Received).Round(time.Millisecond), "limit": job.limit,
 		"configuration": job.index.Version, "age": (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond),
 	}
+	if run.waited > 0 {
+		fields["waited-for-rate"] = run.waited.Round(time.Millisecond)
+	}
 	if job.organisation != nil {
 		fields["organisation"] = job.organisation.Name
 	}
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -108,24 +108,27 @@
 	}
 }
 
-// charge takes a token of the organisation, or returns the refusal of a request
-// for which there is none.
-func (state *state) charge(organisation string, now time.Duration) *refusal {
+// charge takes a token of the organisation and returns how long the request has
+// to wait for it, or the refusal of a request for which there is none in time.
+func (state *state) charge(organisation string, patience, now time.Duration) (time.Duration, *refusal) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	bucket := state.rates[organisation]
 	if bucket == nil {
-		return nil
+		return 0, nil
 	}
-	wait, ok := bucket.Take(now)
+	if !state.joined {
+		patience = 0 // others may take the same tokens
+	}
+	wait, ok := bucket.Reserve(patience, now)
 	switch {
 	case ok:
-		return nil
+		return wait, nil
 	case !state.joined:
 		// The organisation may be well within its rate.
-		return &refusal{status: http.StatusServiceUnavailable, reason: "group-unknown", retryAfter: elsewhere}
+		return 0, &refusal{status: http.StatusServiceUnavailable, reason: "group-unknown", retryAfter: elsewhere}
 	default:
-		return &refusal{status: http.StatusTooManyRequests, reason: "rate-exceeded", retryAfter: wait}
+		return 0, &refusal{status: http.StatusTooManyRequests, reason: "rate-exceeded", retryAfter: wait}
 	}
 }
 
