gateway: catch SIGHUP until the process ends

Cause: the watcher of the settings file gave SIGHUP back when a planned stop began, so that one which came while the VM still served ended the process at once, and every request in it. Ruled out: an end by the soak itself (it had sent SIGTERM and SIGHUP only), a crash (no panic in the log). TestHangupWhileStopping ended with 'signal: hangup' before the change.

--- a/gateway/main.go
+++ b/gateway/main.go
@@ -53,13 +53,14 @@
 func main() {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	program := program{out: os.Stdout, problems: os.Stderr}
+	program := program{out: os.Stdout, problems: os.Stderr, reload: reloadSignals()}
 	os.Exit(program.run(ctx, os.Args[1:]))
 }
 
 // program is the command line over its output.
 type program struct {
 	out, problems io.Writer
+	reload        <-chan os.Signal
 }
 
 // complain writes one line.
@@ -127,7 +128,7 @@
 	log := logger.NewLimited(lines, "gateway", settings.Name, linesPerEvent)
 	starter := &starter.Starter{Settings: settings, Log: log}
 	starter.Open()
-	watcher := &watcher{file: file, settings: settings, log: log, changed: starter.Reload}
+	watcher := &watcher{file: file, settings: settings, log: log, reload: program.reload, changed: starter.Reload}
 	go watcher.run(ctx)
 	if err := starter.Run(ctx); err != nil {
 		log.WithError(err).Error("stopped-by-failure")
--- a/gateway/watcher.go
+++ b/gateway/watcher.go
@@ -23,16 +23,23 @@
 	file     string
 	settings loader.Settings
 	log      *logrus.Entry
+	// reload gets a signal when the file is to be read.
+	reload <-chan os.Signal
 	// changed takes the new settings.
 	changed func(loader.Settings)
 
 	data []byte
 }
 
-func (watcher *watcher) run(ctx context.Context) {
+// reloadSignals catches SIGHUP until the process ends: uncaught it would end the
+// process, also one that is starting or stopping as planned.
+func reloadSignals() <-chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	return signals
+}
+
+func (watcher *watcher) run(ctx context.Context) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	watcher.data, _ = os.ReadFile(watcher.file) // a failure shows at the next reading
@@ -40,7 +47,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-watcher.reload:
 		case <-ticker.C:
 		}
 		watcher.look()
--- a/gateway/watcher_test.go
+++ b/gateway/watcher_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"context"
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,6 +31,21 @@
 address = 127.0.0.1:5
 `
 
+// A SIGHUP ends no VM that stops as planned, which goes on serving after the watcher
+// has ended.
+func TestHangupWhileStopping(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	reload := reloadSignals()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	watcher := &watcher{file: "none", log: logrus.NewEntry(log), reload: reload}
+	watcher.run(ctx)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP)) // ends the process unless it is caught
+	<-reload
+}
+
 // A changed file is taken over once; one with a mistake or that is gone changes
 // nothing.
 func TestWatcher(t *testing.T) {
