--- a/core/throttler/budget.go
+++ b/core/throttler/budget.go
@@ -17,6 +17,9 @@
 	// savedExtra is the part of the extra attempts that may be saved up; the
 	// rest comes evenly over the window, so that no window sees more than all.
 	savedExtra = 0.35
+	// keptSavings is the part of what can be saved up that is kept for failures
+	// that nobody could foresee.
+	keptSavings = 0.5
 )
 
 // Set changes the extra attempts that the fleet may make in a window, of which
@@ -40,5 +43,12 @@
 	return ok
 }
 
+// Affords reports whether the budget has savings for the failure of an attempt at a
+// target that is likely to fail it.
+func (budget *Budget) Affords(now time.Duration) bool {
+	budget.bucket.advance(now)
+	return budget.bucket.level >= max(1, keptSavings*budget.bucket.burst())
+}
+
 // Spent takes note of a further attempt of another VM of the group.
 func (budget *Budget) Spent(now time.Duration) { budget.bucket.Spent(1, now) }
--- a/core/throttler/throttler_test.go
+++ b/core/throttler/throttler_test.go
@@ -234,6 +234,23 @@
 	is.Equal(refused, 0)
 }
 
+// The last of a budget is for failures that nobody could foresee.
+func TestBudgetKeepsSavings(t *testing.T) {
+	is := is.New(t)
+	budget := &throttler.Budget{Ratio: 0.2}
+	budget.Set(60, 10*time.Second, 1, 0)
+	is.True(!budget.Affords(0))
+	is.True(budget.Affords(10 * time.Second))
+	left := 0
+	for budget.Affords(10 * time.Second) {
+		is.True(budget.Withdraw(10 * time.Second))
+	}
+	for budget.Withdraw(10 * time.Second) {
+		left++
+	}
+	is.True(left >= 5)
+}
+
 func TestBudgetStaysWithinTheWindow(t *testing.T) {
 	is := is.New(t)
 	const requests = 20 // a second over the fleet
--- a/gateway/internal/dispatcher/dispatcher_test.go
+++ b/gateway/internal/dispatcher/dispatcher_test.go
@@ -320,6 +320,27 @@
 	}
 }
 
+// Without a budget for a second attempt a read isn't risked at a target that is
+// known to fail, though the way to another is dearer.
+func TestReadIsNotRiskedWithoutABudget(t *testing.T) {
+	is := is.New(t)
+	ill, good := serve(t, answer(http.StatusInternalServerError, "")), serve(t, answer(http.StatusOK, "good"))
+	vm := start(t, ill, good)
+	ahead := time.Duration(0)
+	vm.Clock = func() time.Duration { return timer.Now() + ahead }
+	vm.Regions["far"] = "elsewhere"
+	vm.Target([]placer.Target{
+		{ID: "t0", Service: "s", Address: ill.address, DataCentre: "d", Slots: 4},
+		{ID: "t1", Service: "s", Address: good.address, DataCentre: "far", Slots: 4},
+	})
+	vm.SetPolicy(dispatcher.Policy{Rates: throttler.Tolerance{Window: time.Second}, RetryWindow: time.Second, Trust: 5 * time.Second})
+	vm.read() // takes what is left of the budget
+	for range 5 {
+		ahead += 500 * time.Millisecond // the suspicion of the near target fades a little
+		is.Equal(vm.read().Status, http.StatusOK)
+	}
+}
+
 // A target that can't be reached has not got the request.
 func TestUnreachableTargetDoesNotCount(t *testing.T) {
 	is := is.New(t)
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -132,15 +132,18 @@
 	}
 }
 
-// pick returns a target. A further attempt is taken from the service's budget.
+// pick returns a target. A further attempt is taken from the service's budget. A
+// request that could be sent again counts as one that can't while the budget has no
+// savings for that.
 func (state *state) pick(ask placer.Ask, further bool) (placer.Target, bool) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
+	budget := state.budgets[ask.Service]
+	ask.Repeatable = ask.Repeatable && (budget == nil || budget.Affords(ask.Now))
 	target, ok := state.placer.Pick(ask, state.random)
 	if !ok {
 		return placer.Target{}, false
 	}
-	budget := state.budgets[ask.Service]
 	switch {
 	case budget == nil:
 	case !further:
--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -58,6 +58,8 @@
 // connection.
 func (connection *connection) serve(parent context.Context) {
 	ctx, cancel := context.WithCancel(parent)
+	// The end of the receiver ends the reading of the next request too.
+	defer context.AfterFunc(parent, func() { _ = connection.raw.Close() })()
 	var group sync.WaitGroup
 	defer func() { _ = connection.raw.Close() }()
 	defer group.Wait()
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -62,6 +62,10 @@
 
 func (fleet *fleet) serveTarget(writer http.ResponseWriter, request *http.Request) {
 	fleet.runs.Add(1)
+	if strings.HasSuffix(request.URL.Path, "/hangs") {
+		<-request.Context().Done()
+		return
+	}
 	if strings.HasSuffix(request.URL.Path, "/slow") {
 		time.Sleep(1200 * time.Millisecond)
 	}
@@ -210,6 +214,25 @@
 	}
 }
 
+// A planned stop ends within the grace although targets don't answer and callers
+// stay.
+func TestPlannedStopWithUnfinishedRequests(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	vm := fleet.vms[0]
+	for range 4 {
+		connection, err := net.Dial("tcp", vm.settings.Callers)
+		is.NoErr(err)
+		defer func() { _ = connection.Close() }()
+		go func() { _, _ = ask(connection, "/hangs", "key") }() // is cut
+	}
+	fleet.until("the target works", func() bool { return fleet.runs.Load() >= 4 })
+	began := time.Now()
+	vm.stop()
+	<-vm.stopped
+	is.True(time.Since(began) < vm.settings.StopGrace)
+}
+
 // A planned stop cuts no request and ends by itself within the grace.
 func TestPlannedStop(t *testing.T) {
 	is := is.New(t)
