logger, dispatcher: fewer and cheaper lines

The line of a request now says what the line of its first attempt did if that was answered; texts without a blank, an equals sign or a colon aren't searched for keys; values are copied only if they change; waiting lines are written at once; the suspicions of an attempt are read under one lock.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -47,6 +47,8 @@
 	verdict  assessor.Verdict
 	dialed   atomic.Bool
 	started  time.Time
+	// before and after are the suspicions of the target at the end.
+	before, after float64
 }
 
 // send does the exchange and judges it.
@@ -163,8 +165,7 @@
 	dispatcher, verdict := attempt.dispatcher, attempt.verdict
 	meterAttempt(verdict, latency)
 	now := dispatcher.Clock()
-	before := dispatcher.state.suspicion(attempt.target.ID, now)
-	dispatcher.state.done(attempt.target, verdict.Outcome, now)
+	attempt.before, attempt.after = dispatcher.state.done(attempt.target, verdict.Outcome, now)
 	dispatcher.Messenger.Tell(messenger.Note{
 		Kind: messenger.Ended, Name: attempt.target.ID, Service: attempt.job.service, Outcome: verdict.Outcome,
 	})
@@ -172,14 +173,17 @@
 	case placer.Good:
 		dispatcher.latency.observe(attempt.job.service, latency)
 	case placer.Failed:
-		if before < newsBelow {
+		if attempt.before < newsBelow {
 			dispatcher.Messenger.TellFleet(messenger.Note{Kind: messenger.Told, Name: attempt.target.ID, Outcome: placer.Failed})
 		}
 	}
+	if attempt.number == 1 && verdict.Outcome == placer.Good {
+		return // the line of the request says the same
+	}
 	fields := logrus.Fields{
 		"request": attempt.job.ask.ID, "attempt": attempt.number, "target": attempt.target.ID, "reason": verdict.Reason,
 		"duration": latency.Round(time.Millisecond), "may-have-run": verdict.MayHaveRun,
-		"suspicion-before": before, "suspicion-after": dispatcher.state.suspicion(attempt.target.ID, now),
+		"suspicion-before": attempt.before, "suspicion-after": attempt.after,
 	}
 	dispatcher.Log.WithFields(fields).Info("attempt-ended")
 }
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -52,6 +52,8 @@
 	erred int
 	// mayHaveRun is true once an attempt may have run the request.
 	mayHaveRun bool
+	// delivered is the attempt whose answer went to the caller.
+	delivered *attempt
 	// failure is a target's own failure, passed on if nothing better comes.
 	failure *attempt
 	last    assessor.Verdict
@@ -209,7 +211,7 @@
 	}
 	run.mayHaveRun = run.mayHaveRun || verdict.MayHaveRun
 	if verdict.Deliver == assessor.Always {
-		run.reason = verdict.Reason
+		run.reason, run.delivered = verdict.Reason, attempt
 		reply := attempt.reply()
 		return &reply
 	}
@@ -301,6 +303,9 @@
 		"duration": time.Since(job.call.Received).Round(time.Millisecond), "limit": job.limit,
 		"configuration": job.index.Version, "age": (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond),
 	}
+	if run.delivered != nil {
+		fields["suspicion-before"], fields["suspicion-after"] = run.delivered.before, run.delivered.after
+	}
 	if run.waited > 0 {
 		fields["waited-for-rate"] = run.waited.Round(time.Millisecond)
 	}
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -168,13 +168,17 @@
 	return state.placer.Usable(target)
 }
 
-func (state *state) done(target placer.Target, outcome placer.Outcome, now time.Duration) {
+// done takes note of the end of an attempt, and returns the target's suspicion
+// before and after it.
+func (state *state) done(target placer.Target, outcome placer.Outcome, now time.Duration) (before, after float64) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
+	before = state.placer.Suspicion(target.ID, now)
 	state.placer.Done(target, outcome, now)
 	if outcome == placer.Good {
 		state.placer.Served(target.Service, now)
 	}
+	return before, state.placer.Suspicion(target.ID, now)
 }
 
 func (state *state) unserved(service string, now time.Duration) {
@@ -183,12 +187,6 @@
 	state.placer.Unserved(service, now)
 }
 
-func (state *state) suspicion(target string, now time.Duration) float64 {
-	state.mutex.Lock()
-	defer state.mutex.Unlock()
-	return state.placer.Suspicion(target, now)
-}
-
 // hear takes a note of another VM in. Notes that change what a group shares
 // count only if they come from the group.
 func (state *state) hear(note messenger.Note, fromGroup bool, now time.Duration) {
--- a/shell/logger/cleaner.go
+++ b/shell/logger/cleaner.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"regexp"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -30,32 +32,49 @@
 // Format returns the line of an event without what must not be in it.
 func (cleaner *cleaner) Format(entry *logrus.Entry) ([]byte, error) {
 	clean := *entry
-	clean.Data = make(logrus.Fields, len(entry.Data))
+	copied := false
 	for name, value := range entry.Data {
-		clean.Data[name] = cleanValue(name, value)
+		cleaned, changed := cleanValue(name, value)
+		if !changed {
+			continue
+		}
+		if !copied {
+			clean.Data, copied = maps.Clone(entry.Data), true
+		}
+		clean.Data[name] = cleaned
 	}
 	clean.Message = cleanText(entry.Message)
 	return cleaner.next.Format(&clean)
 }
 
-func cleanValue(name string, value any) any {
+// cleanValue returns what is written in place of a value, and whether that is
+// something else.
+func cleanValue(name string, value any) (any, bool) {
 	if secretFields[strings.ToLower(name)] {
-		return removed
+		return removed, true
 	}
 	switch value := value.(type) {
 	case string:
-		return cleanText(value)
+		cleaned := cleanText(value)
+		return cleaned, cleaned != value
 	case error:
-		return cleanText(value.Error())
+		return cleanText(value.Error()), true
+	case time.Duration:
+		return value, false
 	case fmt.Stringer:
-		return cleanText(value.String())
+		return cleanText(value.String()), true
 	default:
-		return value
+		return value, false
 	}
 }
 
+// secretMarks are characters of which every match of secretText has one.
+const secretMarks = "=: \t\n\v\f\r"
+
 func cleanText(text string) string {
-	text = secretText.ReplaceAllString(text, "${1}"+removed)
+	if strings.ContainsAny(text, secretMarks) {
+		text = secretText.ReplaceAllString(text, "${1}"+removed)
+	}
 	if len(text) > maxValueBytes {
 		text = strings.ToValidUTF8(text[:maxValueBytes], "") + "..."
 	}
--- a/shell/logger/logger.go
+++ b/shell/logger/logger.go
@@ -59,6 +59,8 @@
 	burst int
 	mutex sync.Mutex
 	seen  map[string]*window
+	// oldest is the start of the oldest window, or earlier.
+	oldest time.Time
 }
 
 // window counts the events of one kind in one period.
@@ -91,10 +93,17 @@
 // suppressed returns a line for each kind that lost events in a period that is
 // over, and begins new periods.
 func (limiter *limiter) suppressed(entry *logrus.Entry) ([]byte, error) {
+	if len(limiter.seen) == 0 || entry.Time.Sub(limiter.oldest) < ratePeriod {
+		return nil, nil
+	}
+	limiter.oldest = entry.Time
 	var lines bytes.Buffer
 	for _, event := range slices.Sorted(maps.Keys(limiter.seen)) {
 		current := limiter.seen[event]
 		if entry.Time.Sub(current.start) < ratePeriod {
+			if current.start.Before(limiter.oldest) {
+				limiter.oldest = current.start
+			}
 			continue
 		}
 		delete(limiter.seen, event)
--- a/shell/logger/writer.go
+++ b/shell/logger/writer.go
@@ -1,6 +1,7 @@
 package logger
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -36,25 +37,27 @@
 
 // Run writes until the context ends, and then what is waiting.
 func (writer *Writer) Run(ctx context.Context) {
+	var batch bytes.Buffer
 	for {
 		select {
 		case line := <-writer.lines:
-			writer.write(line)
-			continue
-		default:
-		}
-		select {
-		case line := <-writer.lines:
-			writer.write(line)
+			batch.Write(line)
 		case <-ctx.Done():
+			writer.flush(&batch)
 			return
 		}
+		writer.flush(&batch)
 	}
 }
 
-func (writer *Writer) write(line []byte) {
+// flush writes the batch and the lines that are waiting, all at once.
+func (writer *Writer) flush(batch *bytes.Buffer) {
+	defer batch.Reset()
+	for waiting := len(writer.lines); waiting > 0; waiting-- {
+		batch.Write(<-writer.lines)
+	}
 	if dropped := writer.dropped.Swap(0); dropped > 0 {
 		_, _ = fmt.Fprintf(writer.out, "level=warning event=lines-dropped count=%d\n", dropped) // as below
 	}
-	_, _ = writer.out.Write(line) // there is nowhere else to tell of a failure
+	_, _ = writer.out.Write(batch.Bytes()) // there is nowhere else to tell of a failure
 }
