--- a/soak/internal/planner/planner.go
+++ b/soak/internal/planner/planner.go
@@ -88,7 +88,9 @@
 // group is a set of kinds that strike the same sort of subject.
 type group struct {
 	// weight is relative to the sum of the groups' weights.
-	weight   int
+	weight int
+	// stretch lengthens the faults, unless it is zero.
+	stretch  float64
 	subjects func(Plan) int
 	kinds    []Kind
 }
@@ -96,7 +98,7 @@
 var groups = []group{
 	{weight: 3, subjects: func(plan Plan) int { return plan.VMs },
 		kinds: []Kind{KillVM, KillVM, KillAll, StopVM, StopVM, StopVM, FreezeVM, ReloadVM}},
-	{weight: 2, subjects: func(plan Plan) int { return plan.VMs },
+	{weight: 2, stretch: storeStretch, subjects: func(plan Plan) int { return plan.VMs },
 		kinds: []Kind{
 			StoreRefuses, StoreBusy, StoreSilent, StoreSlow, StoreLoses, StoreForgets,
 			CutFromStore, ResetByStore, StoreOneWay,
@@ -114,10 +116,12 @@
 	// meanGap is the mean time between two faults, short enough that several
 	// overlap.
 	meanGap = 700 * time.Millisecond
-	// shortest and longest bound how long a fault lasts. The longest is above
-	// the time in which a VM that is cut off must refuse keys.
+	// shortest and longest bound how long a fault lasts.
 	shortest = 300 * time.Millisecond
 	longest  = 7 * time.Second
+	// storeStretch makes half of the faults of the store outlast the time in which
+	// a VM that is cut off must refuse keys.
+	storeStretch = 1.6
 	// atOnce is the most faults that begin together.
 	atOnce = 3
 )
@@ -150,6 +154,9 @@
 	}
 	group := groups[i]
 	lasts := shortest + time.Duration(random.Int64N(int64(longest-shortest)))
+	if group.stretch > 0 {
+		lasts = time.Duration(group.stretch * float64(lasts))
+	}
 	return Fault{
 		Kind: group.kinds[random.IntN(len(group.kinds))], At: at, For: min(lasts, plan.Duration-at),
 		Subject: random.IntN(group.subjects(plan)),
