soak: half of the connections are kept until the VM ends them

Cause: a VM that trusted keys without the store still broke no promise in three soaks of 24 s: the balancer takes such a VM out, and callers left their connections after 30 requests, before the key's time was over.

--- a/soak/internal/runner/caller.go
+++ b/soak/internal/runner/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,8 +20,9 @@
 	// floodPause is that of callers that flood.
 	floodPause  = 5 * time.Millisecond
 	dialTimeout = time.Second
-	// longestKept is the most requests that a caller sends on a connection.
-	longestKept = 30
+	// shortKept is the most requests that a caller sends on a connection which it
+	// closes itself. Half of the connections are kept until the VM ends them.
+	shortKept = 30
 	// pipelined is the most requests that are sent before the first is answered.
 	pipelined = 3
 	// shortestWait and longestWait bound how long a caller waits for an answer.
@@ -79,7 +81,11 @@
 	defer func() { _ = connection.Close() }()
 	_, start := vm.current()
 	reader := bufio.NewReader(connection)
-	for range 1 + caller.random.IntN(longestKept) {
+	requests := 1 + caller.random.IntN(shortKept)
+	if caller.random.IntN(2) == 0 {
+		requests = math.MaxInt
+	}
+	for range requests {
 		calls := caller.calls(vm, start)
 		if !caller.exchange(connection, reader, calls) || !pause(ctx, caller.pause()) {
 			return
