--- a/soak/internal/runner/place.go
+++ b/soak/internal/runner/place.go
@@ -23,8 +23,9 @@
 	entryTimeout = 3 * time.Second
 	// reuseAfter is how soon another target may get the address.
 	reuseAfter = 2 * time.Second
-	// departTimeout is how long a target that leaves goes on serving.
-	departTimeout = leaving + time.Second
+	// departTimeout is how long a target that leaves goes on serving, long enough
+	// for late requests to be seen.
+	departTimeout = 3 * leaving
 )
 
 // place is an address at which one target after another serves.
--- a/soak/internal/runner/runner.go
+++ b/soak/internal/runner/runner.go
@@ -9,16 +9,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
 	"godwitramp.example/soak/internal/auditor"
 	"godwitramp.example/soak/internal/planner"
@@ -40,6 +37,8 @@
 const (
 	// readyTimeout only guards against waiting for ever at the start.
 	readyTimeout = time.Minute
+	// pollPeriod is how often readiness is looked at meanwhile.
+	pollPeriod = 20 * time.Millisecond
 	// stopSlack is how much longer than its grace a planned stop may last on a
 	// busy machine.
 	stopSlack = time.Second
@@ -316,72 +315,3 @@
 	result.Sort()
 	return result
 }
-
-// network hands out addresses of loopback. Each soak has a block of its own, so
-// that soaks can run beside each other and no outgoing connection takes a port.
-type network struct {
-	block int
-}
-
-const (
-	port     = 20000
-	blocks   = 250
-	perBlock = 200
-)
-
-var errNoBlock = errors.New("every block of loopback addresses is in use")
-
-// open takes a block and returns the listener of the store in it.
-func (network *network) open(seed uint64) (net.Listener, error) {
-	for i := range blocks {
-		network.block = 1 + int((seed+uint64(i))%blocks)
-		listener, err := net.Listen("tcp", network.address(0, 0, port))
-		if err == nil {
-			return listener, nil
-		}
-	}
-	return nil, errNoBlock
-}
-
-// Kinds of addresses in a block, each of several hundred.
-const (
-	storeHosts = 10 // what VMs call for the store
-	vmHosts    = 20
-	placeHosts = 30 // what VMs call for a target
-	backHosts  = 40 // where the target listens
-)
-
-// address returns an address of a kind by its number.
-func (network *network) address(kind, number, port int) string {
-	return fmt.Sprintf("127.%d.%d.%d:%d", network.block, kind+number/perBlock, 1+number%perBlock, port)
-}
-
-// check asks a VM whether it takes connections, until the context ends.
-func check(ctx context.Context, vm *vm) {
-	client := &http.Client{Timeout: checkPeriod, Transport: &http.Transport{DisableKeepAlives: true}}
-	misses := 0
-	for ctx.Err() == nil {
-		response, err := client.Get("http://" + vm.readiness + platform.ReadinessPath)
-		good := err == nil && response.StatusCode == http.StatusOK
-		if err == nil {
-			_ = response.Body.Close()
-		}
-		if good {
-			misses = 0
-		} else {
-			misses++
-		}
-		if good || misses >= checkMisses {
-			vm.ready.Store(good)
-		}
-		pause(ctx, checkPeriod)
-	}
-}
-
-// The balancer of the platform asks once a second and takes a VM out after two
-// misses.
-const (
-	checkPeriod = time.Second
-	checkMisses = 2
-	pollPeriod  = 20 * time.Millisecond
-)
