--- a/core/throttler/budget.go
+++ b/core/throttler/budget.go
@@ -43,8 +43,8 @@
 	return ok
 }
 
-// Affords reports whether the budget has savings for the failure of an attempt at a
-// target that is likely to fail it.
+// Affords reports whether the budget can pay for a second attempt that is likely to
+// be needed, and keep enough for those that nobody could foresee.
 func (budget *Budget) Affords(now time.Duration) bool {
 	budget.bucket.advance(now)
 	return budget.bucket.level >= max(1, keptSavings*budget.bucket.burst())
