receiver: let a body's leave wait for earlier answers

Cause: a request with Expect: 100-continue was refused with 400 while an earlier one of its connection was unanswered, and an answer counted as such until after it had been written: a caller that was quick got 400 for a proper request. The leave now waits for the earlier answers. TestContinueWaitsForEarlierAnswers fails without the change. Ruled out: the deadline of the head (that is 408).

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -78,7 +78,7 @@
 		case <-ctx.Done():
 			return
 		}
-		call, err := connection.read()
+		call, err := connection.read(ctx, turn)
 		if err != nil {
 			connection.refuse(ctx, turn, err)
 			return
--- a/gateway/internal/receiver/receiver_test.go
+++ b/gateway/internal/receiver/receiver_test.go
@@ -224,6 +224,30 @@
 	is.Equal(body, "/d ok")
 }
 
+// A caller may ask for leave to send a body behind an unanswered request; the leave
+// comes after that one's answer.
+func TestContinueWaitsForEarlierAnswers(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	_, caller := start(t, &handler{serve: func(ctx context.Context, call *receiver.Call) receiver.Reply {
+		if call.Target == "/first" {
+			<-release
+		}
+		return echo(ctx, call)
+	}}, indexer.Limits{})
+	send(t, caller, get("/first")+"POST /d HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n")
+	close(release)
+	reader := bufio.NewReader(caller)
+	_, body := read(t, reader)
+	is.Equal(body, "/first ")
+	interim, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(interim.StatusCode, http.StatusContinue)
+	send(t, caller, "ok")
+	_, body = read(t, reader)
+	is.Equal(body, "/d ok")
+}
+
 // What another program might read otherwise is refused, and nothing behind it is
 // taken for a request.
 func TestMalformedRequestsAreRefused(t *testing.T) {
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -49,7 +50,7 @@
 var headEnd = []byte("\r\n\r\n")
 
 // read reads one request. The error is a *requestError if it can be answered.
-func (connection *connection) read() (*Call, error) {
+func (connection *connection) read(ctx context.Context, turn <-chan struct{}) (*Call, error) {
 	connection.mutex.Lock()
 	connection.setIdleDeadline()
 	connection.mutex.Unlock()
@@ -70,7 +71,7 @@
 	}
 	call := &Call{Request: request, Target: request.RequestURI, Received: time.Now()}
 	connection.extendReading(call.Received.Add(bodyTimeout))
-	if call.Body, err = connection.readBody(request, limits.BodyBytes); err != nil {
+	if call.Body, err = connection.readBody(ctx, turn, request, limits.BodyBytes); err != nil {
 		return nil, err
 	}
 	request.Body = http.NoBody
@@ -190,8 +191,10 @@
 // continueLine asks the caller for the body that it holds back.
 const continueLine = "HTTP/1.1 100 Continue\r\n\r\n"
 
-// readBody reads the whole body.
-func (connection *connection) readBody(request *http.Request, limit int64) ([]byte, error) {
+// readBody reads the whole body. Turn is closed once earlier requests are answered.
+func (connection *connection) readBody(
+	ctx context.Context, turn <-chan struct{}, request *http.Request, limit int64,
+) ([]byte, error) {
 	chunked := len(request.TransferEncoding) > 0
 	if !chunked && request.ContentLength <= 0 {
 		return nil, nil
@@ -200,11 +203,10 @@
 		return nil, &requestError{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
-		connection.mutex.Lock()
-		idle := connection.pending == 0
-		connection.mutex.Unlock()
-		if !idle {
-			return nil, malformed("expectation-behind-unanswered-request")
+		select {
+		case <-turn: // the answers to earlier requests come first
+		case <-ctx.Done():
+			return nil, fmt.Errorf("await earlier answers: %w", ctx.Err())
 		}
 		if _, err := io.WriteString(connection.raw, continueLine); err != nil {
 			return nil, fmt.Errorf("ask for body: %w", err)
