starter: addresses of a test's own in its tests

Cause: TestWholePath failed once in a run of all packages: 'never came true: the VM is ready'. The test gave out ports that were free a moment before; another connection or process took one (2 of 72 runs, six at a time: 'listen udp4: address already in use', 'listen tcp: address already in use'). The assertions are as they were. Ruled out: the change of timer.Sleep (it fails without it; the lines name the port).

--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -84,22 +85,24 @@
 		"HeaderTimeout":"3s","IdleTimeout":"15s"}}]}`, version, key))
 }
 
-// free returns an address of loopback that nobody listens on.
-func free(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// addresses counts the addresses that were handed out.
+var addresses atomic.Int32
+
+// firstPort is below the ports that outgoing connections get.
+const firstPort = 20000
+
+// free returns an address of loopback that no other process or connection takes: an
+// IP address of this process, and each port once.
+func free() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:%d", 1+pid>>16&0x3f, pid>>8&0xff, pid&0xff, firstPort+addresses.Add(1))
 }
 
 func (fleet *fleet) run(name string) {
 	t := fleet.t
 	settings := loader.Settings{
 		Name: name, Region: "r", DataCentre: "d", Regions: map[string]string{"d": "r"},
-		Callers: free(t), Readiness: free(t), Operators: free(t), Messages: free(t), Store: fleet.address,
+		Callers: free(), Readiness: free(), Operators: free(), Messages: free(), Store: fleet.address,
 		MemoryMB: 256, Descriptors: 1000, Propagation: 2 * time.Second, Leaving: 2 * time.Second,
 		Withdrawal: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
 		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
