standin, soak, timer: one piece of code where the change had written twins

- timer.Sleep for the waits of tracker, dispatcher, entry's prober and the soak, four copies before;
- standin/internal/switcher for the switches and records of three stand-ins;
- stop_all and the end of the sample fleets in scripts/lib.sh, as it stood in both scripts; the balancer's default path stands once;
- auditor: limits in place of two loops over the versions; Unsent, which nothing used, is gone; disturb takes the one subject that all callers gave;

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -2,10 +2,10 @@
 // requests before targets with few slots that fail in part.
 //
 // Each target has a suspicion, the probability that it is ill, which the
-// outcomes of attempts move: those of this VM, and those that other VMs tell. An attempt goes where it costs least: the suspicion weighs what
-// a failure would lose, which is more for a request that can't be sent again;
-// the attempts in progress weigh the wait for a slot; and the way to the target
-// has a price.
+// outcomes of attempts move: those of this VM, and those that other VMs tell. An
+// attempt goes where it costs least: the suspicion weighs what a failure would
+// lose, which is more for a request that can't be sent again; the attempts in
+// progress weigh the wait for a slot; and the way to the target has a price.
 //
 // # Usage
 //
--- a/entry/internal/prober/prober.go
+++ b/entry/internal/prober/prober.go
@@ -29,6 +29,7 @@
 	"godwitramp.example/core/ejector"
 	"godwitramp.example/core/router"
 	"godwitramp.example/core/watcher"
+	"godwitramp.example/shell/timer"
 )
 
 const (
@@ -96,25 +97,16 @@
 				})
 			default: // too many probes hang; the next round follows
 			}
-			if !sleep(ctx, pause) {
+			if !timer.Sleep(ctx, pause) {
 				return nil
 			}
 		}
-		if len(targets) == 0 && !sleep(ctx, period) {
+		if len(targets) == 0 && !timer.Sleep(ctx, period) {
 			return nil
 		}
 	}
 }
 
-func sleep(ctx context.Context, pause time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
-
 // targets returns the targets that this VM probes. They are chosen anew when
 // the configuration or the VMs of the region change.
 func (prober *Prober) targets() []configurator.Target {
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -13,6 +13,7 @@
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/shell/timer"
 )
 
 // Serve answers one request.
@@ -109,21 +110,11 @@
 	}
 	run.waited = wait
 	if wait > 0 {
-		sleep(ctx, wait)
+		timer.Sleep(ctx, wait)
 	}
 	return nil
 }
 
-// sleep waits until the time has passed or the context ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // start begins one attempt. It reports false if none is allowed or possible.
 func (run *run) start(ctx context.Context) bool {
 	if ctx.Err() != nil || run.attempts >= run.job.route.Attempts+maxRepeats {
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -11,6 +11,7 @@
 
 	"godwitramp.example/core/poller"
 	"godwitramp.example/platform"
+	"godwitramp.example/shell/timer"
 )
 
 // batchPause gathers changes that come in quick succession. It is a small part
@@ -132,7 +133,7 @@
 	}
 	follower.group.Claim()
 	if len(reading.Rows) > 0 {
-		sleep(ctx, batchPause)
+		timer.Sleep(ctx, batchPause)
 	}
 }
 
@@ -254,15 +255,3 @@
 		}
 	}
 }
-
-// sleep reports false if the context ends meanwhile.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -25,6 +25,7 @@
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/poller"
 	"godwitramp.example/platform"
+	"godwitramp.example/shell/timer"
 )
 
 // Tracker follows the store. Fields are set before Run.
@@ -209,7 +210,7 @@
 const lapseCheck = 250 * time.Millisecond
 
 func (tracker *Tracker) dropLapsed(ctx context.Context) {
-	for sleep(ctx, lapseCheck) {
+	for timer.Sleep(ctx, lapseCheck) {
 		tracker.mutex.Lock()
 		changed := tracker.targets.dropLapsed(tracker.Clock())
 		all := tracker.targets.all()
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,14 +15,6 @@
 source scripts/lib.sh
 lock_ports fleet
 
-stop_all() {
-  local failed=0 name
-  # VMs first, so that a planned stop has the platform and targets to end with.
-  for name in $(printf '%s\n' "${!pids[@]}" | sort -r); do
-    stop_one "$name" || failed=1
-  done
-  return "$failed"
-}
 trap 'stop_all || true' EXIT
 
 start_fleet
@@ -42,19 +34,4 @@
 probe --key sample-key-crato --read /swarm-line/sightings --book /swarm-line/dispatch \
   --target "$(target 7)" --target "$(target 8)" || status=1
 
-if [ "$mode" = run ]; then
-  echo "serving on $balancer until interrupted; logs are in build/fleet"
-  trap 'exit 0' INT TERM
-  wait
-  exit 0
-fi
-trap - EXIT
-for name in "${!pids[@]}"; do
-  if ! kill -0 "${pids[$name]}" 2>/dev/null; then
-    echo "$name ended before it was stopped" >&2
-    status=1
-  fi
-done
-stop_all || status=1
-[ "$status" -eq 0 ] && echo "smoke passed" || echo "smoke failed"
-exit "$status"
+finish "$mode" "$status" "$balancer" build/fleet smoke
--- a/scripts/gateway.sh
+++ b/scripts/gateway.sh
@@ -16,14 +16,6 @@
 store=$host:${digit}6000
 balancer=$host:${digit}8000
 
-# VMs first, so that a planned stop has the store and targets to end with.
-stop_all() {
-  local failed=0 name
-  for name in $(printf '%s\n' "${!pids[@]}" | sort -r); do
-    stop_one "$name" || failed=1
-  done
-  return "$failed"
-}
 trap 'stop_all || true' EXIT
 
 vm_settings() {
@@ -70,19 +62,4 @@
 for number in 3 4 5 6; do booking+=(--target "$(target "$number")"); done
 "$bin/standin" visit --balancer "$balancer" "${booking[@]}" || status=1
 
-if [ "$mode" = run ]; then
-  echo "serving on $balancer until interrupted; logs are in build/gateway"
-  trap 'exit 0' INT TERM
-  wait
-  exit 0
-fi
-trap - EXIT
-for name in "${!pids[@]}"; do
-  if ! kill -0 "${pids[$name]}" 2>/dev/null; then
-    echo "$name ended before it was stopped" >&2
-    status=1
-  fi
-done
-stop_all || status=1
-[ "$status" -eq 0 ] && echo "smoke of the users' platform passed" || echo "smoke of the users' platform failed"
-exit "$status"
+finish "$mode" "$status" "$balancer" build/gateway "smoke of the users' platform"
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -45,6 +45,39 @@
   fi
 }
 
+# Stops all processes as planned, VMs first, so that they have the platform and
+# targets to end with.
+stop_all() {
+  local failed=0 name
+  for name in $(printf '%s\n' "${!pids[@]}" | sort -r); do
+    stop_one "$name" || failed=1
+  done
+  return "$failed"
+}
+
+# Ends the script: serves until interrupted, or stops the fleet and says how the
+# smoke test went. Takes the mode, the status so far, the balancer's address, the
+# directory of logs and the name of the test.
+finish() {
+  local mode=$1 status=$2 balancer=$3 logs=$4 test=$5 name
+  if [ "$mode" = run ]; then
+    echo "serving on $balancer until interrupted; logs are in $logs"
+    trap 'exit 0' INT TERM
+    wait
+    exit 0
+  fi
+  trap - EXIT
+  for name in "${!pids[@]}"; do
+    if ! kill -0 "${pids[$name]}" 2>/dev/null; then
+      echo "$name ended before it was stopped" >&2
+      status=1
+    fi
+  done
+  stop_all || status=1
+  [ "$status" -eq 0 ] && echo "$test passed" || echo "$test failed"
+  exit "$status"
+}
+
 # Writes the settings of a VM.
 settings() {
   local number=$1 centre=$2
--- a/shell/timer/timer.go
+++ b/shell/timer/timer.go
@@ -1,13 +1,17 @@
 // Package timer reads the clock that goes on while the VM is suspended, which
-// Go's own steady clock does not.
+// Go's own steady clock does not, and waits.
 //
 // # Usage
 //
 //	started := timer.Now()
+//	if !timer.Sleep(ctx, time.Second) {
+//		return // the context has ended
+//	}
 //	age := timer.Now() - started
 package timer
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -23,3 +27,16 @@
 }
 
 var processStart = time.Now()
+
+// Sleep waits until the time has passed, and reports false if the context ends
+// before.
+func Sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/soak/internal/auditor/record.go
+++ b/soak/internal/auditor/record.go
@@ -26,8 +26,6 @@
 	Whole End = "whole"
 	// Cut means that the connection ended, or sent something else than an answer.
 	Cut End = "cut"
-	// Unsent means that the request could not be sent.
-	Unsent End = "unsent"
 	// Left means that the caller closed the connection.
 	Left End = "left"
 )
@@ -227,6 +225,17 @@
 	}
 }
 
+// limits returns the most attempts and the longest timeout that any version allows
+// the request, 0 if none has a route for it.
+func (audit *audit) limits(call *Call) (attempts int, timeout time.Duration) {
+	for _, version := range audit.versions(call, 0) {
+		if route, routed := version.route(call.Ask); routed {
+			attempts, timeout = max(attempts, route.Attempts), max(timeout, route.Timeout)
+		}
+	}
+	return attempts, timeout
+}
+
 // versions returns the range of versions that may be in force for the request:
 // from the oldest whose successor isn't in force everywhere to the newest that
 // was written before the end. Without a bound all older ones may be.
--- a/soak/internal/auditor/requests.go
+++ b/soak/internal/auditor/requests.go
@@ -120,13 +120,7 @@
 
 func (audit *audit) attempts(promise string) {
 	for id, call := range audit.calls {
-		versions := audit.versions(call, 0)
-		limit := 0
-		for i := range versions {
-			if route, routed := versions[i].route(call.Ask); routed {
-				limit = max(limit, route.Attempts)
-			}
-		}
+		limit, _ := audit.limits(call)
 		targets := make(map[string]bool)
 		for _, arrival := range audit.arrivals[id] {
 			if audit.calm(call.Sent, arrival.Ended, arrival.TargetID) {
@@ -161,13 +155,7 @@
 func (audit *audit) timeouts(promise string) {
 	late := 0
 	for _, call := range audit.calls {
-		versions := audit.versions(call, 0)
-		var timeout time.Duration
-		for i := range versions {
-			if route, routed := versions[i].route(call.Ask); routed {
-				timeout = max(timeout, route.Timeout)
-			}
-		}
+		_, timeout := audit.limits(call)
 		lasted := call.Ended.Sub(call.Sent)
 		if call.End == Left || timeout == 0 || lasted < timeout || call.Behind || !audit.calm(call.Sent, call.Ended, call.VM) {
 			continue
--- a/soak/internal/runner/balancer.go
+++ b/soak/internal/runner/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"godwitramp.example/platform"
+	"godwitramp.example/shell/timer"
 )
 
 // check asks a VM whether it takes connections, until the context ends.
@@ -26,7 +27,7 @@
 		if good || misses >= checkMisses {
 			vm.ready.Store(good)
 		}
-		pause(ctx, checkPeriod)
+		timer.Sleep(ctx, checkPeriod)
 	}
 }
 
--- a/soak/internal/runner/caller.go
+++ b/soak/internal/runner/caller.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"godwitramp.example/platform/faker"
+	"godwitramp.example/shell/timer"
 	"godwitramp.example/soak/internal/auditor"
 )
 
@@ -49,7 +50,7 @@
 		if vm := caller.pick(); vm != nil {
 			caller.connect(ctx, vm)
 		}
-		pause(ctx, caller.pause())
+		timer.Sleep(ctx, caller.pause())
 	}
 }
 
@@ -87,7 +88,7 @@
 	}
 	for range requests {
 		calls := caller.calls(vm, start)
-		if !caller.exchange(connection, reader, calls) || !pause(ctx, caller.pause()) {
+		if !caller.exchange(connection, reader, calls) || !timer.Sleep(ctx, caller.pause()) {
 			return
 		}
 	}
--- a/soak/internal/runner/faults.go
+++ b/soak/internal/runner/faults.go
@@ -10,6 +10,7 @@
 
 	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
+	"godwitramp.example/shell/timer"
 	"godwitramp.example/soak/internal/auditor"
 	"godwitramp.example/soak/internal/planner"
 	"godwitramp.example/soak/internal/relayer"
@@ -82,7 +83,7 @@
 		vm := runner.vms[fault.Subject]
 		defer runner.disturb(vm.name)()
 		vm.toStore.Set(trouble)
-		pause(ctx, fault.For)
+		timer.Sleep(ctx, fault.For)
 		vm.toStore.Set(relayer.Trouble{})
 		return
 	}
@@ -99,7 +100,7 @@
 func (runner *Runner) spoilStore(ctx context.Context, faults faker.Faults, duration time.Duration) {
 	defer runner.disturb(auditor.Store)()
 	runner.store.SetFaults(faults)
-	pause(ctx, duration)
+	timer.Sleep(ctx, duration)
 	runner.store.SetFaults(faker.Faults{})
 }
 
@@ -117,12 +118,12 @@
 	case planner.StopVM:
 		vm.stop()
 		defer runner.disturb(vm.name)()
-		pause(ctx, pauseInStop)
+		timer.Sleep(ctx, pauseInStop)
 		vm.startAgain()
 	case planner.FreezeVM:
 		defer runner.disturb(vm.name)()
 		process := vm.signal(syscall.SIGSTOP)
-		pause(ctx, fault.For)
+		timer.Sleep(ctx, fault.For)
 		if now, _ := vm.current(); process != nil && now == process {
 			vm.signal(syscall.SIGCONT)
 		}
@@ -135,7 +136,7 @@
 func (runner *Runner) restart(ctx context.Context, vm *vm, after time.Duration) {
 	defer runner.disturb(vm.name)()
 	vm.kill()
-	pause(ctx, after)
+	timer.Sleep(ctx, after)
 	vm.startAgain()
 }
 
@@ -172,11 +173,11 @@
 		}
 	case planner.Flood:
 		runner.flood.add(1)
-		pause(ctx, fault.For)
+		timer.Sleep(ctx, fault.For)
 		runner.flood.add(-1)
 	case planner.GiveUp:
 		runner.giveUp.add(1)
-		pause(ctx, fault.For)
+		timer.Sleep(ctx, fault.For)
 		runner.giveUp.add(-1)
 	}
 }
--- a/soak/internal/runner/place.go
+++ b/soak/internal/runner/place.go
@@ -11,6 +11,7 @@
 	"godwitramp.example/core/placer"
 	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
+	"godwitramp.example/shell/timer"
 	"godwitramp.example/soak/internal/auditor"
 	"godwitramp.example/soak/internal/relayer"
 )
@@ -108,11 +109,10 @@
 	place.runner.record.Departures = append(place.runner.record.Departures,
 		auditor.Departure{TargetID: target.ID, Acknowledged: time.Now()})
 	place.runner.mutex.Unlock()
-	if !pause(ctx, departTimeout) {
+	if !timer.Sleep(ctx, departTimeout) {
 		return
 	}
-	end := place.runner.disturb(target.ID)
-	defer end()
+	defer place.runner.disturb(target.ID)()
 	place.close()
 	place.runner.store.Delete(platform.TargetTable, "", target.ID)
 	place.startAgain(target.Service)
@@ -124,14 +124,13 @@
 	place.changing.Lock()
 	defer place.changing.Unlock()
 	target := place.current()
-	end := place.runner.disturb(target.ID)
-	defer end()
+	defer place.runner.disturb(target.ID)()
 	place.close()
-	if !pause(ctx, after) {
+	if !timer.Sleep(ctx, after) {
 		return
 	}
 	place.startAgain(service)
-	if !pause(ctx, entryTimeout-after) {
+	if !timer.Sleep(ctx, entryTimeout-after) {
 		return
 	}
 	place.runner.store.Delete(platform.TargetTable, "", target.ID)
@@ -148,7 +147,7 @@
 	target := place.current()
 	defer place.runner.disturb(target.ID)()
 	target.SetFaults(faults)
-	pause(ctx, duration)
+	timer.Sleep(ctx, duration)
 	target.SetFaults(faker.TargetFaults{})
 }
 
@@ -156,6 +155,6 @@
 func (place *place) hinder(ctx context.Context, trouble relayer.Trouble, duration time.Duration) {
 	defer place.runner.disturb(place.current().ID)()
 	place.way.Set(trouble)
-	pause(ctx, duration)
+	timer.Sleep(ctx, duration)
 	place.way.Set(relayer.Trouble{})
 }
--- a/soak/internal/runner/runner.go
+++ b/soak/internal/runner/runner.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"godwitramp.example/platform/faker"
+	"godwitramp.example/shell/timer"
 	"godwitramp.example/soak/internal/auditor"
 	"godwitramp.example/soak/internal/planner"
 )
@@ -177,7 +178,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for _, fault := range runner.Plan.Faults() {
-		if !pause(ctx, time.Until(began.Add(fault.At))) {
+		if !timer.Sleep(ctx, time.Until(began.Add(fault.At))) {
 			return played
 		}
 		played[fault.Kind]++
@@ -186,20 +187,10 @@
 	return played
 }
 
-// pause waits and reports false if the context ends before.
-func pause(ctx context.Context, duration time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(duration):
-		return true
-	}
-}
-
 // awaitRecovery waits until requests are served again.
 func (runner *Runner) awaitRecovery(ctx context.Context) {
 	began := time.Now()
-	for pause(ctx, time.Second) {
+	for timer.Sleep(ctx, time.Second) {
 		runner.mutex.Lock()
 		var sent, served int
 		for _, call := range runner.record.Calls {
@@ -212,7 +203,7 @@
 		}
 		runner.mutex.Unlock()
 		if sent > 0 && float64(served) >= servedShare*float64(sent) {
-			pause(ctx, calmTail)
+			timer.Sleep(ctx, calmTail)
 			return
 		}
 		if time.Since(began) > recovery {
@@ -244,24 +235,18 @@
 	}
 }
 
-// disturb notes that a fault has begun, and returns what notes its end.
-func (runner *Runner) disturb(subjects ...string) (end func()) {
+// disturb notes that a fault of a subject has begun, and returns what notes its end.
+func (runner *Runner) disturb(subject string) (end func()) {
 	runner.mutex.Lock()
 	defer runner.mutex.Unlock()
-	var begun []*auditor.Disturbance
-	for _, subject := range subjects {
-		disturbance := &auditor.Disturbance{Subject: subject, From: time.Now()}
-		runner.disturbances[disturbance] = true
-		begun = append(begun, disturbance)
-	}
+	disturbance := &auditor.Disturbance{Subject: subject, From: time.Now()}
+	runner.disturbances[disturbance] = true
 	return func() {
 		runner.mutex.Lock()
 		defer runner.mutex.Unlock()
-		for _, disturbance := range begun {
-			disturbance.Until = time.Now()
-			delete(runner.disturbances, disturbance)
-			runner.record.Disturbances = append(runner.record.Disturbances, *disturbance)
-		}
+		disturbance.Until = time.Now()
+		delete(runner.disturbances, disturbance)
+		runner.record.Disturbances = append(runner.record.Disturbances, *disturbance)
 	}
 }
 
--- a/standin/internal/prober/audit.go
+++ b/standin/internal/prober/audit.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"path"
+
+	"godwitramp.example/standin/internal/switcher"
 )
 
 // Audit compares what a load was told with what the targets have run.
@@ -25,7 +27,7 @@
 func (audit *Audit) Run(ctx context.Context, lines io.Reader) error {
 	runs := make(map[string]int)
 	for _, target := range audit.Targets {
-		records, err := record(ctx, target)
+		records, err := switcher.Record[seen](ctx, target)
 		if err != nil {
 			return err
 		}
--- a/standin/internal/prober/prober.go
+++ b/standin/internal/prober/prober.go
@@ -10,13 +10,14 @@
 import (
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"time"
+
+	"godwitramp.example/standin/internal/switcher"
 )
 
 // Prober checks a sample fleet.
@@ -135,7 +136,7 @@
 func (prober *Prober) checkRecord(ctx context.Context, marker string) error {
 	runs := 0
 	for _, target := range prober.Targets {
-		records, err := record(ctx, target)
+		records, err := switcher.Record[seen](ctx, target)
 		if err != nil {
 			return err
 		}
@@ -154,20 +155,3 @@
 	}
 	return nil
 }
-
-func record(ctx context.Context, target string) ([]seen, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+"/stand-in/record", http.NoBody)
-	if err != nil {
-		return nil, fmt.Errorf("make request for record: %w", err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("read record of target %s: %w", target, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	var records []seen
-	if err := json.NewDecoder(response.Body).Decode(&records); err != nil {
-		return nil, fmt.Errorf("decode record of target %s: %w", target, err)
-	}
-	return records, nil
-}
--- a/standin/internal/registrant/registrant.go
+++ b/standin/internal/registrant/registrant.go
@@ -25,6 +25,7 @@
 	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
 	"godwitramp.example/standin/internal/storekeeper"
+	"godwitramp.example/standin/internal/switcher"
 )
 
 // Registrant is a target. Fields are set before Run.
@@ -93,15 +94,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", target)
-	mux.HandleFunc("POST /stand-in/faults", func(writer http.ResponseWriter, request *http.Request) {
-		var faults faker.TargetFaults
-		if err := json.NewDecoder(request.Body).Decode(&faults); err != nil {
-			http.Error(writer, err.Error(), http.StatusBadRequest)
-			return
-		}
-		target.SetFaults(faults)
-	})
-	mux.HandleFunc("GET /stand-in/record", func(writer http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST "+switcher.FaultsPath, switcher.Handle(target.SetFaults))
+	mux.HandleFunc("GET "+switcher.RecordPath, func(writer http.ResponseWriter, _ *http.Request) {
 		registrant.mutex.Lock()
 		arrivals := slices.Clone(registrant.arrivals)
 		registrant.mutex.Unlock()
--- a/standin/internal/storekeeper/storekeeper.go
+++ b/standin/internal/storekeeper/storekeeper.go
@@ -22,10 +22,10 @@
 
 	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
+	"godwitramp.example/standin/internal/switcher"
 )
 
 const (
-	faultsPath  = "/stand-in/faults"
 	rowPath     = "/stand-in/row"
 	callTimeout = 2 * time.Second
 )
@@ -34,34 +34,17 @@
 func Handler(store *faker.Store) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", store)
-	mux.HandleFunc("POST "+faultsPath, func(writer http.ResponseWriter, request *http.Request) {
-		var faults faker.Faults
-		if decode(writer, request, &faults) {
-			store.SetFaults(faults)
-		}
-	})
-	mux.HandleFunc("POST "+rowPath, func(writer http.ResponseWriter, request *http.Request) {
-		var row platform.Row
-		if !decode(writer, request, &row) {
-			return
-		}
+	mux.HandleFunc("POST "+switcher.FaultsPath, switcher.Handle(store.SetFaults))
+	mux.HandleFunc("POST "+rowPath, switcher.Handle(func(row platform.Row) {
 		if row.Deleted {
 			store.Delete(row.Table, row.Part, row.Key)
 		} else {
 			store.Put(row.Table, row.Part, row.Key, row.Value)
 		}
-	})
+	}))
 	return mux
 }
 
-func decode(writer http.ResponseWriter, request *http.Request, value any) bool {
-	if err := json.NewDecoder(request.Body).Decode(value); err != nil {
-		http.Error(writer, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
 // Client writes rows as operators and targets do.
 type Client struct {
 	// Address is that of the store.
--- a/standin/internal/upstream/upstream.go
+++ b/standin/internal/upstream/upstream.go
@@ -20,6 +20,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"godwitramp.example/standin/internal/switcher"
 )
 
 // Faults says what goes wrong at the target. Shares are from 0 to 1.
@@ -92,19 +94,14 @@
 	upstream.silent = make(map[string]bool)
 	upstream.open = make(map[string]bool)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /stand-in/faults", upstream.setFaults)
-	mux.HandleFunc("GET /stand-in/record", upstream.record)
+	mux.HandleFunc("POST "+switcher.FaultsPath, switcher.Handle(upstream.setFaults))
+	mux.HandleFunc("GET "+switcher.RecordPath, upstream.record)
 	mux.HandleFunc("GET /health", upstream.health)
 	mux.HandleFunc("/", upstream.serve)
 	return mux
 }
 
-func (upstream *Upstream) setFaults(w http.ResponseWriter, r *http.Request) {
-	var faults Faults
-	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+func (upstream *Upstream) setFaults(faults Faults) {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	upstream.faults = faults
--- a/standin/internal/visitor/visitor.go
+++ b/standin/internal/visitor/visitor.go
@@ -11,7 +11,6 @@
 	"bufio"
 	"context"
 	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -21,6 +20,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/platform/faker"
+	"godwitramp.example/standin/internal/switcher"
 )
 
 // Names of the sample.
@@ -153,7 +153,7 @@
 func (visitor *Visitor) checkRuns(ctx context.Context, booked map[string]bool) error {
 	runs := make(map[string]int)
 	for _, target := range visitor.Targets {
-		arrivals, err := record(ctx, target)
+		arrivals, err := switcher.Record[faker.Arrival](ctx, target)
 		if err != nil {
 			return err
 		}
@@ -174,20 +174,3 @@
 	_, _ = fmt.Fprintf(visitor.Out, "record of the targets: %d bookings ran once, no key seen\n", len(booked))
 	return nil
 }
-
-func record(ctx context.Context, target string) ([]faker.Arrival, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+"/stand-in/record", http.NoBody)
-	if err != nil {
-		return nil, fmt.Errorf("make request for record: %w", err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("read record of target %s: %w", target, err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	var arrivals []faker.Arrival
-	if err := json.NewDecoder(response.Body).Decode(&arrivals); err != nil {
-		return nil, fmt.Errorf("decode record of target %s: %w", target, err)
-	}
-	return arrivals, nil
-}
--- a/standin/main.go
+++ b/standin/main.go
@@ -116,7 +116,7 @@
 type balancerCommand struct {
 	Listen string   `long:"listen" required:"yes" description:"address to listen on"`
 	VMs    []string `long:"vm" required:"yes" description:"callers' and operators' address of a VM, separated by a comma"`
-	Path   string   `long:"path" default:"/ready" description:"where VMs say whether they take connections"`
+	Path   string   `long:"path" description:"where VMs say whether they take connections; /ready unless set"`
 }
 
 // Execute carries connections to the VMs.
