--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -307,7 +308,8 @@
 }
 
 func (dispatcher *Dispatcher) logRefusal(call *receiver.Call, refusal *refusal) {
-	fields := logrus.Fields{"status": refusal.status, "reason": refusal.reason}
+	path, _, _ := strings.Cut(call.Target, "?") // a query may hold what no log should
+	fields := logrus.Fields{"status": refusal.status, "reason": refusal.reason, "host": call.Request.Host, "path": path}
 	if index := dispatcher.Tracker.Index(); index != nil {
 		fields["configuration"] = index.Version
 		fields["age"] = (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond)
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -210,7 +210,12 @@
 	follower.poller.Failed(rank, follower.clock(), rand.Float64())
 	follower.mutex.Unlock()
 	if first {
-		follower.log.WithError(err).WithField("table", follower.table).Warn("store-lost")
+		fields := logrus.Fields{"table": follower.table}
+		var call *platform.CallError
+		if errors.As(err, &call) {
+			fields["waited"], fields["received-bytes"] = call.Waited.Round(time.Millisecond), call.Received
+		}
+		follower.log.WithError(err).WithFields(fields).Warn("store-lost")
 		follower.group.Claim()
 	}
 }
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -142,7 +142,7 @@
 
 func (tracker *Tracker) takeConfiguration(reading platform.Reading, _, _ bool) {
 	for _, row := range reading.Rows {
-		tracker.refused.Store(!tracker.apply(row))
+		tracker.refused.Store(!tracker.apply(row, reading))
 	}
 }
 
@@ -164,7 +164,7 @@
 
 // apply puts the configuration in a row in force. It reports false if the row
 // should hold one but does not.
-func (tracker *Tracker) apply(row platform.Row) bool {
+func (tracker *Tracker) apply(row platform.Row, reading platform.Reading) bool {
 	configuration, found, err := platform.Configuration(row)
 	if !found {
 		return true
@@ -184,6 +184,8 @@
 	tracker.index.Store(index)
 	tracker.Log.WithFields(logrus.Fields{
 		"version": index.Version, "routes": len(index.Routes), "organisations": len(index.Organisations),
+		"entry-version": row.Version, "bytes": reading.Bytes, "transfer": reading.Transfer.Round(time.Millisecond),
+		"age": (tracker.Clock() - reading.AsOf).Round(time.Millisecond),
 	}).Info("configuration-in-force")
 	tracker.OnConfiguration(index)
 	return true
