--- a/gateway/internal/tracker/transfer_test.go
+++ b/gateway/internal/tracker/transfer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,7 @@
 	store   *faker.Store
 	network *faker.Network
 	began   time.Time
+	mutex   sync.Mutex
 	vms     []*member
 	ctx     context.Context
 	running sync.WaitGroup
@@ -58,7 +60,7 @@
 	claims := member.Claims()
 	member.fleet.running.Go(func() {
 		time.Sleep(time.Millisecond)
-		for _, other := range member.fleet.vms {
+		for _, other := range member.fleet.members() {
 			for _, claim := range claims {
 				if other != member && !other.down.Load() {
 					other.Hear(claim)
@@ -106,7 +108,9 @@
 		Log: logrus.NewEntry(log), OnConfiguration: member.configured, OnTargets: func([]placer.Target) {},
 	}
 	member.Open()
+	fleet.mutex.Lock()
 	fleet.vms = append(fleet.vms, member)
+	fleet.mutex.Unlock()
 	ctx, cancel := context.WithCancel(fleet.ctx)
 	member.stop = cancel
 	fleet.running.Go(func() { _ = member.Run(ctx) })
@@ -121,6 +125,13 @@
 	})
 }
 
+// members returns the VMs that were started.
+func (fleet *fleet) members() []*member {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return slices.Clone(fleet.vms)
+}
+
 // kill ends a VM without notice.
 func (fleet *fleet) kill(rank int) {
 	fleet.vms[rank].down.Store(true)
@@ -134,7 +145,7 @@
 	changed := time.Now()
 	fleet.store.Put(platform.ConfigurationTable, "", "config", faker.EncodeConfiguration(routes(version, count)))
 	time.Sleep(4 * fleetBound)
-	for _, member := range fleet.vms {
+	for _, member := range fleet.members() {
 		if member.down.Load() {
 			continue
 		}
