poller: keep time for the transfer of a long configuration

Cause: a VM whose group falls silent asked when 0.4 s of the bound were left, enough for a call of 400 KB over 10 Mbit/s, whatever the size of the configuration.

Now 0.25 of the bound is kept for a table that may grow in one change, and the time of the longest answer over the slowest link and a quarter of it, at most half of the bound. All VMs of a group reckon with the same link, or the claims of one would come too rarely for another.

--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -44,6 +44,18 @@
 const (
 	// callTime is kept of the bound for a call of a VM that asks by itself.
 	callTime = 400 * time.Millisecond
+	// slowestLink is that of the smallest VMs, 10 Mbit/s, in bytes a second. All VMs
+	// of a group reckon with it, or the claims of one would be too rare for others.
+	slowestLink = 10e6 / 8
+	// transferSlack is how much longer a transfer may take than the link alone says:
+	// decoding on a small share of a core, and the traffic of callers.
+	transferSlack = 1.25
+	// growthPart of the bound is kept for a table whose rows may grow many times over
+	// in one change.
+	growthPart = 0.25
+	// longestReserve is the part of the bound that is kept at most, so that polls
+	// stay rare.
+	longestReserve = 0.5
 	// claimTime is the time between two claims beyond the poll itself: the way
 	// of a claim, or one more heartbeat if a claim is lost.
 	claimTime = 500 * time.Millisecond
@@ -68,8 +80,13 @@
 	// Bound is how soon every VM has to know of a change, set before the first
 	// call. Even if the claims of others stop, a VM asks early enough.
 	Bound time.Duration
+	// Grows is true for a table whose rows may become long in one change. It is set
+	// before the first call.
+	Grows bool
 
 	known bool
+	// length is that of the longest answer with rows of the table, in bytes.
+	length int64
 	// version is that of the store up to which all changes are known.
 	version uint64
 	// change is the newest version at which the table may have changed.
@@ -112,7 +129,25 @@
 // patience returns the age of the knowledge of a group's second VM from which it
 // asks by itself.
 func (poller *Poller) patience() time.Duration {
-	return poller.Bound - callTime - patienceOfRank*lastRank
+	return poller.Bound - poller.reserve() - patienceOfRank*lastRank
+}
+
+// reserve returns what is kept of the bound for a call of a VM that asks by itself.
+func (poller *Poller) reserve() time.Duration {
+	if !poller.Grows {
+		return callTime
+	}
+	part := func(share float64) time.Duration { return time.Duration(share * float64(poller.Bound)) }
+	transfer := time.Duration(transferSlack * float64(poller.length) / slowestLink * float64(time.Second))
+	return max(callTime, part(growthPart), min(part(longestReserve), transfer))
+}
+
+// Measure takes note of the length in bytes of an answer with rows; the next change
+// may be as long. Only a whole answer shows that rows have become shorter.
+func (poller *Poller) Measure(length int64, whole bool) {
+	if whole || length > poller.length {
+		poller.length = length
+	}
 }
 
 // watchWait returns how long the store holds a poll, so that claims come within
--- a/core/poller/poller_test.go
+++ b/core/poller/poller_test.go
@@ -176,3 +176,33 @@
 	is.True(!vm.Expect(10))
 	is.Equal(vm.Next(0, 0).Action, poller.Read)
 }
+
+// The last VM that asks by itself still has the whole transfer before the bound.
+func TestLongRowsAreAskedForEarlier(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, test := range []struct {
+		length   int64
+		transfer time.Duration
+	}{
+		{0, 700 * time.Millisecond}, // may grow by 1,400 routes at once
+		{500_000, 700 * time.Millisecond},
+		{1_000_000, 950 * time.Millisecond},
+		{1_450_000, 1450 * time.Millisecond},
+		{50_000_000, 1450 * time.Millisecond},
+	} {
+		vm := &poller.Poller{Bound: bound, Grows: true}
+		vm.Took(10, 0, 0, true)
+		vm.Measure(test.length, false)
+		vm.Measure(1, false) // another row has changed
+		asks := time.Duration(0)
+		for vm.Next(100, asks).Action != poller.Watch {
+			asks += 10 * time.Millisecond
+		}
+		if asks+test.transfer > bound {
+			t.Errorf("rows of %d bytes are asked for after %v, which leaves %v", test.length, asks, bound-asks)
+		}
+		if rest := vm.Next(0, 0).Wait; rest < 200*time.Millisecond {
+			t.Errorf("rows of %d bytes are polled for every %v", test.length, rest)
+		}
+	}
+}
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -173,6 +173,9 @@
 	follower.take(reading, whole, away)
 	follower.mutex.Lock()
 	follower.poller.Took(reading.Version, newest(reading.Rows), reading.AsOf, whole)
+	if len(reading.Rows) > 0 {
+		follower.poller.Measure(reading.Bytes, whole)
+	}
 	follower.stored = max(follower.stored, reading.Stored)
 	if follower.passes && !whole && len(rows) > 0 {
 		follower.passing = &Claim{
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -67,6 +67,7 @@
 	configuration := tracker.follow(
 		platform.ConfigurationTable, tracker.ConfigurationBound, tracker.takeConfiguration, tracker.freshConfiguration)
 	targets := tracker.follow(platform.TargetTable, tracker.TargetBound, tracker.takeTargets, func(time.Duration) {})
+	configuration.poller.Grows = true
 	targets.passes = true
 	tracker.followers = []*follower{configuration, targets}
 }
