verifier: refuse what an old configuration can't vouch for

Cause: the only limit on old knowledge was that of withdrawn keys. A VM that knew from its group that a newer configuration was in force went on by its own, and 404 and 401 rested on the longer bound.

Now a decision of its own says what may be done: a VM that knows of a newer version and whose own was last the newest longer ago than a change may take refuses all requests with 503 and turns the balancer away; without such knowledge it goes on, since the store may be away for hours; and it denies a route or key only within the bound. A VM that is behind asks with the shortest poll, so that news of another table end within 0.2 s, and it hears of changes also while it has to read the table anew.

TestNewsOfAnotherTableEndSoon and TestChangeIsHeardOfWhileReadingAnew cover the polls.

--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -116,7 +116,10 @@
 	if poller.failures > 0 {
 		return Next{Action: Watch, Wait: shortestWatch} // finds soon whether the store is back
 	}
-	if poller.Behind() || rank == 0 {
+	if poller.Behind() {
+		return Next{Action: Watch, Wait: shortestWatch} // the change is there, or was none of this table
+	}
+	if rank == 0 {
 		return Next{Action: Watch, Wait: poller.watchWait()}
 	}
 	limit := poller.patience() + patienceOfRank*time.Duration(min(rank, lastRank))
@@ -226,15 +229,14 @@
 	if poller.failures > 0 && asOf > poller.failedAt && asOf < poller.failedAt+soonAfter {
 		poller.othersServed = true
 	}
-	if !poller.known {
-		return false
-	}
 	if change > poller.version {
-		news := change > poller.heard
+		news := poller.known && change > poller.heard
 		poller.heard = max(poller.heard, change)
 		return news
 	}
-	poller.asOf = max(poller.asOf, asOf)
+	if poller.known {
+		poller.asOf = max(poller.asOf, asOf)
+	}
 	return false
 }
 
@@ -250,6 +252,4 @@
 }
 
 // Behind reports whether there is a change that this VM doesn't know yet.
-func (poller *Poller) Behind() bool {
-	return poller.known && (poller.expected || poller.heard > poller.version)
-}
+func (poller *Poller) Behind() bool { return poller.expected || poller.heard > poller.version }
--- a/core/poller/poller_test.go
+++ b/core/poller/poller_test.go
@@ -206,3 +206,29 @@
 		}
 	}
 }
+
+// A claim may be of a change to another table; the VM must not wait for one of its own
+// and count as behind for so long.
+func TestNewsOfAnotherTableEndSoon(t *testing.T) {
+	is := is.New(t)
+	vm := &poller.Poller{Bound: 3 * time.Second, Grows: true}
+	vm.Took(10, 0, 0, true)
+	vm.Hear(12, time.Second)
+	for rank := range 3 {
+		is.True(vm.Next(rank, time.Second).Wait <= 200*time.Millisecond)
+	}
+}
+
+// While the table has to be read anew, the VM still hears that it has changed.
+func TestChangeIsHeardOfWhileReadingAnew(t *testing.T) {
+	is := is.New(t)
+	vm := start()
+	vm.Forget()
+	vm.Hear(10, time.Second)
+	is.True(!vm.Behind())
+	is.Equal(vm.AsOf(), time.Duration(0)) // what it knows is no base for claims
+	vm.Hear(12, time.Second)
+	is.True(vm.Behind())
+	vm.Took(12, 0, time.Second, true)
+	is.True(!vm.Behind())
+}
--- a/gateway/internal/dispatcher/admit.go
+++ b/gateway/internal/dispatcher/admit.go
@@ -46,9 +46,11 @@
 	path, _, _ := strings.Cut(call.Target, "?")
 	route := index.Route(hostOf(call.Request.Host), path)
 	job := &job{call: call, index: index, route: route, ask: ask}
+	if !dispatcher.Current() {
+		return nil, &refusalStale
+	}
 	if refusal := dispatcher.identify(job); refusal != nil {
-		if (refusal.status == http.StatusNotFound || refusal.status == http.StatusUnauthorized) && !dispatcher.trusted() {
-			// A newer configuration may allow it.
+		if (refusal.status == http.StatusNotFound || refusal.status == http.StatusUnauthorized) && !dispatcher.certain() {
 			return nil, &refusalStale
 		}
 		return nil, refusal
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -22,6 +22,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/shell/exchanger"
 )
@@ -32,6 +33,8 @@
 	// AsOf returns the time of the dispatcher's Clock up to which Index is known
 	// to be the newest.
 	AsOf() time.Duration
+	// Behind reports whether a newer one is known to exist.
+	Behind() bool
 }
 
 // Messenger tells other VMs.
@@ -105,10 +108,24 @@
 	dispatcher.state.hear(note, fromGroup, dispatcher.Clock())
 }
 
-// trusted reports whether requests with a key may run: whether no key can have
-// been withdrawn for longer than a withdrawal may take.
+// knowledge returns how current the configuration is.
+func (dispatcher *Dispatcher) knowledge() verifier.Knowledge {
+	return verifier.Knowledge{Age: dispatcher.Clock() - dispatcher.Tracker.AsOf(), Behind: dispatcher.Tracker.Behind()}
+}
+
+// Current reports whether requests may be handled by the configuration.
+func (dispatcher *Dispatcher) Current() bool {
+	return dispatcher.state.configurationPolicy().MayServe(dispatcher.knowledge())
+}
+
+// trusted reports whether requests with a key may run.
 func (dispatcher *Dispatcher) trusted() bool {
-	return dispatcher.Clock()-dispatcher.Tracker.AsOf() < dispatcher.state.trust()
+	return dispatcher.state.configurationPolicy().MayTrustKeys(dispatcher.knowledge())
+}
+
+// certain reports whether a request may be told that its route or key is unknown.
+func (dispatcher *Dispatcher) certain() bool {
+	return dispatcher.state.configurationPolicy().MayDeny(dispatcher.knowledge())
 }
 
 // startPatience is how long a request waits for a VM that has just started. It
--- a/gateway/internal/dispatcher/dispatcher_test.go
+++ b/gateway/internal/dispatcher/dispatcher_test.go
@@ -19,6 +19,7 @@
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/throttler"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/dispatcher"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
@@ -85,13 +86,16 @@
 
 // knowledge is what the VM knows of the configuration.
 type knowledge struct {
-	index atomic.Pointer[indexer.Index]
-	asOf  atomic.Int64
+	index  atomic.Pointer[indexer.Index]
+	asOf   atomic.Int64
+	behind atomic.Bool
 }
 
 func (knowledge *knowledge) Index() *indexer.Index { return knowledge.index.Load() }
 func (knowledge *knowledge) AsOf() time.Duration   { return time.Duration(knowledge.asOf.Load()) }
 
+func (knowledge *knowledge) Behind() bool { return knowledge.behind.Load() }
+
 // silence tells nobody.
 type silence struct{}
 
@@ -131,7 +135,7 @@
 		Place: placer.Place{Region: "r", DataCentre: "d"}, Regions: map[string]string{"d": "r"}, Clock: timer.Now,
 		Policy: dispatcher.Policy{
 			Rates:      throttler.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Extra: 20},
-			RetryRatio: 0.2, RetryExtra: 600, RetryWindow: 10 * time.Second, Trust: 5 * time.Second,
+			RetryRatio: 0.2, RetryExtra: 600, RetryWindow: 10 * time.Second, Configuration: verifier.Policy{Propagation: 3 * time.Second, Withdrawal: 5 * time.Second},
 		},
 		Log: logrus.NewEntry(log),
 	}
@@ -221,6 +225,36 @@
 	is.Equal(status("/open/1", ""), http.StatusServiceUnavailable)
 }
 
+// A VM whose knowledge is older than a change may be must not deny an added route.
+func TestAddedRouteIsNotDeniedOnOldKnowledge(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, answer(http.StatusOK, "")))
+	status := func(target, key string) int {
+		return vm.Serve(context.Background(), call(http.MethodGet, target, key)).Status
+	}
+	vm.knowledge.asOf.Store(int64(timer.Now() - 3500*time.Millisecond))
+	is.Equal(status("/added/", "key"), http.StatusServiceUnavailable)
+	is.Equal(status("/read/1", "added"), http.StatusServiceUnavailable)
+	is.Equal(status("/read/1", "key"), http.StatusOK)
+	is.Equal(status("/open/1", ""), http.StatusOK)
+}
+
+// Open routes are no exception: a request must not run by a route that was moved.
+func TestKnownChangeStopsServingByTheOldConfiguration(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, answer(http.StatusOK, "")))
+	reply := func() receiver.Reply {
+		return vm.Serve(context.Background(), call(http.MethodGet, "/open/1", ""))
+	}
+	vm.knowledge.asOf.Store(int64(timer.Now() - time.Hour))
+	is.Equal(reply().Status, http.StatusOK) // the store is away
+	vm.knowledge.behind.Store(true)
+	is.Equal(reply().Status, http.StatusServiceUnavailable)
+	is.True(!vm.Current())
+	vm.knowledge.asOf.Store(int64(timer.Now() - time.Second))
+	is.Equal(reply().Status, http.StatusOK) // the change is on its way, in time
+}
+
 // A request that meets a VM which has just started waits a moment for it, and is
 // refused if it can't serve then.
 func TestStartingVMIsAwaited(t *testing.T) {
@@ -333,7 +367,7 @@
 		{ID: "t0", Service: "s", Address: ill.address, DataCentre: "d", Slots: 4},
 		{ID: "t1", Service: "s", Address: good.address, DataCentre: "far", Slots: 4},
 	})
-	vm.SetPolicy(dispatcher.Policy{Rates: throttler.Tolerance{Window: time.Second}, RetryWindow: time.Second, Trust: 5 * time.Second})
+	vm.SetPolicy(dispatcher.Policy{Rates: throttler.Tolerance{Window: time.Second}, RetryWindow: time.Second, Configuration: verifier.Policy{Withdrawal: 5 * time.Second}})
 	vm.read() // takes what is left of the budget
 	for range 5 {
 		ahead += 500 * time.Millisecond // the suspicion of the near target fades a little
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -312,7 +312,8 @@
 	fields := logrus.Fields{"status": refusal.status, "reason": refusal.reason, "host": call.Request.Host, "path": path}
 	if index := dispatcher.Tracker.Index(); index != nil {
 		fields["configuration"] = index.Version
-		fields["age"] = (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond)
+		knowledge := dispatcher.knowledge()
+		fields["age"], fields["behind"] = knowledge.Age.Round(time.Millisecond), knowledge.Behind
 	}
 	dispatcher.Log.WithFields(fields).WithField("request", requestID(call)).Info("request-refused")
 }
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -9,6 +9,7 @@
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/throttler"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
 )
 
@@ -39,9 +40,8 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
-	// Trust is how old the knowledge of the configuration may be for requests
-	// with a key to be served.
-	Trust time.Duration
+	// Configuration bounds what may be done on an old configuration.
+	Configuration verifier.Policy
 }
 
 func (state *state) setPolicy(policy Policy) {
@@ -53,10 +53,10 @@
 	}
 }
 
-func (state *state) trust() time.Duration {
+func (state *state) configurationPolicy() verifier.Policy {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	return state.policy.Trust
+	return state.policy.Configuration
 }
 
 // configure takes over the rates and services of a configuration.
--- a/gateway/internal/starter/endpoints.go
+++ b/gateway/internal/starter/endpoints.go
@@ -57,7 +57,8 @@
 
 // ready reports whether new connections are welcome.
 func (starter *Starter) ready() bool {
-	return !starter.leaving.Load() && starter.tracker.Complete() && starter.messages.joined() && timer.Now()-starter.tracker.AsOf() < staleReadiness
+	return !starter.leaving.Load() && starter.tracker.Complete() && starter.messages.joined() &&
+		timer.Now()-starter.tracker.AsOf() < staleReadiness && starter.dispatcher.Current()
 }
 
 func (starter *Starter) readiness(context echo.Context) error {
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -22,6 +22,7 @@
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/throttler"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/dispatcher"
 	"godwitramp.example/gateway/internal/loader"
 	"godwitramp.example/gateway/internal/receiver"
@@ -135,7 +136,7 @@
 			Window: settings.RateWindow, Overshoot: settings.RateOvershoot, Extra: settings.RateTolerance,
 		},
 		RetryRatio: settings.RetryRatio, RetryExtra: settings.RetryExtra, RetryWindow: settings.RetryWindow,
-		Trust: settings.Withdrawal - trustMargin,
+		Configuration: verifier.Policy{Propagation: settings.Propagation, Withdrawal: settings.Withdrawal - trustMargin},
 	}
 }
 
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -248,6 +248,13 @@
 	return follower.poller.Failures() > 0
 }
 
+// behind reports whether there is a change that this VM doesn't know yet.
+func (follower *follower) behind() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.poller.Behind()
+}
+
 // claim returns what this VM knows by itself, if anything.
 func (follower *follower) claim() (Claim, bool) {
 	follower.mutex.Lock()
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -53,7 +53,8 @@
 	// refused is true while the newest configuration is one that can't be used.
 	refused atomic.Bool
 
-	followers []*follower
+	configuration *follower
+	followers     []*follower
 
 	mutex   sync.Mutex
 	targets targets
@@ -64,12 +65,12 @@
 	tracker.targets = targets{log: tracker.Log}
 	// Each VM reads configurations by itself, so that one which the store turns
 	// away finds out: it must not go on serving keys on what others say.
-	configuration := tracker.follow(
+	tracker.configuration = tracker.follow(
 		platform.ConfigurationTable, tracker.ConfigurationBound, tracker.takeConfiguration, tracker.freshConfiguration)
 	targets := tracker.follow(platform.TargetTable, tracker.TargetBound, tracker.takeTargets, func(time.Duration) {})
-	configuration.poller.Grows = true
+	tracker.configuration.poller.Grows = true
 	targets.passes = true
-	tracker.followers = []*follower{configuration, targets}
+	tracker.followers = []*follower{tracker.configuration, targets}
 }
 
 func (tracker *Tracker) follow(
@@ -136,6 +137,9 @@
 
 const neverKnown = time.Hour
 
+// Behind reports whether a newer configuration than Index is known to exist.
+func (tracker *Tracker) Behind() bool { return tracker.configuration.behind() }
+
 // Complete reports whether configuration and targets have been read.
 func (tracker *Tracker) Complete() bool {
 	return tracker.index.Load() != nil && tracker.hasTargets.Load()
