poller, tracker: neither trust nor hammer a store whose readings lag

Now an answer older than what is known counts as a failed call, with its growing pause, and moves nothing. One that doesn't reach a change which another VM has claimed is taken, since it may have been long under way, and the next call waits.

TestOlderAnswersAreNeitherTrustedNorHammered failed before at the count of calls.

--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -102,6 +102,8 @@
 	failedAt time.Duration
 	// othersServed is true if the store answered others meanwhile.
 	othersServed bool
+	// lags counts the answers in a row that did not reach a known change.
+	lags int
 }
 
 // Next returns what to do now, given the VM's rank in its group, 0 for the
@@ -178,6 +180,20 @@
 	poller.expected = false
 }
 
+// Settle follows Took. If the answer did not reach a change that is known to exist,
+// the next call waits: a store whose readings lag would be asked again and again.
+func (poller *Poller) Settle(now time.Duration) {
+	if !poller.Behind() {
+		poller.lags = 0
+		return
+	}
+	poller.retryAt = now + pauseAfter(poller.lags, longestRetry)
+	poller.lags++
+}
+
+// Stale reports whether an answer that reaches a version is older than what is known.
+func (poller *Poller) Stale(version uint64) bool { return version < poller.version }
+
 // Learn takes over what another VM has passed on: all changes up to a version, as
 // of a time. It is for a VM that knows the version which they follow.
 func (poller *Poller) Learn(version uint64, asOf time.Duration) {
@@ -200,11 +216,16 @@
 	if poller.failures == 0 {
 		poller.failedAt = now
 	}
-	pause := min(longest, firstRetry<<min(poller.failures, 5))
+	pause := pauseAfter(poller.failures, longest)
 	poller.failures++
 	poller.retryAt = now + time.Duration((0.5+random/2)*float64(pause))
 }
 
+// pauseAfter returns the pause after a call that followed so many vain ones.
+func pauseAfter(vain int, longest time.Duration) time.Duration {
+	return min(longest, firstRetry<<min(vain, 5))
+}
+
 // Forget makes the next call read the whole table.
 func (poller *Poller) Forget() { poller.known = false }
 
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -141,29 +142,33 @@
 		return
 	}
 	follower.mutex.Lock()
-	failures, away := follower.poller.Failures(), follower.poller.Away()
+	failures, away, known := follower.poller.Failures(), follower.poller.Away(), follower.poller.Version()
 	follower.mutex.Unlock()
-	if failures > 0 {
-		follower.log.WithFields(logrus.Fields{"table": follower.table, "failures": failures, "away-for-all": away}).Info("store-regained")
-	}
 	if !follower.apply(reading, whole, away) {
+		follower.failed(fmt.Errorf("%w: version %d after %d", errStale, reading.Version, known))
 		return
 	}
+	if failures > 0 {
+		follower.log.WithFields(logrus.Fields{"table": follower.table, "failures": failures, "away-for-all": away}).Info("store-regained")
+	}
 	follower.group.Claim()
 	if len(reading.Rows) > 0 {
 		timer.Sleep(ctx, batchPause)
 	}
 }
 
-// apply takes an answer of the store in. It reports false for a whole one that is
-// older than what another VM has passed on meanwhile; the table is read again then.
+// errStale says that an answer does not reach what is known.
+var errStale = errors.New("the store's answer is older than what is known")
+
+// apply takes an answer of the store in. It reports false for one that is older than
+// what is known, from another VM for instance; it is not taken then.
 func (follower *follower) apply(reading platform.Reading, whole, away bool) bool {
 	follower.applying.Lock()
 	defer follower.applying.Unlock()
 	follower.mutex.Lock()
-	before := follower.poller.Version()
+	before, stale := follower.poller.Version(), follower.poller.Stale(reading.Version)
 	follower.mutex.Unlock()
-	if whole && reading.Version < before {
+	if stale {
 		return false
 	}
 	rows := reading.Rows
@@ -176,6 +181,7 @@
 	if len(reading.Rows) > 0 {
 		follower.poller.Measure(reading.Bytes, whole)
 	}
+	follower.poller.Settle(follower.clock())
 	follower.stored = max(follower.stored, reading.Stored)
 	if follower.passes && !whole && len(rows) > 0 {
 		follower.passing = &Claim{
--- /dev/null
+++ b/gateway/internal/tracker/stale_test.go
@@ -0,0 +1,124 @@
+package tracker_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/indexer"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/gateway/internal/tracker"
+	"godwitramp.example/platform"
+	"godwitramp.example/platform/faker"
+)
+
+// laggingStore answers as of a version that the test sets, with the present time.
+type laggingStore struct {
+	mutex   sync.Mutex
+	began   time.Time
+	version uint64
+	gone    bool
+	calls   int
+}
+
+// set changes what the store answers.
+func (store *laggingStore) set(version uint64, gone bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.version, store.gone, store.calls = version, gone, 0
+}
+
+func (store *laggingStore) counted() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.calls
+}
+
+func (store *laggingStore) answer(after uint64) platform.Reading {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.calls++
+	reading := platform.Reading{Version: store.version, AsOf: time.Since(store.began), Stored: time.Since(store.began)}
+	if store.version > after {
+		reading.Rows = []platform.Row{{
+			Table: platform.ConfigurationTable, Key: platform.ConfigurationKey, Version: store.version,
+			Value: faker.EncodeConfiguration(indexer.Configuration{Version: store.version}),
+		}}
+	}
+	return reading
+}
+
+func (store *laggingStore) Read(context.Context, string, string) (platform.Reading, error) {
+	time.Sleep(4 * time.Millisecond)
+	return store.answer(0), nil
+}
+
+func (store *laggingStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration, _ func()) (platform.Reading, error) {
+	store.mutex.Lock()
+	gone := store.gone
+	store.gone = false
+	store.mutex.Unlock()
+	if gone {
+		return platform.Reading{}, platform.ErrHistoryGone
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return store.answer(after), nil
+}
+
+func (store *laggingStore) Date(stored time.Duration) (time.Duration, bool) { return stored, true }
+
+// A VM must neither take an answer for fresh that is older than what it knows, nor ask
+// for better ones without a pause.
+func TestOlderAnswersAreNeitherTrustedNorHammered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &laggingStore{began: time.Now(), version: 50}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		clock := func() time.Duration { return time.Since(store.began) }
+		vm := &tracker.Tracker{
+			Store: store, Group: &group{}, Clock: clock, ConfigurationBound: fleetBound, TargetBound: fleetBound,
+			Log: logrus.NewEntry(log), OnConfiguration: func(*indexer.Index) {}, OnTargets: func([]placer.Target) {},
+		}
+		vm.Open()
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = vm.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		time.Sleep(10 * time.Second)
+		is.Equal(vm.Index().Version, uint64(50))
+
+		store.set(40, true) // the history is gone, readings lag
+		time.Sleep(2 * time.Second)
+		asOf := vm.AsOf()
+		time.Sleep(4 * time.Second)
+		is.Equal(vm.Index().Version, uint64(50))
+		is.Equal(vm.AsOf(), asOf)
+		is.True(store.counted() < 60) // of two tables in 6 s
+
+		store.set(60, false)
+		time.Sleep(2 * time.Second)
+		is.Equal(vm.Index().Version, uint64(60))
+
+		// Another VM knows of a change that readings don't reach yet.
+		vm.Hear(tracker.Claim{Table: platform.ConfigurationTable, Change: 70, Stored: clock()})
+		store.set(65, false)
+		time.Sleep(6 * time.Second)
+		is.True(vm.Behind())
+		is.True(store.counted() < 60)
+		store.set(70, false)
+		time.Sleep(2 * time.Second)
+		is.True(!vm.Behind())
+		is.Equal(vm.Index().Version, uint64(70))
+	})
+}
