tracker: only a usable configuration ends the distrust of a refused one

Cause: whether the newest configuration can be used was set anew by each row of an answer, so that a row which holds none, or an older version, made the VM trust keys by the last good one again, although the refused one may have withdrawn some.

Now other rows say nothing, an older version gets a line (configuration-older) and changes nothing, and the version in force or a newer one ends the distrust.

--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -147,7 +147,7 @@
 
 func (tracker *Tracker) takeConfiguration(reading platform.Reading, _, _ bool) {
 	for _, row := range reading.Rows {
-		tracker.refused.Store(!tracker.apply(row, reading))
+		tracker.apply(row, reading)
 	}
 }
 
@@ -167,24 +167,32 @@
 	}
 }
 
-// apply puts the configuration in a row in force. It reports false if the row
-// should hold one but does not.
-func (tracker *Tracker) apply(row platform.Row, reading platform.Reading) bool {
+// apply puts the configuration in a row in force, unless it can't be used or is older.
+// Other rows say nothing about whether a refused one has been mended.
+func (tracker *Tracker) apply(row platform.Row, reading platform.Reading) {
 	configuration, found, err := platform.Configuration(row)
 	if !found {
-		return true
+		return
 	}
 	var index *indexer.Index
 	if err == nil {
 		index, err = indexer.New(configuration)
 	}
 	if err != nil {
+		tracker.refused.Store(true)
 		tracker.Log.WithError(err).WithField("entry-version", row.Version).Error("configuration-refused")
-		return false
+		return
 	}
 	current := tracker.index.Load()
-	if current != nil && index.Version <= current.Version {
-		return true
+	if current != nil && index.Version < current.Version {
+		tracker.Log.WithFields(logrus.Fields{
+			"version": index.Version, "in-force": current.Version, "entry-version": row.Version,
+		}).Warn("configuration-older")
+		return
+	}
+	tracker.refused.Store(false)
+	if current != nil && index.Version == current.Version {
+		return
 	}
 	tracker.index.Store(index)
 	tracker.Log.WithFields(logrus.Fields{
@@ -193,7 +201,6 @@
 		"age": (tracker.Clock() - reading.AsOf).Round(time.Millisecond),
 	}).Info("configuration-in-force")
 	tracker.OnConfiguration(index)
-	return true
 }
 
 func (tracker *Tracker) takeTargets(reading platform.Reading, whole, returned bool) {
--- a/gateway/internal/tracker/tracker_test.go
+++ b/gateway/internal/tracker/tracker_test.go
@@ -182,6 +182,24 @@
 	is.Equal(vm.versions, []uint64{4, 6})
 }
 
+// What follows a refused configuration must not make it count as mended.
+func TestRefusedConfigurationIsNotTrustedAfterOtherRows(t *testing.T) {
+	is := is.New(t)
+	store, address := fresh(t)
+	vm := start(t, address, &group{})
+	until(t, "the first is read", func() bool { return vm.version() == 4 })
+	store.Put(platform.ConfigurationTable, "", "config", []byte(`{"Version":"r5","Resources":`))
+	time.Sleep(bound)
+	asOf := vm.AsOf()
+	store.Put(platform.ConfigurationTable, "", "note", []byte("of somebody else"))
+	configure(store, 3)
+	time.Sleep(2 * bound)
+	is.Equal(vm.AsOf(), asOf)
+	is.Equal(vm.version(), uint64(4))
+	configure(store, 4) // written again
+	until(t, "the present one is good", func() bool { return vm.AsOf() > asOf })
+}
+
 // An entry of another writer names no target; the others hold.
 func TestForgedEntryNamesNoTarget(t *testing.T) {
 	store, address := fresh(t, "a", "b")
