indexer: refuse empty keys and rates below zero

A configuration with an empty key would have let callers without a key pass for its organisation; negative rates were taken as no limit. No caller is known to have met either: the platform's store refuses bad configurations. Found while asking which invalid configurations a VM would take.

--- a/core/indexer/indexer.go
+++ b/core/indexer/indexer.go
@@ -151,7 +151,14 @@
 }
 
 func (index *Index) addOrganisation(organisation *Organisation) error {
+	if !(organisation.Rate >= 0) || !(organisation.Burst >= 0) {
+		return fmt.Errorf("organisation %q has the rate %v and the burst %v, must be 0 or more",
+			organisation.Name, organisation.Rate, organisation.Burst)
+	}
 	for _, key := range organisation.Keys {
+		if key == "" {
+			return fmt.Errorf("organisation %q has an empty key", organisation.Name)
+		}
 		if other := index.byKey[key]; other != nil && other != organisation {
 			return fmt.Errorf("organisations %q and %q have a key in common", other.Name, organisation.Name)
 		}
--- a/core/indexer/indexer_test.go
+++ b/core/indexer/indexer_test.go
@@ -1,6 +1,7 @@
 package indexer_test
 
 import (
+	"math"
 	"testing"
 
 	"github.com/matryer/is"
@@ -50,3 +51,18 @@
 	is.Equal(index.Organisation("k3").Name, "b")
 	is.Equal(index.Organisation(""), nil)
 }
+
+// A caller without a key must not pass for an organisation.
+func TestOrganisationsAreChecked(t *testing.T) {
+	for name, organisation := range map[string]indexer.Organisation{
+		"empty key":      {Name: "a", Keys: []string{"k", ""}},
+		"negative rate":  {Name: "a", Rate: -1},
+		"negative burst": {Name: "a", Burst: -0.5},
+		"no number":      {Name: "a", Rate: math.NaN()},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := indexer.New(indexer.Configuration{Organisations: []indexer.Organisation{organisation}})
+			is.New(t).True(err != nil)
+		})
+	}
+}
