--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -93,11 +93,12 @@
 	change uint64
 	// heard is the newest change that another VM claims.
 	heard uint64
-	// expected is true while changes after the version are known to be on their way.
-	expected bool
-	asOf     time.Duration
-	failures int
-	retryAt  time.Duration
+	// expected is true while changes after the version are known to be on their way,
+	// reading while a long reading comes that may hold some.
+	expected, reading bool
+	asOf              time.Duration
+	failures          int
+	retryAt           time.Duration
 	// failedAt is when the first of the failed calls ended.
 	failedAt time.Duration
 	// othersServed is true if the store answered others meanwhile.
@@ -177,7 +178,7 @@
 	poller.failures = 0
 	poller.retryAt = 0
 	poller.othersServed = false
-	poller.expected = false
+	poller.expected, poller.reading = false, false
 }
 
 // Settle follows Took. If the answer did not reach a change that is known to exist,
@@ -191,6 +192,10 @@
 	poller.lags++
 }
 
+// Reading takes note that a reading of the whole table takes long. Until its end, the
+// VM can't tell whether there is a change.
+func (poller *Poller) Reading() { poller.reading = true }
+
 // Stale reports whether an answer that reaches a version is older than what is known.
 func (poller *Poller) Stale(version uint64) bool { return version < poller.version }
 
@@ -218,6 +223,7 @@
 	}
 	pause := pauseAfter(poller.failures, longest)
 	poller.failures++
+	poller.reading = false
 	poller.retryAt = now + time.Duration((0.5+random/2)*float64(pause))
 }
 
@@ -274,5 +280,8 @@
 	return true
 }
 
-// Behind reports whether there is a change that this VM doesn't know yet.
-func (poller *Poller) Behind() bool { return poller.expected || poller.heard > poller.version }
+// Behind reports whether there is a change that this VM doesn't know yet, or may be one
+// in what it is being sent.
+func (poller *Poller) Behind() bool {
+	return poller.expected || poller.reading || poller.heard > poller.version
+}
--- a/core/poller/poller_test.go
+++ b/core/poller/poller_test.go
@@ -247,3 +247,18 @@
 	vm.Failed(0, 2*time.Second, 1)
 	is.Equal(vm.Next(0, 3*time.Second).Action, poller.Read)
 }
+
+// While a long reading comes, it may hold a change; if it fails, nothing is known of one.
+func TestLongReadingMayHoldAChange(t *testing.T) {
+	is := is.New(t)
+	vm := &poller.Poller{Bound: 3 * time.Second, Grows: true}
+	vm.Took(10, 4, 0, true)
+	vm.Forget()
+	vm.Reading()
+	is.True(vm.Behind())
+	vm.Failed(0, time.Second, 1)
+	is.True(!vm.Behind()) // the store may be away for hours
+	vm.Reading()
+	vm.Took(12, 4, time.Second, true)
+	is.True(!vm.Behind())
+}
--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -50,7 +50,7 @@
 
 // Store is what the registrar needs of the platform's store.
 type Store interface {
-	Read(ctx context.Context, table, part string) (platform.Reading, error)
+	Read(ctx context.Context, table, part string, arriving func()) (platform.Reading, error)
 	Commit(ctx context.Context, transaction platform.Transaction) error
 }
 
@@ -101,7 +101,7 @@
 }
 
 func (registrar *Registrar) read(ctx context.Context) (Members, error) {
-	reading, err := registrar.Store.Read(ctx, table, "")
+	reading, err := registrar.Store.Read(ctx, table, "", nil)
 	if err != nil {
 		return Members{}, fmt.Errorf("read members: %w", err)
 	}
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,7 +20,7 @@
 
 // Store is what the tracker needs of the platform's store.
 type Store interface {
-	Read(ctx context.Context, table, part string) (platform.Reading, error)
+	Read(ctx context.Context, table, part string, arriving func()) (platform.Reading, error)
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration, arriving func()) (platform.Reading, error)
 	// Date returns the time of the VM's clock for one of the store's clock.
 	Date(stored time.Duration) (time.Duration, bool)
@@ -62,6 +61,7 @@
 	// passes is true if the VMs of the group pass changes of the table on.
 	passes bool
 	clock  func() time.Duration
+	random func() float64
 	log    *logrus.Entry
 	// take takes an answer in. Whole answers have all rows of the table, others
 	// those that changed. Returned is true for the first answer after the store
@@ -94,7 +94,7 @@
 		case poller.Rest:
 			follower.rest(ctx, next.Wait)
 		case poller.Read:
-			reading, err := follower.store.Read(ctx, follower.table, "")
+			reading, err := follower.store.Read(ctx, follower.table, "", follower.reading)
 			follower.took(ctx, reading, err, true)
 		case poller.Watch:
 			reading, err := follower.store.Watch(ctx, follower.table, after, next.Wait, follower.announce)
@@ -122,6 +122,13 @@
 	follower.group.Claim()
 }
 
+// reading takes note that a reading of the whole table takes long.
+func (follower *follower) reading() {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.poller.Reading()
+}
+
 // took takes the end of a call in.
 func (follower *follower) took(ctx context.Context, reading platform.Reading, err error, whole bool) {
 	follower.mutex.Lock()
@@ -234,7 +241,7 @@
 	rank := follower.group.Rank()
 	follower.mutex.Lock()
 	first := follower.poller.Failures() == 0
-	follower.poller.Failed(rank, follower.clock(), rand.Float64())
+	follower.poller.Failed(rank, follower.clock(), follower.random())
 	follower.mutex.Unlock()
 	if first {
 		fields := logrus.Fields{"table": follower.table}
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,9 @@
 	TargetBound        time.Duration
 	// Clock is a steady clock that goes on while the VM is suspended.
 	Clock func() time.Duration
+	// Random returns a number from 0 to 1 and may be called from two goroutines at
+	// once; that of math/rand/v2 unless set.
+	Random func() float64
 	// OnConfiguration is called with each new configuration.
 	OnConfiguration func(index *indexer.Index)
 	// OnTargets is called with all targets when one has changed.
@@ -63,6 +67,9 @@
 // Open prepares the tracker. It comes before all other calls.
 func (tracker *Tracker) Open() {
 	tracker.targets = targets{log: tracker.Log}
+	if tracker.Random == nil {
+		tracker.Random = rand.Float64
+	}
 	// Each VM reads configurations by itself, so that one which the store turns
 	// away finds out: it must not go on serving keys on what others say.
 	tracker.configuration = tracker.follow(
@@ -77,7 +84,7 @@
 	table string, bound time.Duration, take func(platform.Reading, bool, bool), fresh func(time.Duration),
 ) *follower {
 	return &follower{
-		store: tracker.Store, group: tracker.Group, table: table, clock: tracker.Clock, log: tracker.Log,
+		store: tracker.Store, group: tracker.Group, table: table, clock: tracker.Clock, random: tracker.Random, log: tracker.Log,
 		take: take, fresh: fresh, wake: make(chan struct{}, 1), poller: poller.Poller{Bound: bound},
 	}
 }
@@ -137,7 +144,8 @@
 
 const neverKnown = time.Hour
 
-// Behind reports whether a newer configuration than Index is known to exist.
+// Behind reports whether a newer configuration than Index is known to exist, or may
+// be in what the VM is being sent.
 func (tracker *Tracker) Behind() bool { return tracker.configuration.behind() }
 
 // Complete reports whether configuration and targets have been read.
