receiver: give a long answer the time that it takes

A caller got an answer cut off after 10 s, whatever its length: more than 12.5 MB do not go over a link of 10 Mbit/s in that.

Now the time of the transfer at a quarter of the slowest link is added. Looked at beside it: the body of a request (30 s, but its route's timeout ends sooner), the exchange with targets (bound by the request's deadline alone), messages between VMs (24 KB at most), exchanges of entry (1,000 entries, and reads whose limit grows with each failure).

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -18,8 +18,10 @@
 	// nothing is read, and a caller that goes away is noticed later.
 	maxPipelined = 64
 	// writeTimeout bounds the writing of one answer to a caller that doesn't
-	// read.
-	writeTimeout = 10 * time.Second
+	// read, beside the time that the answer takes at slowestCaller, in bytes a
+	// second: a quarter of the slowest link of a VM.
+	writeTimeout  = 10 * time.Second
+	slowestCaller = 10e6 / 8 / 4
 	// lingerTimeout is how long a closing connection is read, since unread
 	// bytes would reset it under the last answer.
 	lingerTimeout = 500 * time.Millisecond
@@ -243,7 +245,8 @@
 	} else {
 		buffer.WriteString("\r\n")
 	}
-	_ = connection.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	transfer := time.Duration(float64(buffer.Len()) / slowestCaller * float64(time.Second))
+	_ = connection.raw.SetWriteDeadline(time.Now().Add(writeTimeout + transfer))
 	_, err := connection.raw.Write(buffer.Bytes())
 	return err == nil
 }
