rationer: bound what is held of answers that are still coming

Targets in trouble may send bytes without end, in a head or in a body. A head is cut off at 256 KB, an answer to another request too; but each body was read up to 32 MB, so that ten of them filled the memory of a VM with 284 MB.

Now all answers that are still coming share 0.15 of the memory; beyond it, those that hold more than an equal share are given up like cut answers, and short ones come through. The decision stands in core/rationer.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -138,7 +138,7 @@
 // read holds the whole answer.
 func (attempt *attempt) read(ctx context.Context, answer *exchanger.Answer) {
 	response := answer.Response
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	body, err := attempt.hold(io.LimitReader(response.Body, maxAnswerBytes+1))
 	answer.Close()
 	if err != nil && ctx.Err() != nil {
 		attempt.verdict = assessor.OfFailure(attempt.failureOf(ctx, err))
@@ -154,6 +154,40 @@
 	})
 }
 
+var errNoRoom = errors.New("the answer takes more memory than is left for it")
+
+// hold reads a body while the transfers of all attempts stay within their bound.
+func (attempt *attempt) hold(body io.Reader) ([]byte, error) {
+	state := &attempt.dispatcher.state
+	state.beginTransfer()
+	transfer := &transfer{state: state, body: body}
+	defer func() { state.endTransfer(transfer.held) }()
+	held, err := io.ReadAll(transfer)
+	if errors.Is(err, errNoRoom) {
+		attempt.dispatcher.Log.WithFields(logrus.Fields{
+			"request": attempt.job.ask.ID, "target": attempt.target.ID, "bytes": transfer.held,
+		}).Warn("answer-too-long")
+	}
+	return held, err
+}
+
+// transfer is a body that is being read.
+type transfer struct {
+	state *state
+	body  io.Reader
+	held  int64
+}
+
+// Read reads the next piece, unless the transfer holds too much.
+func (transfer *transfer) Read(buffer []byte) (int, error) {
+	n, err := transfer.body.Read(buffer)
+	if !transfer.state.growTransfer(transfer.held, int64(n)) {
+		err = errNoRoom
+	}
+	transfer.held += int64(n)
+	return n, err
+}
+
 // patient reports whether the attempt has lasted far longer than is usual.
 func (attempt *attempt) patient() bool {
 	usual := attempt.dispatcher.latency.delay(attempt.job.service, attempt.job.route.Objective)
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -22,6 +22,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/rationer"
 	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/shell/exchanger"
@@ -55,6 +56,9 @@
 	Regions map[string]string
 	// Clock goes on while the VM is suspended.
 	Clock func() time.Duration
+	// MaxAnswerBytes bounds what is held of answers that are still coming; zero means
+	// no bound.
+	MaxAnswerBytes int64
 	// Started is closed once the configuration and targets are read and the group
 	// is found. Nil means that they are.
 	Started <-chan struct{}
@@ -70,6 +74,7 @@
 		placer: &placer.Placer{Place: dispatcher.Place, Regions: dispatcher.Regions},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		policy: dispatcher.Policy, part: 1 / float64(max(1, len(dispatcher.Regions))), heard: unjoined,
+		answers: rationer.Rationer{Limit: dispatcher.MaxAnswerBytes},
 	}
 }
 
--- a/gateway/internal/dispatcher/dispatcher_test.go
+++ b/gateway/internal/dispatcher/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -487,3 +488,57 @@
 	}
 	is.True(refused.Header.Get("Retry-After") != "")
 }
+
+// Bytes without end, after a proper head, must neither fill the memory nor take the room
+// of proper answers.
+func TestAnswersWithoutEndLeaveRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	const limit = 1 << 20
+	vm := start(t, &upstream{address: "endless:1"})
+	vm.MaxAnswerBytes = limit
+	vm.Open()
+	vm.Share(messenger.Share{Group: 1, Heard: 1, VMs: 1})
+	vm.Configure(vm.knowledge.Index())
+	var poured atomic.Int64
+	vm.Exchanger.Dial = func(_ context.Context, _, address string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			reader := bufio.NewReader(far)
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				const head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n"
+				if address == "proper:1" {
+					_, _ = io.WriteString(far, head+"Content-Length: 6\r\n\r\nserved")
+					continue
+				}
+				_, err := io.WriteString(far, head+"\r\n")
+				for piece := make([]byte, 8<<10); err == nil; {
+					var n int
+					n, err = far.Write(piece)
+					poured.Add(int64(n))
+				}
+				return
+			}
+		}()
+		return near, nil
+	}
+	target := func(id, address string) placer.Target {
+		return placer.Target{ID: id, Service: "s", Address: address, DataCentre: "d", Slots: 100}
+	}
+	vm.Target([]placer.Target{target("endless", "endless:1")})
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			if status := vm.book().Status; status < http.StatusInternalServerError {
+				t.Errorf("an answer without end became %d", status)
+			}
+		})
+	}
+	group.Wait()
+	is.True(poured.Load() < 8*limit) // 256 MB without the bound
+	vm.Target([]placer.Target{target("proper", "proper:1")})
+	is.Equal(vm.book().Status, http.StatusOK)
+}
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -8,6 +8,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/rationer"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
@@ -26,6 +27,27 @@
 	part, heard float64
 	// joined is true once the VM has found its group.
 	joined bool
+	// answers are the bodies that are being read.
+	answers rationer.Rationer
+}
+
+func (state *state) beginTransfer() {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.answers.Begin()
+}
+
+// growTransfer reports whether a transfer that holds some bytes may hold n more.
+func (state *state) growTransfer(held, n int64) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.answers.Grow(held, n)
+}
+
+func (state *state) endTransfer(held int64) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.answers.End(held)
 }
 
 // unjoined is the part of a group that a VM spends for which has not found the
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -41,6 +41,9 @@
 	callerDescriptors = 0.6
 	// bodyMemory is the part of the memory that bodies of requests may take.
 	bodyMemory = 0.25
+	// answerMemory is the part of the memory that answers may take which are still
+	// coming.
+	answerMemory = 0.15
 	// heapMemory is the part of the memory that the heap should stay within.
 	heapMemory = 0.7
 )
@@ -109,6 +112,7 @@
 		Place:   placer.Place{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions: settings.Regions, Clock: timer.Now, Log: starter.Log,
 		Policy: policyOf(settings), Started: starter.started,
+		MaxAnswerBytes: int64(answerMemory * float64(settings.MemoryMB) * (1 << 20)),
 	}
 	starter.dispatcher.Open()
 	var once sync.Once
