placer, dispatcher: heed targets that say in an answer that they leave

News of the platform: a target that leaves says so in all its answers too (Server-Leaving), and gets nothing from a VM that has passed one on, in touch or not.

Nothing in the program read the header, so that a VM which the store turned away went on sending to such a target. Now the head of an answer that belongs to the attempt counts, also if its rest is cut; the target gets nothing new, what was picked before is withheld, and the word is passed to the group and the fleet once. It ends with another start of the target alone: neither age nor an entry that still says ready, lapses and comes back ends it, and a note of an earlier start changes nothing. Answers of another target at the address (421) or to another request say nothing. Callers don't see the header; values that aren't known get a line (answer-header-unread).

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -37,6 +37,8 @@
 	byID      map[string]*target
 	byService map[string][]*target
 	strains   map[string]*strain
+	// left are the targets that said in an answer that they leave.
+	left map[start]bool
 }
 
 // The costs of an attempt, as parts of what a request is worth that can't be
@@ -91,6 +93,7 @@
 			known = &target{suspicion: suspicion{probability: freshSuspicion, updated: now}, warmUntil: now + declared.Warmup, usedAt: now}
 		}
 		known.Target = declared
+		known.left = placer.left[start{id: declared.ID, incarnation: declared.Incarnation}]
 		byID[declared.ID] = known
 		byService[declared.Service] = append(byService[declared.Service], known)
 	}
@@ -105,7 +108,7 @@
 	least := 0.0
 	strained := placer.strainOf(ask.Service).strained(ask.Now)
 	for _, candidate := range placer.byService[ask.Service] {
-		if candidate.Leaving || candidate.pausedUntil > ask.Now || slices.Contains(ask.Tried, candidate.ID) != ask.Again {
+		if candidate.leaves() || candidate.pausedUntil > ask.Now || slices.Contains(ask.Tried, candidate.ID) != ask.Again {
 			continue
 		}
 		if ask.Again && candidate.suspicion.at(ask.Now) > maxSuspicionAgain {
@@ -154,7 +157,7 @@
 // Usable reports whether the target may still get what was picked for it.
 func (placer *Placer) Usable(picked Target) bool {
 	known := placer.byID[picked.ID]
-	return known != nil && !known.Leaving && known.Address == picked.Address && known.Incarnation == picked.Incarnation
+	return known != nil && !known.leaves() && known.Address == picked.Address && known.Incarnation == picked.Incarnation
 }
 
 // Done takes note of the end of an attempt of this VM.
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -195,3 +195,39 @@
 	is.Equal(pick(6*time.Second, false), "good")
 	is.Equal(pick(6*time.Second, true), "ill")
 }
+
+func TestTargetThatSaysItLeavesGetsNothing(t *testing.T) {
+	is := is.New(t)
+	vm := at("a1")
+	leaving, other := target("t", "a1"), target("far", "b1")
+	leaving.Incarnation = 7
+	all := []placer.Target{leaving, other}
+	vm.Replace(all, 0)
+	picked, _ := vm.Pick(placer.Ask{Service: "s"}, random())
+	is.Equal(picked.ID, "t")
+	is.True(!vm.Left("t", 6)) // an earlier start
+	is.True(vm.Usable(picked))
+	is.True(vm.Left("t", 7))
+	is.True(!vm.Left("t", 7)) // told once
+	is.True(!vm.Usable(picked))
+	vm.Done(picked, placer.Good, 0)       // a later answer without the word
+	vm.Replace(all, time.Hour)            // the store calls it ready
+	vm.Replace([]placer.Target{other}, 0) // its entry lapses and comes back
+	vm.Replace(all, 0)
+	picked, _ = vm.Pick(placer.Ask{Service: "s", Now: time.Hour}, random())
+	is.Equal(picked.ID, "far")
+	all[0].Incarnation = 8
+	vm.Replace(all, time.Hour)
+	picked, _ = vm.Pick(placer.Ask{Service: "s", Now: time.Hour}, random())
+	is.Equal(picked.ID, "t")
+}
+
+// The word may come before the entry.
+func TestLeavingIsHeardBeforeTheEntry(t *testing.T) {
+	is := is.New(t)
+	vm := at("a1")
+	is.True(vm.Left("t", 0))
+	vm.Replace([]placer.Target{target("t", "a1")}, 0)
+	_, ok := vm.Pick(placer.Ask{Service: "s"}, random())
+	is.True(!ok)
+}
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -50,8 +50,13 @@
 	// failures counts connections that could not be made in a row.
 	failures  int
 	warmUntil time.Duration
+	// left is true once the target has said that it leaves.
+	left bool
 }
 
+// leaves reports whether the target gets nothing new.
+func (target *target) leaves() bool { return target.Leaving || target.left }
+
 // load returns the attempts in progress that this VM knows of.
 func (target *target) load(now time.Duration) int {
 	for len(target.others) > 0 && now-target.others[0] > longestRun {
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -87,7 +87,13 @@
 // run a request need not say which.
 func (attempt *attempt) belongs(response *http.Response) bool {
 	reply := platform.ReadReply(response)
-	return reply.ID == "" || reply.ID == attempt.job.ask.ID
+	belongs := reply.ID == "" || reply.ID == attempt.job.ask.ID
+	if !belongs {
+		attempt.dispatcher.Log.WithFields(logrus.Fields{
+			"request": attempt.job.ask.ID, "target": attempt.target.ID, "of-request": reply.ID,
+		}).Info("answer-dropped")
+	}
+	return belongs
 }
 
 func (attempt *attempt) instructions() platform.Attempt {
@@ -138,6 +144,8 @@
 // read holds the whole answer.
 func (attempt *attempt) read(ctx context.Context, answer *exchanger.Answer) {
 	response := answer.Response
+	reply := platform.ReadReply(response)
+	attempt.heed(reply)
 	body, err := attempt.hold(io.LimitReader(response.Body, maxAnswerBytes+1))
 	answer.Close()
 	if err != nil && ctx.Err() != nil {
@@ -145,7 +153,6 @@
 		return
 	}
 	attempt.response, attempt.body = response, body
-	reply := platform.ReadReply(response)
 	attempt.verdict = assessor.OfAnswer(assessor.Answer{
 		Status: response.StatusCode, Signed: reply.Signed, NotRun: reply.NotRun, OtherTarget: reply.OtherTarget,
 		Encoded: len(response.Header["Content-Encoding"]) > 0, Whole: err == nil && len(body) <= maxAnswerBytes,
@@ -154,6 +161,22 @@
 	})
 }
 
+// heed takes in what the head of an answer says of the target, also if the rest of the
+// answer is cut.
+func (attempt *attempt) heed(reply platform.Reply) {
+	dispatcher, target := attempt.dispatcher, attempt.target
+	log := dispatcher.Log.WithFields(logrus.Fields{"request": attempt.job.ask.ID, "target": target.ID, "service": target.Service})
+	if len(reply.Unread) > 0 {
+		log.WithField("headers", reply.Unread).Warn("answer-header-unread")
+	}
+	if reply.Leaving && dispatcher.state.left(target) {
+		log.WithField("incarnation", target.Incarnation).Info("target-leaving")
+		note := messenger.Note{Kind: messenger.Left, Name: target.ID, Incarnation: target.Incarnation}
+		dispatcher.Messenger.Tell(note)
+		dispatcher.Messenger.TellFleet(note)
+	}
+}
+
 var errNoRoom = errors.New("the answer takes more memory than is left for it")
 
 // hold reads a body while the transfers of all attempts stay within their bound.
@@ -226,5 +249,6 @@
 func (attempt *attempt) reply() receiver.Reply {
 	header := attempt.response.Header
 	exchanger.RemoveHopByHop(header)
+	platform.CleanReply(header)
 	return receiver.Reply{Status: attempt.response.StatusCode, Header: header, Body: attempt.body}
 }
--- a/gateway/internal/dispatcher/dispatcher_test.go
+++ b/gateway/internal/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -97,6 +98,20 @@
 
 func (knowledge *knowledge) Behind() bool { return knowledge.behind.Load() }
 
+// notes are what a VM tells the fleet.
+type notes struct {
+	silence
+	mutex sync.Mutex
+	told  []messenger.Note
+}
+
+// TellFleet keeps the notes.
+func (notes *notes) TellFleet(told ...messenger.Note) {
+	notes.mutex.Lock()
+	defer notes.mutex.Unlock()
+	notes.told = append(notes.told, told...)
+}
+
 // silence tells nobody.
 type silence struct{}
 
@@ -542,3 +557,48 @@
 	vm.Target([]placer.Target{target("proper", "proper:1")})
 	is.Equal(vm.book().Status, http.StatusOK)
 }
+
+// A target that says in an answer that it leaves gets nothing more, whatever the store
+// says; the fleet is told once, and callers don't see the word.
+func TestLeavingInAnAnswerIsHeeded(t *testing.T) {
+	is := is.New(t)
+	var cut atomic.Bool
+	leaving := serve(t, func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("server-leaving", "1")
+		if cut.Load() {
+			writer.Header().Set("Content-Length", "99") // more than comes
+		}
+		answer(http.StatusOK, "served")(writer, request)
+	})
+	for _, cuts := range []bool{false, true} {
+		cut.Store(cuts)
+		vm := start(t, leaving)
+		told := &notes{}
+		vm.Messenger = told
+		arrivals := len(leaving.arrivals())
+		reply := vm.read()
+		is.Equal(reply.Status == http.StatusOK, !cuts)
+		is.Equal(reply.Header["Server-Leaving"], nil)
+		vm.read()
+		is.Equal(len(leaving.arrivals()), arrivals+1)
+		left := slices.DeleteFunc(told.told, func(note messenger.Note) bool { return note.Kind != messenger.Left })
+		is.Equal(left, []messenger.Note{{Kind: messenger.Left, Name: "t0"}})
+		other := start(t, leaving)
+		other.Hear(left[0], false)
+		is.Equal(other.read().Status, http.StatusServiceUnavailable)
+	}
+}
+
+// What belongs to another request says nothing of this one's target.
+func TestLeavingInAnotherRequestsAnswerIsNotHeeded(t *testing.T) {
+	is := is.New(t)
+	upstream := serve(t, func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Attempt-Id", "other")
+		writer.Header().Set("Server-Leaving", "1")
+		answer(http.StatusOK, "served")(writer, request)
+	})
+	vm := start(t, upstream)
+	vm.read()
+	vm.read()
+	is.True(len(upstream.arrivals()) >= 2)
+}
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -203,6 +203,13 @@
 	return before, state.placer.Suspicion(target.ID, now)
 }
 
+// left takes note that a target leaves, and reports whether that is news.
+func (state *state) left(target placer.Target) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.Left(target.ID, target.Incarnation)
+}
+
 func (state *state) unserved(service string, now time.Duration) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
@@ -217,6 +224,8 @@
 	switch {
 	case note.Kind == messenger.Told:
 		state.placer.Told(note.Name, note.Outcome, now)
+	case note.Kind == messenger.Left:
+		state.placer.Left(note.Name, note.Incarnation)
 	case !fromGroup:
 	case note.Kind == messenger.Admitted:
 		if bucket := state.rates[note.Name]; bucket != nil {
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -31,6 +31,8 @@
 	Unserved
 	// Told tells how an attempt ended, to VMs that weren't told of its beginning.
 	Told
+	// Left tells that a target said it leaves.
+	Left
 )
 
 // Note is one thing that a VM tells others.
@@ -42,6 +44,8 @@
 	Service string
 	// Outcome is that of Ended and Told.
 	Outcome placer.Outcome
+	// Incarnation is the start of the target that Left is about.
+	Incarnation int64
 }
 
 // letter is what one datagram holds.
