verifier: allow the stretch of the bound to a VM that the store does not answer

The bound of a change is longer on such a VM, by a figure of the platform that the program did not read. Now it is a setting (changes, stretch; none if empty), and a VM whose last call failed refuses from the bound and the stretch on; keys end earlier, with the bound of withdrawals, as before.

--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -36,6 +36,8 @@
 	AsOf() time.Duration
 	// Behind reports whether a newer one is known to exist.
 	Behind() bool
+	// Refused reports whether the store does not answer this VM about configurations.
+	Refused() bool
 }
 
 // Messenger tells other VMs.
@@ -115,7 +117,8 @@
 
 // knowledge returns how current the configuration is.
 func (dispatcher *Dispatcher) knowledge() verifier.Knowledge {
-	return verifier.Knowledge{Age: dispatcher.Clock() - dispatcher.Tracker.AsOf(), Behind: dispatcher.Tracker.Behind()}
+	tracker := dispatcher.Tracker
+	return verifier.Knowledge{Age: dispatcher.Clock() - tracker.AsOf(), Behind: tracker.Behind(), Refused: tracker.Refused()}
 }
 
 // Current reports whether requests may be handled by the configuration.
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -318,7 +318,8 @@
 	if index := dispatcher.Tracker.Index(); index != nil {
 		fields["configuration"] = index.Version
 		knowledge := dispatcher.knowledge()
-		fields["age"], fields["behind"] = knowledge.Age.Round(time.Millisecond), knowledge.Behind
+		fields["age"] = knowledge.Age.Round(time.Millisecond)
+		fields["behind"], fields["store-lost"] = knowledge.Behind, knowledge.Refused
 	}
 	dispatcher.Log.WithFields(fields).WithField("request", requestID(call)).Info("request-refused")
 }
--- a/gateway/internal/loader/loader.go
+++ b/gateway/internal/loader/loader.go
@@ -40,9 +40,11 @@
 	MemoryMB    int
 	Descriptors int
 
-	// Propagation is how soon a configuration must be in force, Leaving how soon
+	// Propagation is how soon a configuration must be in force, Stretch how much
+	// longer it may take on a VM that the store does not answer, and Leaving how soon
 	// a target that leaves must get nothing more.
 	Propagation time.Duration
+	Stretch     time.Duration
 	Leaving     time.Duration
 	// Withdrawal is how soon a withdrawn key must have stopped working.
 	Withdrawal time.Duration
@@ -94,6 +96,9 @@
 	{Section: "changes", Name: "propagation", Default: "2s", Allowed: allowedTime,
 		Doc: "Time within which a configuration is in force on every VM.",
 		Set: duration(func(s *Settings) *time.Duration { return &s.Propagation })},
+	{Section: "changes", Name: "stretch", Default: "0s", Allowed: allowedTime + "; none if empty",
+		Doc: "How much longer a configuration may take on a VM that the store does not answer.",
+		Set: setStretch},
 	{Section: "changes", Name: "leaving", Default: "2s", Allowed: allowedTime,
 		Doc: "Time within which a target that leaves gets nothing more.",
 		Set: duration(func(s *Settings) *time.Duration { return &s.Leaving })},
@@ -183,6 +188,20 @@
 	}
 }
 
+// setStretch takes no value for no time, since not every platform gives one.
+func setStretch(settings *Settings, value string) error {
+	if value == "" {
+		settings.Stretch = 0
+		return nil
+	}
+	stretch, err := platform.Duration(value)
+	if err != nil {
+		return fmt.Errorf("is not a duration")
+	}
+	settings.Stretch = stretch
+	return nil
+}
+
 func setRegions(settings *Settings, value string) error {
 	regions := make(map[string]string)
 	for pair := range strings.SplitSeq(value, ",") {
--- a/gateway/internal/loader/loader_test.go
+++ b/gateway/internal/loader/loader_test.go
@@ -96,3 +96,15 @@
 		is.True(strings.Contains(string(template), setting.Name+" = "))
 	}
 }
+
+// A platform that gives no stretch leaves it empty.
+func TestStretchMayBeMissing(t *testing.T) {
+	for value, want := range map[string]time.Duration{"": 0, "0ms": 0, "5000ms": 5 * time.Second} {
+		is := is.New(t)
+		settings, problems := loader.Load("vm.ini", []byte(good+"\n[changes]\nstretch = "+value+"\n"))
+		is.Equal(len(problems), 0)
+		is.Equal(settings.Stretch, want)
+	}
+	_, problems := loader.Load("vm.ini", []byte(good+"\n[changes]\nstretch = -1s\n"))
+	is.New(t).Equal(len(problems), 1)
+}
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -140,7 +140,9 @@
 			Window: settings.RateWindow, Overshoot: settings.RateOvershoot, Extra: settings.RateTolerance,
 		},
 		RetryRatio: settings.RetryRatio, RetryExtra: settings.RetryExtra, RetryWindow: settings.RetryWindow,
-		Configuration: verifier.Policy{Propagation: settings.Propagation, Withdrawal: settings.Withdrawal - trustMargin},
+		Configuration: verifier.Policy{
+			Propagation: settings.Propagation, Stretch: settings.Stretch, Withdrawal: settings.Withdrawal - trustMargin,
+		},
 	}
 }
 
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -148,6 +148,9 @@
 // be in what the VM is being sent.
 func (tracker *Tracker) Behind() bool { return tracker.configuration.behind() }
 
+// Refused reports whether the store does not answer this VM about configurations.
+func (tracker *Tracker) Refused() bool { return tracker.configuration.lost() }
+
 // Complete reports whether configuration and targets have been read.
 func (tracker *Tracker) Complete() bool {
 	return tracker.index.Load() != nil && tracker.hasTargets.Load()
