--- a/gateway/pages_test.go
+++ b/gateway/pages_test.go
@@ -56,8 +56,8 @@
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	is.NoErr(err)
 	var code strings.Builder
-	for _, file := range []string{"run.go", "attempt.go"} {
-		text, err := os.ReadFile("internal/dispatcher/" + file)
+	for _, file := range []string{"dispatcher/run.go", "dispatcher/attempt.go", "tracker/tracker.go"} {
+		text, err := os.ReadFile("internal/" + file)
 		is.NoErr(err)
 		code.Write(text)
 	}
