soak, standin: targets that say they leave, and that ask for quiet

Targets of the soak say in all answers that they leave; half of them do so 3.5 s before their entry in the store does. Full ones ask for 1.5 s of quiet. Two promises are checked from what callers and targets see: leaving-told, in touch or not, and quiet, unless the VM or the way to the target was disturbed meanwhile. The stand-in of a target as a process says it too.

The record of a target keeps one start, where each entry had written another.

--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -66,7 +66,7 @@
 	ask := faker.Ask{Host: "a.example", Method: method, Path: "/" + service + "/" + id, ID: id, Key: "key", Remaining: 3 * time.Second}
 	record.Calls = append(record.Calls, auditor.Call{
 		Ask: ask, Idempotent: service == "lists", VM: "vm", Start: 1, Sent: sent, Ended: sent.Add(110 * time.Millisecond),
-		End: auditor.Whole, Answer: faker.Answer{Status: http.StatusOK, ID: id, Signed: true, Genuine: true},
+		End: auditor.Whole, Answer: faker.Answer{Status: http.StatusOK, ID: id, TargetID: "t-" + service, Signed: true, Genuine: true},
 	})
 	record.Arrivals = append(record.Arrivals, faker.Arrival{
 		TargetID: "t-" + service, Service: service, ID: id, Method: method, Path: ask.Path, Organisation: "large",
@@ -134,6 +134,12 @@
 			record.Calls[0].Ended = record.Calls[0].Sent.Add(time.Second)
 			record.Arrivals = record.Arrivals[1:]
 		}},
+		{"sent to a target that said it leaves", "leaving-told", func(record *auditor.Record) {
+			record.Arrivals[0].Leaving = true
+			record.Disturbances = append(record.Disturbances, auditor.Disturbance{Subject: auditor.Store, From: at(0), Until: at(time.Minute)})
+		}},
+		{"word of leaving passed on", "leaving-told", func(record *auditor.Record) { record.Calls[0].Answer.Leaving = true }},
+		{"no quiet", "quiet", func(record *auditor.Record) { record.Arrivals[0].Quiet = 7 * time.Second }},
 		{"third target", "attempts", func(record *auditor.Record) {
 			again(record, 0, "t-2")
 			again(record, 0, "t-3")
--- a/soak/internal/auditor/record.go
+++ b/soak/internal/auditor/record.go
@@ -60,7 +60,11 @@
 // Store is the subject of disturbances of the store.
 const Store = "store"
 
-// Disturbance is a fault of a VM, of a target by its ID, or of the store.
+// WayTo is the subject of disturbances on the way to a target.
+func WayTo(targetID string) string { return "way to " + targetID }
+
+// Disturbance is a fault of a VM, of a target by its ID, of the way to one, or of the
+// store.
 type Disturbance struct {
 	Subject     string
 	From, Until time.Time
@@ -139,6 +143,8 @@
 	{"configuration", (*audit).configuration},
 	{"no-fall-back", (*audit).noFallBack},
 	{"leaving-targets", (*audit).leavingTargets},
+	{"leaving-told", (*audit).leavingTold},
+	{"quiet", (*audit).quiet},
 	{"rates", (*audit).rates},
 	{"retry-budget", (*audit).retryBudget},
 }
@@ -169,8 +175,12 @@
 // calm reports whether none of the subjects was disturbed from Bounds.Steady
 // before a time until another.
 func (audit *audit) calm(from, until time.Time, subjects ...string) bool {
-	from = from.Add(-audit.Bounds.Steady)
-	return !slices.ContainsFunc(audit.Disturbances, func(disturbance Disturbance) bool {
+	return !audit.disturbed(from.Add(-audit.Bounds.Steady), until, subjects...)
+}
+
+// disturbed reports whether one of the subjects was disturbed from a time until another.
+func (audit *audit) disturbed(from, until time.Time, subjects ...string) bool {
+	return slices.ContainsFunc(audit.Disturbances, func(disturbance Disturbance) bool {
 		return slices.Contains(subjects, disturbance.Subject) && disturbance.From.Before(until) && disturbance.Until.After(from)
 	})
 }
--- a/soak/internal/runner/faults.go
+++ b/soak/internal/runner/faults.go
@@ -21,13 +21,16 @@
 	linkDelay   = 100 * time.Millisecond
 	storeDelay  = 700 * time.Millisecond
 	pauseInStop = 300 * time.Millisecond
+	// quietTime is how long a full target wants nothing, above the time that may pass
+	// before a VM heeds it.
+	quietTime = 1500 * time.Millisecond
 )
 
 // targetFaults are the faults that a target itself has.
 var targetFaults = map[planner.Kind]faker.TargetFaults{
 	planner.TargetFails:   {ErrorShare: errorShare},
 	planner.TargetSlow:    {Delay: time.Second},
-	planner.TargetFull:    {Full: true},
+	planner.TargetFull:    {Full: true, Quiet: quietTime},
 	planner.TargetSilent:  {Silent: true},
 	planner.TargetCloses:  {Close: true},
 	planner.TargetGarbles: {Garble: true},
--- a/soak/internal/runner/place.go
+++ b/soak/internal/runner/place.go
@@ -27,6 +27,9 @@
 	// departTimeout is how long a target that leaves goes on serving, long enough
 	// for late requests to be seen.
 	departTimeout = 3 * leaving
+	// tellAhead is how much sooner some targets say in their answers that they leave
+	// than the store does.
+	tellAhead = leaving + 1500*time.Millisecond
 )
 
 // place is an address at which one target after another serves.
@@ -42,7 +45,9 @@
 	mutex    sync.Mutex
 	target   *faker.Target
 	starts   int
-	server   *http.Server
+	// born is when the present target started.
+	born   time.Time
+	server *http.Server
 }
 
 func (place *place) open(ctx context.Context, group *sync.WaitGroup) error {
@@ -71,7 +76,7 @@
 		Record: place.runner.addArrival,
 	}
 	server := &http.Server{Handler: target, ReadHeaderTimeout: time.Minute}
-	place.target, place.server = target, server
+	place.target, place.server, place.born = target, server, time.Now()
 	place.mutex.Unlock()
 	go func() { _ = server.Serve(listener) }() // ends with close
 	place.enter(target, false)
@@ -80,9 +85,12 @@
 
 // enter writes the target's entry.
 func (place *place) enter(target *faker.Target, leaving bool) {
+	place.mutex.Lock()
+	born := place.born
+	place.mutex.Unlock()
 	place.runner.store.Put(platform.TargetTable, "", target.ID, faker.EncodeTarget(placer.Target{
 		ID: target.ID, Service: target.Service, Address: place.address, Slots: target.Slots, Leaving: leaving,
-		DataCentre: dataCentres[place.number%len(dataCentres)], Incarnation: time.Now().UnixMilli(),
+		DataCentre: dataCentres[place.number%len(dataCentres)], Incarnation: born.UnixMilli(),
 	}))
 }
 
@@ -104,6 +112,10 @@
 	place.changing.Lock()
 	defer place.changing.Unlock()
 	target := place.current()
+	target.Leave()
+	if place.number%2 == 1 && !timer.Sleep(ctx, tellAhead) {
+		return
+	}
 	place.enter(target, true)
 	place.runner.mutex.Lock()
 	place.runner.record.Departures = append(place.runner.record.Departures,
@@ -153,7 +165,9 @@
 
 // hinder sets trouble on the way to the target for a while.
 func (place *place) hinder(ctx context.Context, trouble relayer.Trouble, duration time.Duration) {
-	defer place.runner.disturb(place.current().ID)()
+	target := place.current()
+	defer place.runner.disturb(target.ID)()
+	defer place.runner.disturb(auditor.WayTo(target.ID))()
 	place.way.Set(trouble)
 	timer.Sleep(ctx, duration)
 	place.way.Set(relayer.Trouble{})
--- a/standin/internal/registrant/registrant.go
+++ b/standin/internal/registrant/registrant.go
@@ -50,7 +50,11 @@
 func (registrant *Registrant) Run(ctx context.Context) error {
 	registrant.Target.Address = registrant.Listener.Addr().String()
 	registrant.Target.Incarnation = time.Now().UnixMilli()
-	server := &http.Server{Handler: registrant.handler(), ReadHeaderTimeout: time.Minute}
+	target := &faker.Target{
+		ID: registrant.Target.ID, Service: registrant.Target.Service, Slots: registrant.Target.Slots, Work: registrant.Work,
+		Record: registrant.record,
+	}
+	server := &http.Server{Handler: registrant.handler(target), ReadHeaderTimeout: time.Minute}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(registrant.Listener) }()
 	if err := registrant.enter(ctx, false); err != nil {
@@ -61,6 +65,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
+	target.Leave()
 	leave, cancel := context.WithTimeout(context.WithoutCancel(ctx), enterTimeout)
 	defer cancel()
 	if err := registrant.enter(leave, true); err != nil {
@@ -87,11 +92,7 @@
 	}
 }
 
-func (registrant *Registrant) handler() http.Handler {
-	target := &faker.Target{
-		ID: registrant.Target.ID, Service: registrant.Target.Service, Slots: registrant.Target.Slots, Work: registrant.Work,
-		Record: registrant.record,
-	}
+func (registrant *Registrant) handler(target *faker.Target) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", target)
 	mux.HandleFunc("POST "+switcher.FaultsPath, switcher.Handle(target.SetFaults))
