tracker: an answer that was overtaken is no failed call

Found by reading the change again: since an answer older than what is known counted as a failed call. That happens when another VM passes changes on while the call is under way, and after a failure the next answer looks like the return of the store: entries of targets that go right after it are kept for 2 s, as they may have lapsed.

Now it is taken note of as a lag: the next call waits, longer each time, and nothing looks like an outage. TestOlderAnswerIsNoOutage is new with the call; TestOlderAnswersAreNeitherTrustedNorHammered passes as before.

--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -103,7 +103,7 @@
 	failedAt time.Duration
 	// othersServed is true if the store answered others meanwhile.
 	othersServed bool
-	// lags counts the answers in a row that did not reach a known change.
+	// lags counts the answers in a row that did not reach what is known.
 	lags int
 }
 
@@ -188,6 +188,12 @@
 		poller.lags = 0
 		return
 	}
+	poller.Lag(now)
+}
+
+// Lag takes note of an answer that did not reach what is known, so that the next call
+// waits. The store has answered; it counts as no failure.
+func (poller *Poller) Lag(now time.Duration) {
 	poller.retryAt = now + pauseAfter(poller.lags, longestRetry)
 	poller.lags++
 }
--- a/core/poller/poller_test.go
+++ b/core/poller/poller_test.go
@@ -262,3 +262,20 @@
 	vm.Took(12, 4, time.Second, true)
 	is.True(!vm.Behind())
 }
+
+// An answer that another VM has overtaken must not look like an outage: targets whose
+// entries go right after one may come back.
+func TestOlderAnswerIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	vm := start()
+	vm.Learn(14, time.Second)
+	is.True(vm.Stale(12))
+	is.True(!vm.Stale(14))
+	vm.Lag(time.Second)
+	is.True(!vm.Away())
+	is.Equal(vm.Failures(), 0)
+	rest := vm.Next(0, time.Second)
+	is.Equal(rest.Action, poller.Rest)
+	vm.Lag(time.Second)
+	is.True(vm.Next(0, time.Second).Wait > rest.Wait)
+}
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -149,10 +148,10 @@
 		return
 	}
 	follower.mutex.Lock()
-	failures, away, known := follower.poller.Failures(), follower.poller.Away(), follower.poller.Version()
+	failures, away := follower.poller.Failures(), follower.poller.Away()
 	follower.mutex.Unlock()
 	if !follower.apply(reading, whole, away) {
-		follower.failed(fmt.Errorf("%w: version %d after %d", errStale, reading.Version, known))
+		follower.lag(reading)
 		return
 	}
 	if failures > 0 {
@@ -164,8 +163,14 @@
 	}
 }
 
-// errStale says that an answer does not reach what is known.
-var errStale = errors.New("the store's answer is older than what is known")
+// lag takes note of an answer that is older than what is known.
+func (follower *follower) lag(reading platform.Reading) {
+	follower.mutex.Lock()
+	known := follower.poller.Version()
+	follower.poller.Lag(follower.clock())
+	follower.mutex.Unlock()
+	follower.log.WithFields(logrus.Fields{"table": follower.table, "version": reading.Version, "known": known}).Info("store-answer-older")
+}
 
 // apply takes an answer of the store in. It reports false for one that is older than
 // what is known, from another VM for instance; it is not taken then.
