dispatcher: count what targets say of themselves

Counters for targets that leave and that want quiet, beside their lines; headers in another case have a test over raw bytes. No decision changed.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -170,10 +170,12 @@
 		log.WithField("headers", reply.Unread).Warn("answer-header-unread")
 	}
 	if reply.Quiet > 0 {
+		meterWord(quietWord)
 		lasts := dispatcher.state.quiet(target, reply.Quiet, dispatcher.Clock())
 		log.WithFields(logrus.Fields{"asked": reply.Quiet, "lasts": lasts}).Info("target-quiet")
 	}
 	if reply.Leaving && dispatcher.state.left(target) {
+		meterWord(leavingWord)
 		log.WithField("incarnation", target.Incarnation).Info("target-leaving")
 		note := messenger.Note{Kind: messenger.Left, Name: target.ID, Incarnation: target.Incarnation}
 		dispatcher.Messenger.Tell(note)
--- a/gateway/internal/dispatcher/dispatcher_test.go
+++ b/gateway/internal/dispatcher/dispatcher_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
@@ -638,3 +639,29 @@
 	}
 	is.True(len(quiet.arrivals()) <= 2)
 }
+
+// Headers of a target in another case are the same headers.
+func TestWordsInAnotherCaseAreHeeded(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, &upstream{address: "target:1"})
+	var arrivals atomic.Int64
+	vm.Exchanger.Dial = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+				return
+			}
+			arrivals.Add(1)
+			_, _ = io.WriteString(far, "HTTP/1.1 503 X\r\nx-not-executed: 1\r\nSERVER-LEAVING: 1\r\nretry-after: 9\r\ncontent-length: 0\r\n\r\n")
+		}()
+		return near, nil
+	}
+	is.Equal(vm.book().Status, http.StatusServiceUnavailable)
+	is.Equal(vm.book().Status, http.StatusServiceUnavailable)
+	is.Equal(arrivals.Load(), int64(1))
+	var page strings.Builder
+	metrics.WritePrometheus(&page, false)
+	is.True(strings.Contains(page.String(), `gateway_target_words_total{word="leaving"}`))
+	is.True(strings.Contains(page.String(), `gateway_target_words_total{word="quiet"}`))
+}
--- a/gateway/internal/dispatcher/meter.go
+++ b/gateway/internal/dispatcher/meter.go
@@ -21,3 +21,14 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_attempts_total{reason=%q}`, verdict.Reason)).Inc()
 	metrics.GetOrCreateHistogram("gateway_attempt_seconds").Update(duration.Seconds())
 }
+
+// Words of a target in its answers.
+const (
+	leavingWord = "leaving"
+	quietWord   = "quiet"
+)
+
+// meterWord counts what a target says of itself.
+func meterWord(word string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_target_words_total{word=%q}`, word)).Inc()
+}
