verifier, tracker: one word for a store that doesn't answer

Refused meant two things in the tracker: a configuration that can't be used, and a VM that the store turns away. The second is StoreLost now, as the log lines have it. Only names changed.

--- a/core/verifier/verifier.go
+++ b/core/verifier/verifier.go
@@ -22,8 +22,8 @@
 	Age time.Duration
 	// Behind is true if a newer one is known to exist.
 	Behind bool
-	// Refused is true while the store does not answer this VM.
-	Refused bool
+	// StoreLost is true while the store does not answer this VM.
+	StoreLost bool
 }
 
 // Policy bounds what may be done on old knowledge. A bound of zero is none.
@@ -44,7 +44,7 @@
 	if !knowledge.Behind || policy.Propagation == 0 {
 		return true
 	}
-	if knowledge.Refused {
+	if knowledge.StoreLost {
 		return knowledge.Age < policy.Propagation+policy.Stretch
 	}
 	return knowledge.Age < policy.Propagation
--- a/core/verifier/verifier_test.go
+++ b/core/verifier/verifier_test.go
@@ -14,7 +14,7 @@
 	for _, test := range []struct {
 		name              string
 		age               time.Duration
-		behind, refused   bool
+		behind, lost      bool
 		serve, keys, deny bool
 	}{
 		{name: "fresh", age: time.Second, serve: true, keys: true, deny: true},
@@ -23,14 +23,14 @@
 		{name: "a change is in force elsewhere", age: 3 * time.Second, behind: true},
 		{name: "a key may be withdrawn", age: 5 * time.Second, serve: true},
 		{name: "the store is away for hours", age: time.Hour, serve: true},
-		{name: "the store turns this VM away", age: 3 * time.Second, behind: true, refused: true, serve: true, keys: true},
-		{name: "it does so for long", age: 8 * time.Second, behind: true, refused: true},
-		{name: "and for hours", age: time.Hour, behind: true, refused: true},
+		{name: "the store turns this VM away", age: 3 * time.Second, behind: true, lost: true, serve: true, keys: true},
+		{name: "it does so for long", age: 8 * time.Second, behind: true, lost: true},
+		{name: "and for hours", age: time.Hour, behind: true, lost: true},
 		{name: "a transfer takes hours", age: time.Hour, behind: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			knowledge := verifier.Knowledge{Age: test.age, Behind: test.behind, Refused: test.refused}
+			knowledge := verifier.Knowledge{Age: test.age, Behind: test.behind, StoreLost: test.lost}
 			is.Equal(policy.MayServe(knowledge), test.serve)
 			is.Equal(policy.MayTrustKeys(knowledge), test.keys)
 			is.Equal(policy.MayDeny(knowledge), test.deny)
