--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -324,6 +324,10 @@
 		"attempts": handler.attempts, "targets": handler.tried, "may-have-run": handler.mayHaveRun, "caller-gone": ctx.Err() != nil,
 		"duration": time.Since(job.call.Received).Round(time.Millisecond), "limit": job.limit,
 		"configuration": job.index.Version, "age": (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond),
+		"connection": job.call.Connection, "connection-age": job.call.Received.Sub(job.call.Accepted).Round(time.Millisecond),
+	}
+	if job.call.Ahead > 0 {
+		fields["ahead"] = job.call.Ahead
 	}
 	if handler.delivered != nil {
 		fields["suspicion-before"], fields["suspicion-after"] = handler.delivered.suspicionBefore, handler.delivered.suspicionAfter
--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"godwitramp.example/shell/recoverer"
 )
 
@@ -42,6 +44,8 @@
 	receiver *Receiver
 	raw      net.Conn
 	reader   *bufio.Reader
+	number   uint64
+	accepted time.Time
 	// overLimit is true if the connection exceeds MaxConnections and must be refused.
 	overLimit bool
 
@@ -54,9 +58,9 @@
 	closing bool
 }
 
-func newConnection(receiver *Receiver, raw net.Conn) *connection {
+func newConnection(receiver *Receiver, raw net.Conn, number uint64) *connection {
 	size := receiver.limits().HeaderBytes + len("\r\n\r\n")
-	return &connection{receiver: receiver, raw: raw, reader: bufio.NewReaderSize(raw, size)}
+	return &connection{receiver: receiver, raw: raw, reader: bufio.NewReaderSize(raw, size), number: number, accepted: time.Now()}
 }
 
 // serve reads and handles requests until the caller disconnects, a request can't be read
@@ -90,7 +94,7 @@
 		}
 		call.Turn = turn
 		next := make(chan struct{})
-		connection.beginRequest()
+		connection.beginRequest(call)
 		group.Go(func() {
 			defer func() { <-slots }()
 			connection.answer(ctx, cancel, call, next)
@@ -104,9 +108,10 @@
 }
 
 // beginRequest counts a request that has been read, and removes the read deadline.
-func (connection *connection) beginRequest() {
+func (connection *connection) beginRequest(call *Call) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
+	call.Connection, call.Accepted, call.Ahead = connection.number, connection.accepted, connection.pending
 	connection.reading = false
 	connection.pending++
 	connection.receiver.inFlight.Add(1)
@@ -147,12 +152,18 @@
 func (connection *connection) answer(ctx context.Context, cancel context.CancelFunc, call *Call, next chan struct{}) {
 	defer connection.finishRequest(call)
 	reply := connection.handle(ctx, call)
+	ready := time.Now()
 	select {
 	case <-call.Turn:
 	case <-ctx.Done():
-		return
 	}
 	if ctx.Err() != nil {
+		if !reply.Abort {
+			connection.receiver.Log.WithFields(logrus.Fields{
+				"connection": call.Connection, "ahead": call.Ahead, "status": reply.Status, "path": call.Request.URL.Path,
+				"ready-for": time.Since(ready).Round(time.Millisecond), "leaving": connection.receiver.leaving.Load(),
+			}).Info("answer-undelivered")
+		}
 		return
 	}
 	closes := reply.Close || call.Request.Close || connection.receiver.leaving.Load()
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -37,6 +37,13 @@
 	Body   []byte
 	// Received is the time at which the head was complete.
 	Received time.Time
+	// Connection is the number of the connection, from 1 in the order in which connections
+	// were accepted, and Accepted the time of that.
+	Connection uint64
+	Accepted   time.Time
+	// Ahead is the number of earlier requests of the connection that were unanswered when
+	// this one was read.
+	Ahead int
 	// Turn is closed when every earlier request of the connection has been
 	// answered.
 	Turn <-chan struct{}
@@ -83,6 +90,8 @@
 
 	mutex       sync.Mutex
 	connections map[*connection]struct{}
+	// accepted is the number of connections accepted so far.
+	accepted uint64
 	bodies      rationer.Rationer
 }
 
@@ -123,7 +132,8 @@
 	if receiver.connections == nil {
 		receiver.connections = make(map[*connection]struct{})
 	}
-	connection := newConnection(receiver, raw)
+	receiver.accepted++
+	connection := newConnection(receiver, raw, receiver.accepted)
 	connection.overLimit = receiver.MaxConnections > 0 && len(receiver.connections) >= receiver.MaxConnections
 	receiver.connections[connection] = struct{}{}
 	return connection
