receiver: a stop loses no request that was passed on behind another

Cause: once a VM stops, each answer closes its connection, so that what was sent behind it on the connection gets no answer; yet such requests were still passed on to targets, before the stop and after. If the first outlasted the stop, all were cut.

Now the answer to the last request that was passed on closes the connection, and during a stop nothing is passed on behind an unanswered request: callers send again what stands behind a closing answer. Hypotheses ruled out: an answer delayed by a slow VM at the end (answers were ready long before), and a connection that is never closed (each lost request had one ahead of it).

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -52,9 +52,12 @@
 	mutex sync.Mutex
 	// pending is the number of requests read but not answered.
 	pending int
+	// newest is the last request handed to the handler.
+	newest *Call
 	// reading is true while a request is being read.
 	reading bool
-	// closing is true once an answer with "Connection: close" has been written.
+	// closing is true once the answer that closes the connection is about to be written. No
+	// request is handled from then on.
 	closing bool
 }
 
@@ -94,7 +97,10 @@
 		}
 		call.Turn = turn
 		next := make(chan struct{})
-		connection.beginRequest(call)
+		if !connection.beginRequest(call) {
+			connection.awaitClose(ctx)
+			return
+		}
 		group.Go(func() {
 			defer func() { <-slots }()
 			connection.answer(ctx, cancel, call, next)
@@ -107,25 +113,39 @@
 	}
 }
 
-// beginRequest counts a request that has been read, and removes the read deadline.
-func (connection *connection) beginRequest(call *Call) {
+// beginRequest counts a request that has been read, and removes the read deadline. It returns
+// false if the request must not be handled, as its answer could not be written: an answer
+// before it closes the connection.
+func (connection *connection) beginRequest(call *Call) bool {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	call.Connection, call.Accepted, call.Ahead = connection.number, connection.accepted, connection.pending
 	connection.reading = false
+	if connection.closing || connection.pending > 0 && connection.receiver.leaving.Load() {
+		connection.receiver.dropBody(call)
+		return false
+	}
+	call.Connection, call.Accepted, call.Ahead = connection.number, connection.accepted, connection.pending
+	connection.newest = call
 	connection.pending++
 	connection.receiver.inFlight.Add(1)
-	if !connection.closing {
-		_ = connection.raw.SetReadDeadline(time.Time{})
-	}
+	_ = connection.raw.SetReadDeadline(time.Time{})
+	return true
+}
+
+// closes reports whether the answer to the call closes the connection. While the VM stops,
+// the answer to the newest call does.
+func (connection *connection) closes(reply Reply, call *Call) bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	stops := connection.receiver.leaving.Load() && connection.newest == call
+	connection.closing = connection.closing || reply.Close || call.Request.Close || stops
+	return connection.closing
 }
 
 // finishRequest removes an answered request from the counts, and starts the idle timeout
 // if it was the last.
 func (connection *connection) finishRequest(call *Call) {
-	if call.Body != nil {
-		connection.receiver.endBody(int64(len(call.Body)))
-	}
+	connection.receiver.dropBody(call)
 	connection.receiver.inFlight.Add(-1)
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
@@ -166,7 +186,7 @@
 		}
 		return
 	}
-	closes := reply.Close || call.Request.Close || connection.receiver.leaving.Load()
+	closes := connection.closes(reply, call)
 	if reply.Abort || !connection.write(reply, call.Request, closes) {
 		cancel()
 		_ = connection.raw.Close()
@@ -192,12 +212,7 @@
 }
 
 // stopReading makes serve stop reading requests and linger.
-func (connection *connection) stopReading() {
-	connection.mutex.Lock()
-	connection.closing = true
-	connection.mutex.Unlock()
-	_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
-}
+func (connection *connection) stopReading() { _ = connection.raw.SetReadDeadline(time.Unix(1, 0)) }
 
 // awaitClose waits until the last request is answered or the caller disconnects.
 func (connection *connection) awaitClose(ctx context.Context) {
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -92,7 +92,7 @@
 	connections map[*connection]struct{}
 	// accepted is the number of connections accepted so far.
 	accepted uint64
-	bodies      rationer.Rationer
+	bodies   rationer.Rationer
 }
 
 // acceptBackoff is the wait after a failed Accept, for instance if no file descriptors are
@@ -168,7 +168,15 @@
 	receiver.bodies.End(held)
 }
 
-// Leave makes all further answers close their connections.
+// dropBody removes the body of a call.
+func (receiver *Receiver) dropBody(call *Call) {
+	if call.Body != nil {
+		receiver.endBody(int64(len(call.Body)))
+	}
+}
+
+// Leave makes each connection close after the answers to the requests read so far, or after
+// that to its next request if there are none.
 func (receiver *Receiver) Leave() { receiver.leaving.Store(true) }
 
 // CloseIdle closes the connections on which no request is being read or handled.
