drainer, dispatcher: a request that would outlast a planned stop is refused at once

Cause: admission didn't know of the stop. Idle connections are closed only from the balancer's drain time on, within 50 ms, and until then a request was taken whatever time was left.

Now a request that arrives after the drain time, or whose service usually takes longer than the stop has left, gets 503 with Retry-After 0.1 s: it has not run, and another VM takes it. A booking that waited for its turn on the connection is asked again when the turn comes. Where the VM knows too little of a service's latency, it takes requests until the drain time.

Not built: closing the listener at the drain time; a closed port tells a caller less than 503.

--- /dev/null
+++ b/core/drainer/drainer.go
@@ -0,0 +1,41 @@
+// Package drainer decides which requests a VM takes while it stops as planned.
+//
+// The balancer goes on to send connections for a while, and callers go on to use those
+// that they keep open. Whatever is still in progress when the stop ends is cut: a caller
+// then doesn't know whether its request has run. A refused one is sent to another VM at
+// once.
+//
+// # Usage
+//
+//	policy := drainer.Policy{BalancerDrain: 3 * time.Second, Grace: 6 * time.Second, ExitReserve: 400 * time.Millisecond}
+//	if !policy.Admits(now-stopStarted, usualLatency) {
+//		// Refuse the request.
+//	}
+package drainer
+
+import "time"
+
+// Policy divides the time of a planned stop.
+type Policy struct {
+	// BalancerDrain is how long the balancer may still send new connections after
+	// readiness has ended.
+	BalancerDrain time.Duration
+	// Grace is the time after which the process is killed.
+	Grace time.Duration
+	// ExitReserve is subtracted from Grace, so that the process exits by itself within it.
+	ExitReserve time.Duration
+}
+
+// Limit is the time from the start of a stop to its end at the latest.
+func (policy Policy) Limit() time.Duration { return policy.Grace - policy.ExitReserve }
+
+// DrainTime is the time from the start of a stop during which the VM takes requests and
+// keeps idle connections open.
+func (policy Policy) DrainTime() time.Duration { return min(policy.BalancerDrain, policy.Limit()) }
+
+// Admits reports whether the VM takes a request at a time since the start of the stop.
+// usual is the time within which such a request is answered nearly always, 0 if that isn't
+// known.
+func (policy Policy) Admits(elapsed, usual time.Duration) bool {
+	return elapsed < policy.DrainTime() && elapsed+usual <= policy.Limit()
+}
--- a/gateway/internal/dispatcher/admit.go
+++ b/gateway/internal/dispatcher/admit.go
@@ -55,9 +55,25 @@
 		return nil, refusal
 	}
 	job.setDeadline()
+	if !dispatcher.answersBeforeStop(job) {
+		return nil, &refusalStopping
+	}
 	return job, nil
 }
 
+var refusalStopping = refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: otherVMRetryAfter}
+
+// answersBeforeStop reports whether the job, if it is sent to a target now, will most likely be
+// answered before the VM stops.
+func (dispatcher *Dispatcher) answersBeforeStop(job *job) bool {
+	stop := dispatcher.stop.Load()
+	if stop == nil {
+		return true
+	}
+	usual := min(dispatcher.latency.usual(job.service), time.Until(job.deadline))
+	return stop.policy.Admits(dispatcher.Clock()-stop.startedAt, usual)
+}
+
 var refusalStale = refusal{status: http.StatusServiceUnavailable, reason: "configuration-stale", retryAfter: otherVMRetryAfter}
 
 // resolve sets the job's service and the organisation of its key.
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -19,10 +19,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"godwitramp.example/core/drainer"
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/rationer"
@@ -76,6 +78,13 @@
 
 	state   state
 	latency latencies
+	stop    atomic.Pointer[stop]
+}
+
+// stop is a planned stop of the VM.
+type stop struct {
+	policy    drainer.Policy
+	startedAt time.Duration
 }
 
 // Open prepares the dispatcher. Call it before all other methods.
@@ -93,6 +102,11 @@
 	dispatcher.state.configure(index, dispatcher.Clock())
 }
 
+// Leave starts a planned stop: requests that may not be answered before its end are refused.
+func (dispatcher *Dispatcher) Leave(policy drainer.Policy) {
+	dispatcher.stop.Store(&stop{policy: policy, startedAt: dispatcher.Clock()})
+}
+
 // SetPolicy replaces the policy.
 func (dispatcher *Dispatcher) SetPolicy(policy Policy) {
 	dispatcher.state.setPolicy(policy)
--- a/gateway/internal/dispatcher/latency.go
+++ b/gateway/internal/dispatcher/latency.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -37,6 +38,17 @@
 	return maxDelay
 }
 
+// usual returns the time within which the service's answers nearly always come, 0 while that
+// isn't known.
+func (latencies *latencies) usual(service string) time.Duration {
+	latencies.mutex.Lock()
+	defer latencies.mutex.Unlock()
+	if estimator := latencies.byService[service]; estimator != nil && estimator.MeanLatency() > 0 {
+		return estimator.HedgeDelay(math.MaxInt64)
+	}
+	return 0
+}
+
 const (
 	// quickFraction is the fraction of the mean latency below which an answer is quick:
 	// hardly any answer comes sooner if the target did the work.
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -85,6 +85,9 @@
 	if !handler.job.route.Idempotent && !await(ctx, handler.job.call.Turn) {
 		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "turn-did-not-come", retryAfter: otherVMRetryAfter})
 	}
+	if !handler.dispatcher.answersBeforeStop(handler.job) { // it may have waited for its turn
+		return handler.refuse(refusalStopping)
+	}
 	if refusal := handler.charge(ctx); refusal != nil {
 		return handler.refuse(*refusal)
 	}
--- /dev/null
+++ b/gateway/internal/dispatcher/stop_test.go
@@ -0,0 +1,68 @@
+package dispatcher_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/drainer"
+	"godwitramp.example/gateway/internal/receiver"
+)
+
+// A request that arrives late in a stop must be refused, not taken and cut.
+func TestRequestLateInAStopIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	target := serve(t, answerWith(http.StatusOK, "done"))
+	vm := start(t, target)
+	vm.Leave(drainer.Policy{BalancerDrain: time.Minute, Grace: time.Hour})
+	is.Equal(vm.read().Status, http.StatusOK)
+	vm.Leave(drainer.Policy{Grace: time.Hour}) // the balancer has stopped sending connections
+	for _, reply := range []receiver.Reply{vm.read(), vm.book()} {
+		is.Equal(reply.Status, http.StatusServiceUnavailable)
+		is.Equal(string(reply.Body), `{"reason":"stopping"}`+"\n")
+		is.Equal(reply.Header.Get("Retry-After"), "0.100")
+	}
+	is.Equal(len(target.arrivals()), 1)
+}
+
+// Requests that usually take longer than a stop has left must be refused, but none that the
+// VM knows too little of.
+func TestRequestThatOutlastsAStopIsRefused(t *testing.T) {
+	is := is.New(t)
+	target := serve(t, func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		answerWith(http.StatusOK, "done")(writer, request)
+	})
+	vm := start(t, target)
+	vm.Leave(drainer.Policy{BalancerDrain: time.Hour, Grace: 90 * time.Millisecond})
+	is.Equal(vm.read().Status, http.StatusOK)
+	vm.Leave(drainer.Policy{BalancerDrain: time.Hour, Grace: time.Hour})
+	for range 8 {
+		is.Equal(vm.read().Status, http.StatusOK)
+	}
+	vm.Leave(drainer.Policy{BalancerDrain: time.Hour, Grace: 90 * time.Millisecond})
+	is.Equal(vm.read().Status, http.StatusServiceUnavailable)
+}
+
+// A booking that waits for earlier answers of its connection must not be sent when the stop
+// has too little time left.
+func TestBookingWhoseTurnComesLateInAStopIsNotSent(t *testing.T) {
+	is := is.New(t)
+	target := serve(t, answerWith(http.StatusOK, "done"))
+	vm := start(t, target)
+	booking := call(http.MethodPost, "/book/1", "key")
+	turn := make(chan struct{})
+	booking.Turn = turn
+	replies := make(chan receiver.Reply)
+	go func() { replies <- vm.Serve(context.Background(), booking) }()
+	time.Sleep(20 * time.Millisecond) // until it waits
+	vm.Leave(drainer.Policy{Grace: time.Hour})
+	close(turn)
+	reply := <-replies
+	is.Equal(reply.Status, http.StatusServiceUnavailable)
+	is.Equal(string(reply.Body), `{"reason":"stopping"}`+"\n")
+	is.Equal(len(target.arrivals()), 0)
+}
--- a/gateway/internal/starter/stop.go
+++ b/gateway/internal/starter/stop.go
@@ -1,14 +1,15 @@
 package starter
 
-import "time"
+import (
+	"time"
+
+	"godwitramp.example/core/drainer"
+)
 
 const (
-	// balancerDrainTime is how long the balancer may still send new connections after
-	// readiness has ended: two checks a second apart, and a margin.
-	balancerDrainTime = 3 * time.Second
-	// exitReserve is subtracted from the grace, so that the process exits by itself
-	// within it.
-	exitReserve = 400 * time.Millisecond
+	// balancerDrain is two checks of the balancer a second apart, and a margin.
+	balancerDrain = 3 * time.Second
+	exitReserve   = 400 * time.Millisecond
 	// stopPollInterval is how often stop checks for open connections.
 	stopPollInterval = 50 * time.Millisecond
 )
@@ -16,13 +17,14 @@
 // stop ends readiness, keeps serving until the balancer has stopped sending connections,
 // and then waits until all are closed, at most until the grace ends.
 func (starter *Starter) stop() {
+	policy := drainer.Policy{BalancerDrain: balancerDrain, Grace: starter.Settings.StopGrace, ExitReserve: exitReserve}
 	starter.leaving.Store(true)
+	starter.dispatcher.Leave(policy)
 	starter.receiver.Leave()
 	stopTime := time.Now()
 	starter.Log.WithField("running", starter.receiver.InFlight()).Info("leaving")
-	limit := starter.Settings.StopGrace - exitReserve
-	time.Sleep(min(balancerDrainTime, limit))
-	for time.Since(stopTime) < limit {
+	time.Sleep(policy.DrainTime())
+	for time.Since(stopTime) < policy.Limit() {
 		starter.receiver.CloseIdle()
 		if starter.receiver.OpenConnections() == 0 {
 			break
