--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -120,6 +120,9 @@
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	connection.reading = false
+	if !connection.closing {
+		_ = connection.raw.SetReadDeadline(time.Time{})
+	}
 	if connection.closing || connection.pending > 0 && connection.receiver.leaving.Load() {
 		connection.receiver.dropBody(call)
 		return false
@@ -128,7 +131,6 @@
 	connection.newest = call
 	connection.pending++
 	connection.receiver.inFlight.Add(1)
-	_ = connection.raw.SetReadDeadline(time.Time{})
 	return true
 }
 
--- a/gateway/internal/receiver/stop_test.go
+++ b/gateway/internal/receiver/stop_test.go
@@ -4,17 +4,19 @@
 	"bufio"
 	"context"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
 )
 
 // startHanging runs a receiver whose handler answers the target "/first" after release is
-// closed, and others at once.
+// closed, and others at once. Callers say that they wait for each answer for 20 ms.
 func startHanging(t *testing.T) (_ *receiver.Receiver, _ *handler, caller io.ReadWriter, release chan struct{}) {
 	t.Helper()
 	release = make(chan struct{})
@@ -24,8 +26,13 @@
 		}
 		return echo(ctx, call)
 	}}
-	receiver, caller := start(t, handler, indexer.Limits{})
-	return receiver, handler, caller, release
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	receiver := &receiver.Receiver{
+		Handler: handler, Limits: func() indexer.Limits { return indexer.Limits{} }, Log: logrus.NewEntry(log),
+		Patience: func(http.Header) time.Duration { return 20 * time.Millisecond },
+	}
+	return receiver, handler, dial(t, run(t, receiver)), release
 }
 
 // A request that was passed on before a stop must not be lost behind one that closes the
@@ -63,7 +70,7 @@
 	receiver.Leave()
 	_, err = io.WriteString(caller, get("/second")+get("/third"))
 	is.NoErr(err)
-	time.Sleep(50 * time.Millisecond) // until they could have been read
+	time.Sleep(100 * time.Millisecond) // the caller's patience with the second has ended
 	close(release)
 	reader := bufio.NewReader(caller)
 	response, body := read(t, reader)
