receiver, dispatcher, starter: a stop answers what it gives up, and delivers what is ready behind it

0.2 s before the exit, the VM gives up what is in progress: 502 given-up if it may have run, 503 stopping if it has not. The answers behind are then written in their order. The caller of a cut request learned neither.

TestGivingUpARequestDeliversTheAnswersBehindIt, TestRequestGivenUpAtTheEndOfAStopIsAnswered, TestPlannedStopDeliversAnswersBehindAnUnfinishedRequest; the last fails on the code before with unexpected EOF.

--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"strings"
@@ -236,6 +237,10 @@
 	if verdict.Deliver == assessor.IfLast {
 		handler.failure = attempt
 	}
+	if givenUp(ctx) {
+		reply := handler.expire(ctx)
+		return &reply
+	}
 	if handler.worthRetrying(verdict) && handler.startAttempt(ctx) {
 		return nil
 	}
@@ -270,8 +275,8 @@
 	handler.unreachable = append(handler.unreachable, target)
 }
 
-// expire returns the answer when the deadline has passed or the caller has disconnected.
-// Attempts still in flight are cancelled and may have run.
+// expire returns the answer when the deadline has passed, the VM stops or the caller has
+// disconnected. Attempts still in flight are cancelled and may have run.
 func (handler *handler) expire(ctx context.Context) receiver.Reply {
 	handler.mayHaveRun = handler.mayHaveRun || handler.inFlight > 0
 	if context.Cause(ctx) == context.Canceled {
@@ -282,12 +287,21 @@
 		handler.reason = handler.failure.verdict.Reason
 		return handler.failure.reply()
 	}
-	if handler.mayHaveRun {
+	givenUp := givenUp(ctx)
+	switch {
+	case handler.mayHaveRun && givenUp:
+		return handler.refuse(refusal{status: http.StatusBadGateway, reason: "given-up"})
+	case handler.mayHaveRun:
 		return handler.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timed-out"})
+	case givenUp:
+		return handler.refuse(refusalStopping)
 	}
 	return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timed-out-unsent", retryAfter: targetsRetryAfter})
 }
 
+// givenUp reports whether the context has ended because the VM stops.
+func givenUp(ctx context.Context) bool { return errors.Is(context.Cause(ctx), receiver.ErrGivenUp) }
+
 // targetsRetryAfter is the Retry-After of refusals because no target could serve the
 // request: within this time one that is full or unavailable may have room again.
 const targetsRetryAfter = 300 * time.Millisecond
@@ -324,7 +338,7 @@
 	dispatcher, job := handler.dispatcher, handler.job
 	fields := logrus.Fields{
 		"request": job.metadata.ID, "route": job.route.Name, "service": job.service, "status": reply.Status, "reason": handler.reason,
-		"attempts": handler.attempts, "targets": handler.tried, "may-have-run": handler.mayHaveRun, "caller-gone": ctx.Err() != nil,
+		"attempts": handler.attempts, "targets": handler.tried, "may-have-run": handler.mayHaveRun, "caller-gone": context.Cause(ctx) == context.Canceled,
 		"duration": time.Since(job.call.Received).Round(time.Millisecond), "limit": job.limit,
 		"configuration": job.index.Version, "age": (dispatcher.Clock() - dispatcher.Tracker.AsOf()).Round(time.Millisecond),
 		"connection": job.call.Connection, "connection-age": job.call.Received.Sub(job.call.Accepted).Round(time.Millisecond),
--- a/gateway/internal/dispatcher/stop_test.go
+++ b/gateway/internal/dispatcher/stop_test.go
@@ -66,3 +66,25 @@
 	is.Equal(string(reply.Body), `{"reason":"stopping"}`+"\n")
 	is.Equal(len(target.arrivals()), 0)
 }
+
+// A request that the VM gives up near the end of a stop gets an answer that says whether it may
+// have run.
+func TestRequestGivenUpAtTheEndOfAStopIsAnswered(t *testing.T) {
+	is := is.New(t)
+	target := serve(t, hang)
+	vm := start(t, target)
+	ctx, giveUp := context.WithCancelCause(context.Background())
+	replies := make(chan receiver.Reply, 2)
+	go func() { replies <- vm.Serve(ctx, call(http.MethodPost, "/book/1", "key")) }()
+	for len(target.arrivals()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	waiting := call(http.MethodPost, "/book/2", "key")
+	waiting.Turn = make(chan struct{})
+	giveUp(receiver.ErrGivenUp)
+	reply := <-replies
+	is.Equal(reply.Status, http.StatusBadGateway)
+	is.Equal(string(reply.Body), `{"reason":"given-up"}`+"\n")
+	is.Equal(vm.Serve(ctx, waiting).Status, http.StatusServiceUnavailable) // not run
+	is.Equal(len(target.arrivals()), 1)
+}
--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -46,6 +46,9 @@
 	reader   *bufio.Reader
 	number   uint64
 	accepted time.Time
+	// calls is the context of the handler's calls, and giveUp ends it.
+	calls  context.Context
+	giveUp context.CancelCauseFunc
 	// overLimit is true if the connection exceeds MaxConnections and must be refused.
 	overLimit bool
 
@@ -63,13 +66,16 @@
 
 func newConnection(receiver *Receiver, raw net.Conn, number uint64) *connection {
 	size := receiver.limits().HeaderBytes + len("\r\n\r\n")
-	return &connection{receiver: receiver, raw: raw, reader: bufio.NewReaderSize(raw, size), number: number, accepted: time.Now()}
+	connection := &connection{receiver: receiver, raw: raw, reader: bufio.NewReaderSize(raw, size), number: number, accepted: time.Now()}
+	connection.calls, connection.giveUp = context.WithCancelCause(context.Background())
+	return connection
 }
 
 // serve reads and handles requests until the caller disconnects, a request can't be read
 // or an answer closes the connection.
 func (connection *connection) serve(parent context.Context) {
 	ctx, cancel := context.WithCancel(parent)
+	defer context.AfterFunc(ctx, func() { connection.giveUp(context.Canceled) })()
 	// The end of the parent context also ends a blocked read of the next request.
 	defer context.AfterFunc(parent, func() { _ = connection.raw.Close() })()
 	var group sync.WaitGroup
@@ -173,7 +179,7 @@
 // answer handles the call, and writes its answer once the earlier ones are written.
 func (connection *connection) answer(ctx context.Context, cancel context.CancelFunc, call *Call, next chan struct{}) {
 	defer connection.finishRequest(call)
-	reply := connection.handle(ctx, call)
+	reply := connection.handle(call)
 	ready := time.Now()
 	select {
 	case <-call.Turn:
@@ -205,10 +211,10 @@
 
 // handle returns the answer to a call. If the handler panics, the request may have run: the
 // connection ends without an answer.
-func (connection *connection) handle(ctx context.Context, call *Call) Reply {
+func (connection *connection) handle(call *Call) Reply {
 	reply := Reply{Abort: true}
 	recoverer.Do(connection.receiver.Log.WithField("path", call.Request.URL.Path), func() {
-		reply = connection.receiver.Handler.Serve(ctx, call)
+		reply = connection.receiver.Handler.Serve(connection.calls, call)
 	})
 	return reply
 }
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -60,8 +60,11 @@
 	Abort bool
 }
 
+// ErrGivenUp is the cause of the end of a call's context after GiveUp.
+var ErrGivenUp = errors.New("the VM stops before the request is answered")
+
 // Handler answers calls. Serve is called concurrently. Its context ends when the caller
-// disconnects.
+// disconnects, or with the cause ErrGivenUp. In the latter case the answer is still written.
 type Handler interface {
 	Serve(ctx context.Context, call *Call) Reply
 	// Refuse returns the answer to a request that the receiver rejects.
@@ -188,6 +191,15 @@
 	}
 }
 
+// GiveUp ends the contexts of all calls with the cause ErrGivenUp.
+func (receiver *Receiver) GiveUp() {
+	receiver.mutex.Lock()
+	defer receiver.mutex.Unlock()
+	for connection := range receiver.connections {
+		connection.giveUp(ErrGivenUp)
+	}
+}
+
 // InFlight returns the number of requests that have been read but not answered.
 func (receiver *Receiver) InFlight() int { return int(receiver.inFlight.Load()) }
 
--- a/gateway/internal/receiver/stop_test.go
+++ b/gateway/internal/receiver/stop_test.go
@@ -81,3 +81,29 @@
 	is.Equal(handler.seen(), []string{"/first"})
 	is.Equal(receiver.InFlight(), 0)
 }
+
+// A request that outlasts the stop must not take the ready answers behind it along.
+func TestGivingUpARequestDeliversTheAnswersBehindIt(t *testing.T) {
+	is := is.New(t)
+	handler := &handler{serve: func(ctx context.Context, call *receiver.Call) receiver.Reply {
+		if call.Target == "/first" {
+			<-ctx.Done()
+			is.Equal(context.Cause(ctx), receiver.ErrGivenUp)
+		}
+		return echo(ctx, call)
+	}}
+	receiver, caller := start(t, handler, indexer.Limits{})
+	send(t, caller, get("/first")+get("/second"))
+	for len(handler.seen()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	receiver.Leave()
+	receiver.GiveUp()
+	reader := bufio.NewReader(caller)
+	for _, want := range []string{"/first ", "/second "} {
+		_, body := read(t, reader)
+		is.Equal(body, want)
+	}
+	_, err := reader.ReadByte()
+	is.Equal(err, io.EOF)
+}
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -243,6 +243,33 @@
 	is.True(time.Since(stopTime) < vm.settings.StopGrace)
 }
 
+// Answers that are ready must be delivered although a request before them on their connection
+// outlasts the stop.
+func TestPlannedStopDeliversAnswersBehindAnUnfinishedRequest(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	vm := fleet.vms[0]
+	connection, err := net.Dial("tcp", vm.settings.Callers)
+	is.NoErr(err)
+	defer func() { _ = connection.Close() }()
+	for i, path := range []string{"/hangs", "/ready"} {
+		_, err = fmt.Fprintf(connection, "GET %s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a%d\r\n"+
+			"X-Remaining-Milliseconds: 30000\r\nX-Credential: key\r\n\r\n", path, i)
+		is.NoErr(err)
+	}
+	fleet.waitUntil("the target has both", func() bool { return fleet.targetRequests.Load() >= 2 })
+	vm.stop()
+	reader := bufio.NewReader(connection)
+	for _, want := range []int{http.StatusBadGateway, http.StatusOK} {
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, want)
+	}
+	<-vm.stopped
+}
+
 // A planned stop must finish running requests, serve new connections meanwhile and end
 // within the grace.
 func TestPlannedStopFinishesRequests(t *testing.T) {
--- a/gateway/internal/starter/stop.go
+++ b/gateway/internal/starter/stop.go
@@ -10,20 +10,24 @@
 	// balancerDrain is two checks of the balancer a second apart, and a margin.
 	balancerDrain = 3 * time.Second
 	exitReserve   = 400 * time.Millisecond
+	answerReserve = 200 * time.Millisecond
 	// stopPollInterval is how often stop checks for open connections.
 	stopPollInterval = 50 * time.Millisecond
 )
 
 // stop ends readiness, keeps serving until the balancer has stopped sending connections,
-// and then waits until all are closed, at most until the grace ends.
+// and then waits until all are closed. Shortly before the grace ends it gives up the requests
+// in progress.
 func (starter *Starter) stop() {
-	policy := drainer.Policy{BalancerDrain: balancerDrain, Grace: starter.Settings.StopGrace, ExitReserve: exitReserve}
+	policy := drainer.Policy{BalancerDrain: balancerDrain, Grace: starter.Settings.StopGrace, ExitReserve: exitReserve, AnswerReserve: answerReserve}
 	starter.leaving.Store(true)
 	starter.dispatcher.Leave(policy)
 	starter.receiver.Leave()
 	stopTime := time.Now()
 	starter.Log.WithField("running", starter.receiver.InFlight()).Info("leaving")
 	time.Sleep(policy.DrainTime())
+	giveUp := time.AfterFunc(policy.GiveUpTime()-time.Since(stopTime), starter.giveUp)
+	defer giveUp.Stop()
 	for time.Since(stopTime) < policy.Limit() {
 		starter.receiver.CloseIdle()
 		if starter.receiver.OpenConnections() == 0 {
@@ -34,3 +38,9 @@
 	starter.messages.leave()
 	starter.Log.WithField("unfinished", starter.receiver.InFlight()).Info("stopped")
 }
+
+// giveUp answers the requests in progress instead of their targets.
+func (starter *Starter) giveUp() {
+	starter.Log.WithField("running", starter.receiver.InFlight()).Warn("requests-given-up")
+	starter.receiver.GiveUp()
+}
