--- a/operator/internal/commander/burn.go
+++ b/operator/internal/commander/burn.go
@@ -56,6 +56,9 @@
 // urgent rows. Stored objects that can't be read are reported as gaps.
 func (command *burnCommand) Execute([]string) error {
 	commander := command.commander
+	if err := checkLimit(command.Limit); err != nil {
+		return err
+	}
 	platform, err := commander.platform()
 	if err != nil {
 		return err
--- a/operator/internal/commander/commander_test.go
+++ b/operator/internal/commander/commander_test.go
@@ -326,6 +326,16 @@
 	is.True(strings.HasPrefix(stderr, "could not read burn/d/000/0: "))
 }
 
+func TestNegativeLimitIsAnError(t *testing.T) {
+	is := is.New(t)
+	fixture := newFixture(t, faker.New(), "[/t/services/s]\nobjective = 99\n")
+	code, _, _ := fixture.run("apply")
+	is.Equal(code, 0)
+	for _, command := range [][]string{{"report", "burn"}, {"history"}} {
+		fixture.want(2, "", "operator: --limit is -1; allowed: 0 or more\n", append(command, "--limit", "-1")...)
+	}
+}
+
 // forecasts is a Biller with fixed forecasts.
 type forecasts []commander.Forecast
 
--- a/operator/internal/commander/exits.go
+++ b/operator/internal/commander/exits.go
@@ -133,3 +133,11 @@
 	var target E
 	return errors.As(err, &target)
 }
+
+// checkLimit returns a *usageError if the number of rows to show is negative.
+func checkLimit(limit int) error {
+	if limit < 0 {
+		return &usageError{Message: fmt.Sprintf("--limit is %d; allowed: 0 or more", limit)}
+	}
+	return nil
+}
--- a/operator/internal/commander/history.go
+++ b/operator/internal/commander/history.go
@@ -75,6 +75,9 @@
 // Execute prints the changes, newest first.
 func (command *historyCommand) Execute([]string) error {
 	commander := command.commander
+	if err := checkLimit(command.Limit); err != nil {
+		return err
+	}
 	recorder, err := commander.recorder()
 	if err != nil {
 		return err
