receiver: a dropped request with a body doesn't hang a stop

Cause: during a stop, a request with a body that is not passed on behind an unanswered one was removed from the count of bodies with its connection locked, while CloseIdle, which runs every 50 ms, locks first the receiver and then each connection. The two wait for each other for ever: no connection is accepted, removed or given up any more, and the stop doesn't end before the VM is killed.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -104,6 +104,7 @@
 		call.Turn = turn
 		next := make(chan struct{})
 		if !connection.beginRequest(call) {
+			connection.receiver.dropBody(call)
 			connection.awaitClose(ctx)
 			return
 		}
@@ -130,7 +131,6 @@
 		_ = connection.raw.SetReadDeadline(time.Time{})
 	}
 	if connection.closing || connection.pending > 0 && connection.receiver.leaving.Load() {
-		connection.receiver.dropBody(call)
 		return false
 	}
 	call.Connection, call.Accepted, call.Ahead = connection.number, connection.accepted, connection.pending
