receiver: what a caller sends on doesn't cut the closing answer

Cause: since a connection counts as closing before the closing answer is written, not after it. Whatever ended the reading meanwhile, the first byte of a further request or the caller's half-close, made the connection linger, which closes it for writing: the answer was cut (unexpected EOF), the more likely the longer it takes to write. Callers that send ahead do so at each planned stop.

Now lingering begins once the closing answer has been written, and what arrives before is read and dropped. The order of the end changes with it: the reading is ended first, the context of the connection after, so that whoever sees the end of the context finds the answer written.

--- a/gateway/internal/receiver/closing_test.go
+++ b/gateway/internal/receiver/closing_test.go
@@ -113,3 +113,30 @@
 	ended.Wait()
 	is.Equal(receiver.OpenConnections(), 1)
 }
+
+// What a caller sends while the closing answer is being written must not cut that answer.
+func TestClosingAnswerIsWholeWhileTheCallerSendsOn(t *testing.T) {
+	is := is.New(t)
+	for _, next := range []string{"G", get("/second"), ""} {
+		writing, release := make(chan struct{}), make(chan struct{})
+		receiver, caller := startHooked(t, &handler{serve: echo}, hooks{write: func() {
+			close(writing)
+			<-release
+		}})
+		receiver.Leave()
+		send(t, caller, get("/first"))
+		<-writing
+		send(t, caller, next)
+		if next == "" {
+			is.NoErr(caller.(*net.TCPConn).CloseWrite())
+		}
+		time.Sleep(50 * time.Millisecond) // until it is read
+		close(release)
+		reader := bufio.NewReader(caller)
+		response, body := read(t, reader)
+		is.Equal(body, "/first ")
+		is.True(response.Close)
+		_, err := reader.ReadByte()
+		is.Equal(err, io.EOF)
+	}
+}
--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -62,6 +62,8 @@
 	// closing is true once the answer that closes the connection is about to be written. No
 	// request is handled from then on.
 	closing bool
+	// closed is true once that answer has been written.
+	closed bool
 }
 
 func newConnection(receiver *Receiver, raw net.Conn, number uint64) *connection {
@@ -97,6 +99,10 @@
 			return
 		}
 		call, err := connection.read(ctx, turn)
+		if errors.Is(err, errClosing) {
+			connection.awaitClose(ctx)
+			return
+		}
 		if err != nil {
 			connection.refuse(ctx, turn, err)
 			return
@@ -202,8 +208,8 @@
 	}
 	if closes {
 		// By HTTP/1.1, requests after this one count as not processed: they must not run.
-		cancel()
 		connection.stopReading()
+		cancel()
 		return
 	}
 	close(next)
@@ -219,8 +225,14 @@
 	return reply
 }
 
-// stopReading makes serve stop reading requests and linger.
-func (connection *connection) stopReading() { _ = connection.raw.SetReadDeadline(time.Unix(1, 0)) }
+// stopReading makes serve stop reading requests and linger. Lingering earlier would cut the
+// closing answer.
+func (connection *connection) stopReading() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.closed = true
+	_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
+}
 
 // awaitClose waits until the last request is answered or the caller disconnects.
 func (connection *connection) awaitClose(ctx context.Context) {
@@ -229,15 +241,15 @@
 			break
 		}
 	}
-	connection.lingerIfClosing()
+	connection.lingerIfClosed()
 }
 
-// lingerIfClosing lingers if an answer has closed the connection.
-func (connection *connection) lingerIfClosing() {
+// lingerIfClosed lingers if an answer has closed the connection.
+func (connection *connection) lingerIfClosed() {
 	connection.mutex.Lock()
-	closing := connection.closing
+	closed := connection.closed
 	connection.mutex.Unlock()
-	if closing {
+	if closed {
 		connection.linger()
 	}
 }
@@ -256,14 +268,14 @@
 func (connection *connection) refuse(ctx context.Context, turn <-chan struct{}, err error) {
 	var malformed *requestError
 	if !errors.As(err, &malformed) {
-		connection.lingerIfClosing()
+		connection.lingerIfClosed()
 		return
 	}
 	_ = connection.raw.SetReadDeadline(time.Time{})
 	select {
 	case <-turn:
 	case <-ctx.Done():
-		connection.lingerIfClosing() // an answer has closed the connection meanwhile
+		connection.lingerIfClosed() // an answer has closed the connection meanwhile
 		return
 	}
 	connection.receiver.Log.WithFields(map[string]any{
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -49,6 +49,9 @@
 
 var headTerminator = []byte("\r\n\r\n")
 
+// errClosing is the error of a request that begins while the closing answer is being written.
+var errClosing = errors.New("connection is closing")
+
 // read reads one request. An error is a *requestError if the caller can be answered.
 func (connection *connection) read(ctx context.Context, turn <-chan struct{}) (*Call, error) {
 	connection.mutex.Lock()
@@ -59,7 +62,7 @@
 	}
 	limits := connection.receiver.limits()
 	if !connection.beginRead(limits.HeaderTimeout) {
-		return nil, io.EOF
+		return nil, errClosing
 	}
 	head, err := connection.readHead(limits.HeaderBytes)
 	if err != nil {
