receiver: a request behind an answer that leaves the connection open isn't dropped

Cause: during a stop, a request is not passed on if an earlier one of its connection is unanswered, as the answer to the newest closes the connection. But an answer about which that had been decided before the stop began, and which was still being written, leaves it open: the request was dropped all the same, and its connection stayed without an answer until it was closed as idle 3 s later. The caller may have sent it after it had that answer, so it doesn't stand behind a closing one.

Now what counts is whether it is still open how the newest answer ends.

--- a/gateway/internal/receiver/closing_test.go
+++ b/gateway/internal/receiver/closing_test.go
@@ -140,3 +140,28 @@
 		is.Equal(err, io.EOF)
 	}
 }
+
+// A request behind an answer that leaves the connection open must not be dropped because the
+// stop begins while that answer is being written.
+func TestRequestBehindAnOpenAnswerIsNotDropped(t *testing.T) {
+	is := is.New(t)
+	writing, release := make(chan struct{}, 2), make(chan struct{})
+	handler := &handler{serve: echo}
+	receiver, caller := startHooked(t, handler, hooks{write: func() {
+		writing <- struct{}{}
+		<-release
+	}})
+	send(t, caller, get("/first"))
+	<-writing
+	receiver.Leave()
+	send(t, caller, get("/second"))
+	time.Sleep(50 * time.Millisecond) // until it is read
+	close(release)
+	reader := bufio.NewReader(caller)
+	response, body := read(t, reader)
+	is.Equal(body, "/first ")
+	is.True(!response.Close)
+	response, body = read(t, reader)
+	is.Equal(body, "/second ")
+	is.True(response.Close)
+}
--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -55,7 +55,8 @@
 	mutex sync.Mutex
 	// pending is the number of requests read but not answered.
 	pending int
-	// newest is the last request handed to the handler.
+	// newest is the last request handed to the handler, nil once its answer leaves the
+	// connection open.
 	newest *Call
 	// reading is true while a request is being read.
 	reading bool
@@ -136,7 +137,7 @@
 	if !connection.closing {
 		_ = connection.raw.SetReadDeadline(time.Time{})
 	}
-	if connection.closing || connection.pending > 0 && connection.receiver.leaving.Load() {
+	if connection.closing || connection.newest != nil && connection.receiver.leaving.Load() {
 		return false
 	}
 	call.Connection, call.Accepted, call.Ahead = connection.number, connection.accepted, connection.pending
@@ -151,8 +152,12 @@
 func (connection *connection) closes(reply Reply, call *Call) bool {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	stops := connection.receiver.leaving.Load() && connection.newest == call
+	newest := connection.newest == call
+	stops := newest && connection.receiver.leaving.Load()
 	connection.closing = connection.closing || reply.Close || call.Request.Close || stops
+	if newest && !connection.closing {
+		connection.newest = nil
+	}
 	return connection.closing
 }
 
