receiver: closing idle connections doesn't end lingering

TestCloseIdleDoesNotEndLingering fails before, 20 of 20 runs (0 open connections, not 1), and holds 20 of 20 with the race detector.

--- a/gateway/internal/receiver/closing_test.go
+++ b/gateway/internal/receiver/closing_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -14,6 +15,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/platform/faker"
 )
 
 // hooks are called before what the receiver does with its connections.
@@ -165,3 +167,37 @@
 	is.Equal(body, "/second ")
 	is.True(response.Close)
 }
+
+// Closing idle connections must not end the lingering of one that is closing: bytes that are
+// unread or still arrive would reset it, and the rest of the last answer would be lost.
+func TestCloseIdleDoesNotEndLingering(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		receiver := &receiver.Receiver{
+			Handler: &handler{serve: echo}, Limits: func() indexer.Limits { return indexer.Limits{} }, Log: logrus.NewEntry(log),
+		}
+		network := faker.NewNetwork()
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = receiver.Run(ctx, network) })
+		defer running.Wait()
+		defer cancel()
+		caller, err := network.Link(1_250_000).Dial(ctx, "", "")
+		is.NoErr(err)
+		defer func() { _ = caller.Close() }()
+		receiver.Leave()
+		send(t, caller, get("/first"))
+		reader := bufio.NewReader(caller)
+		_, body := read(t, reader)
+		is.Equal(body, "/first ")
+		synctest.Wait()
+		receiver.CloseIdle()
+		synctest.Wait()
+		is.Equal(receiver.OpenConnections(), 1)
+		send(t, caller, get("/second"))
+		_, err = reader.ReadByte()
+		is.Equal(err, io.EOF)
+	})
+}
--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -178,11 +178,11 @@
 	}
 }
 
-// closeIdle closes the connection unless a request is being read or handled.
+// closeIdle closes the connection unless a request is being read or handled, or it is closing.
 func (connection *connection) closeIdle() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if connection.pending == 0 && !connection.reading {
+	if connection.pending == 0 && !connection.reading && !connection.closing {
 		_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -265,7 +265,10 @@
 	if closer, ok := connection.raw.(interface{ CloseWrite() error }); ok {
 		_ = closer.CloseWrite()
 	}
+	connection.mutex.Lock()
+	connection.closing = true // closeIdle leaves it lingering
 	_ = connection.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	connection.mutex.Unlock()
 	_, _ = io.Copy(io.Discard, connection.reader) // not parsed as requests
 }
 
