receiver: heads longer than an older limit don't spin

Cause: the buffer of a connection has the size of the limit for heads at the time at which the connection was accepted. After a configuration that raises the limit (or the first, if its limit is above the default), a longer head on an older connection filled the buffer but didn't reach the limit: readHead looked at the same bytes again and again, with no end by its time limit, by the caller's leaving or by a stop, which such a connection kept waiting until the VM was killed.

Now a connection whose buffer is too small for the limit gets a larger one.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -68,8 +68,8 @@
 }
 
 func newConnection(receiver *Receiver, raw net.Conn, number uint64) *connection {
-	size := receiver.limits().HeaderBytes + len("\r\n\r\n")
-	connection := &connection{receiver: receiver, raw: raw, reader: bufio.NewReaderSize(raw, size), number: number, accepted: time.Now()}
+	reader := bufio.NewReaderSize(raw, readerSize(receiver.limits().HeaderBytes))
+	connection := &connection{receiver: receiver, raw: raw, reader: reader, number: number, accepted: time.Now()}
 	connection.calls, connection.giveUp = context.WithCancelCause(context.Background())
 	return connection
 }
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -49,6 +49,9 @@
 
 var headTerminator = []byte("\r\n\r\n")
 
+// readerSize returns the buffer size with which heads up to the limit can be read.
+func readerSize(headerBytes int) int { return headerBytes + len(headTerminator) }
+
 // errClosing is the error of a request that begins while the closing answer is being written.
 var errClosing = errors.New("connection is closing")
 
@@ -64,6 +67,9 @@
 	if !connection.beginRead(limits.HeaderTimeout) {
 		return nil, errClosing
 	}
+	if size := readerSize(limits.HeaderBytes); connection.reader.Size() < size { // the limit has grown
+		connection.reader = bufio.NewReaderSize(connection.reader, size)
+	}
 	head, err := connection.readHead(limits.HeaderBytes)
 	if err != nil {
 		return nil, err
