--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -55,18 +55,21 @@
 	mutex sync.Mutex
 	// pending is the number of requests read but not answered.
 	pending int
-	// newest is the last request handed to the handler.
+	// newest is the last request handed to the handler, nil once its answer leaves the
+	// connection open.
 	newest *Call
 	// reading is true while a request is being read.
 	reading bool
 	// closing is true once the answer that closes the connection is about to be written. No
 	// request is handled from then on.
 	closing bool
+	// closed is true once that answer has been written.
+	closed bool
 }
 
 func newConnection(receiver *Receiver, raw net.Conn, number uint64) *connection {
-	size := receiver.limits().HeaderBytes + len("\r\n\r\n")
-	connection := &connection{receiver: receiver, raw: raw, reader: bufio.NewReaderSize(raw, size), number: number, accepted: time.Now()}
+	reader := bufio.NewReaderSize(raw, readerSize(receiver.limits().HeaderBytes))
+	connection := &connection{receiver: receiver, raw: raw, reader: reader, number: number, accepted: time.Now()}
 	connection.calls, connection.giveUp = context.WithCancelCause(context.Background())
 	return connection
 }
@@ -97,6 +100,10 @@
 			return
 		}
 		call, err := connection.read(ctx, turn)
+		if errors.Is(err, errClosing) {
+			connection.awaitClose(ctx)
+			return
+		}
 		if err != nil {
 			connection.refuse(ctx, turn, err)
 			return
@@ -104,6 +111,7 @@
 		call.Turn = turn
 		next := make(chan struct{})
 		if !connection.beginRequest(call) {
+			connection.receiver.dropBody(call)
 			connection.awaitClose(ctx)
 			return
 		}
@@ -129,8 +137,7 @@
 	if !connection.closing {
 		_ = connection.raw.SetReadDeadline(time.Time{})
 	}
-	if connection.closing || connection.pending > 0 && connection.receiver.leaving.Load() {
-		connection.receiver.dropBody(call)
+	if connection.closing || connection.newest != nil && connection.receiver.leaving.Load() {
 		return false
 	}
 	call.Connection, call.Accepted, call.Ahead = connection.number, connection.accepted, connection.pending
@@ -145,8 +152,12 @@
 func (connection *connection) closes(reply Reply, call *Call) bool {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	stops := connection.receiver.leaving.Load() && connection.newest == call
+	newest := connection.newest == call
+	stops := newest && connection.receiver.leaving.Load()
 	connection.closing = connection.closing || reply.Close || call.Request.Close || stops
+	if newest && !connection.closing {
+		connection.newest = nil
+	}
 	return connection.closing
 }
 
@@ -167,11 +178,11 @@
 	}
 }
 
-// closeIdle closes the connection unless a request is being read or handled.
+// closeIdle closes the connection unless a request is being read or handled, or it is closing.
 func (connection *connection) closeIdle() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if connection.pending == 0 && !connection.reading {
+	if connection.pending == 0 && !connection.reading && !connection.closing {
 		_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -202,8 +213,8 @@
 	}
 	if closes {
 		// By HTTP/1.1, requests after this one count as not processed: they must not run.
-		cancel()
 		connection.stopReading()
+		cancel()
 		return
 	}
 	close(next)
@@ -219,8 +230,14 @@
 	return reply
 }
 
-// stopReading makes serve stop reading requests and linger.
-func (connection *connection) stopReading() { _ = connection.raw.SetReadDeadline(time.Unix(1, 0)) }
+// stopReading makes serve stop reading requests and linger. Lingering earlier would cut the
+// closing answer.
+func (connection *connection) stopReading() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.closed = true
+	_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
+}
 
 // awaitClose waits until the last request is answered or the caller disconnects.
 func (connection *connection) awaitClose(ctx context.Context) {
@@ -229,15 +246,15 @@
 			break
 		}
 	}
-	connection.lingerIfClosing()
+	connection.lingerIfClosed()
 }
 
-// lingerIfClosing lingers if an answer has closed the connection.
-func (connection *connection) lingerIfClosing() {
+// lingerIfClosed lingers if an answer has closed the connection.
+func (connection *connection) lingerIfClosed() {
 	connection.mutex.Lock()
-	closing := connection.closing
+	closed := connection.closed
 	connection.mutex.Unlock()
-	if closing {
+	if closed {
 		connection.linger()
 	}
 }
@@ -248,7 +265,10 @@
 	if closer, ok := connection.raw.(interface{ CloseWrite() error }); ok {
 		_ = closer.CloseWrite()
 	}
+	connection.mutex.Lock()
+	connection.closing = true // closeIdle leaves it lingering
 	_ = connection.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	connection.mutex.Unlock()
 	_, _ = io.Copy(io.Discard, connection.reader) // not parsed as requests
 }
 
@@ -256,14 +276,14 @@
 func (connection *connection) refuse(ctx context.Context, turn <-chan struct{}, err error) {
 	var malformed *requestError
 	if !errors.As(err, &malformed) {
-		connection.lingerIfClosing()
+		connection.lingerIfClosed()
 		return
 	}
 	_ = connection.raw.SetReadDeadline(time.Time{})
 	select {
 	case <-turn:
 	case <-ctx.Done():
-		connection.lingerIfClosing() // an answer has closed the connection meanwhile
+		connection.lingerIfClosed() // an answer has closed the connection meanwhile
 		return
 	}
 	connection.receiver.Log.WithFields(map[string]any{
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -49,6 +49,12 @@
 
 var headTerminator = []byte("\r\n\r\n")
 
+// readerSize returns the buffer size with which heads up to the limit can be read.
+func readerSize(headerBytes int) int { return headerBytes + len(headTerminator) }
+
+// errClosing is the error of a request that begins while the closing answer is being written.
+var errClosing = errors.New("connection is closing")
+
 // read reads one request. An error is a *requestError if the caller can be answered.
 func (connection *connection) read(ctx context.Context, turn <-chan struct{}) (*Call, error) {
 	connection.mutex.Lock()
@@ -59,7 +65,10 @@
 	}
 	limits := connection.receiver.limits()
 	if !connection.beginRead(limits.HeaderTimeout) {
-		return nil, io.EOF
+		return nil, errClosing
+	}
+	if size := readerSize(limits.HeaderBytes); connection.reader.Size() < size { // the limit has grown
+		connection.reader = bufio.NewReaderSize(connection.reader, size)
 	}
 	head, err := connection.readHead(limits.HeaderBytes)
 	if err != nil {
