poller, tracker, messenger: versions of the store are ordered within its era

A VM dropped each answer whose version was below the one that it knew, so that after a restore of the store no change came into force until its versions had passed the old ones, and a version that was given out again was taken for known. Claims and relayed rows of one history counted in the other.

A new era, seen in any answer or in a peer's claim, makes the VM forget what it knew of versions (it keeps data and age) and read the whole table; answers with the changes after a version of another era are not applied, claims of an ended era are ignored, one of a newer era never makes the VM fresher and counts as a change that it lacks. Answers of an ended era are stale, not an outage. Entries of targets that are missing in the copy lapse as after an outage. Each VM and table has a line store-restored. The era of a claim is sent in an extra claim about a table that no VM follows: VMs of all versions refuse longer claims, but ignore and relay this one.

TestOlderAnswerIsNoOutage passes the era to Stale, and the stand-in of TestStaleAnswersAreIgnoredWithBackoff has one: mechanical.

--- a/core/poller/poller.go
+++ b/core/poller/poller.go
@@ -10,6 +10,10 @@
 // of their ranks. While a VM receives a long answer, it announces the transfer, and
 // its peers poll at once.
 //
+// Versions can be compared within an era of the store only: when the store is restored
+// from an older copy, it gives versions out again. When a new era begins, a VM forgets
+// what it knew of versions, keeps its data and reads the whole table.
+//
 // # Usage
 //
 //	next := poller.Next(rank, now)
@@ -91,6 +95,9 @@
 	// and are never deleted. Set before the first call.
 	LargeRows bool
 
+	// era is the newest era of the store that is known, to which all versions belong.
+	era uint64
+	// loaded is true once the whole table has been read in the era.
 	loaded bool
 	// largestAnswer is the size in bytes of the largest answer with rows since the
 	// last full one.
@@ -177,7 +184,25 @@
 	return max(minWatch, poller.takeoverAge()-claimMargin)
 }
 
-// RecordAnswer records an answer of the store: the version that it reaches, the
+// BeginEra records that the store has made an answer, to this VM or a peer, in an era. If
+// that is newer than the known one, all that is known of versions is forgotten, and the next
+// call reads the whole table at once. It reports whether this is so. An older era is ignored:
+// its answer was made before the store was restored, or comes from another copy of it.
+func (poller *Poller) BeginEra(era uint64) bool {
+	if era <= poller.era {
+		return false
+	}
+	poller.era, poller.loaded = era, false
+	poller.version, poller.lastChange, poller.newestClaim = 0, 0, 0
+	poller.changeInFlight, poller.changePossible = false, false
+	poller.staleAnswers, poller.retryAt = 0, 0
+	return true
+}
+
+// Era returns the newest era of the store that is known.
+func (poller *Poller) Era() uint64 { return poller.era }
+
+// RecordAnswer records an answer of the store in the known era: the version that it reaches, the
 // newest change in it (0 if there is none), the time as of which the store made it,
 // and whether it is full, that is, holds the whole table.
 func (poller *Poller) RecordAnswer(version, change uint64, asOf time.Duration, full bool) {
@@ -220,8 +245,15 @@
 // VM can't tell whether the table has changed.
 func (poller *Poller) RecordLongRead() { poller.changePossible = true }
 
-// Stale reports whether an answer that reaches a version is older than the VM's data.
-func (poller *Poller) Stale(version uint64) bool { return version < poller.version }
+// Stale reports whether an answer that was made in an era and reaches a version is older
+// than the VM's data.
+func (poller *Poller) Stale(era, version uint64) bool {
+	return era < poller.era || era == poller.era && version < poller.version
+}
+
+// Based reports whether an answer with the changes after Version can be applied. It can't if
+// a new era has begun since the call.
+func (poller *Poller) Based() bool { return poller.loaded }
 
 // RecordRelayed records that a peer has relayed all changes up to a version, as of a
 // time. Call it only if Contiguous is true of the version that the changes follow.
@@ -278,7 +310,7 @@
 // false if the table has to be read first.
 func (poller *Poller) LastChange() (uint64, bool) { return poller.lastChange, poller.loaded }
 
-// RecordClaim records a peer's claim: as of a time, the table has not changed after
+// RecordClaim records a peer's claim in the known era: as of a time, the table has not changed after
 // the version. It reports whether the VM should call Next again.
 func (poller *Poller) RecordClaim(change uint64, asOf time.Duration) bool {
 	if poller.failures > 0 && asOf > poller.firstFailedAt && asOf < poller.firstFailedAt+peerAnswerWindow {
--- a/core/poller/poller_test.go
+++ b/core/poller/poller_test.go
@@ -268,8 +268,8 @@
 	is := is.New(t)
 	vm := start()
 	vm.RecordRelayed(14, time.Second)
-	is.True(vm.Stale(12))
-	is.True(!vm.Stale(14))
+	is.True(vm.Stale(0, 12))
+	is.True(!vm.Stale(0, 14))
 	vm.RecordStaleAnswer(time.Second)
 	is.True(!vm.MayBeOutage())
 	is.Equal(vm.Failures(), 0)
@@ -297,3 +297,59 @@
 	vm.ScheduleRecheck(6200 * time.Millisecond)
 	is.True(!vm.Behind())
 }
+
+// After a restore, versions are given out again: those of the era before say nothing.
+func TestNewEraForgetsVersionsAndReadsTheWholeTable(t *testing.T) {
+	is := is.New(t)
+	vm := &poller.Poller{MaxStaleness: 3 * time.Second, LargeRows: true}
+	is.True(vm.BeginEra(4))
+	vm.RecordAnswer(94, 94, time.Second, true)
+	vm.RecordClaim(99, time.Second)
+	vm.RecordTransfer(94)
+	vm.RecordStaleAnswer(time.Second)
+	is.True(vm.BeginEra(5))
+	is.True(!vm.Behind()) // no change is known to exist yet
+	is.Equal(vm.Next(3, time.Second).Action, poller.Read)
+	is.True(!vm.Based())       // the answer to a call of the era before can't be applied
+	is.True(!vm.Contiguous(0)) // neither can relayed rows
+	is.Equal(vm.AsOf(), time.Second)
+	_, known := vm.LastChange()
+	is.True(!known)
+	vm.RecordAnswer(92, 90, 2*time.Second, true)
+	is.Equal(vm.Version(), uint64(92))
+	change, known := vm.LastChange()
+	is.True(known)
+	is.Equal(change, uint64(90))
+	is.Equal(vm.Next(0, 2*time.Second).Action, poller.Watch)
+}
+
+func TestEarlierEraIsIgnored(t *testing.T) {
+	is := is.New(t)
+	vm := &poller.Poller{MaxStaleness: bound}
+	vm.BeginEra(4)
+	vm.RecordAnswer(94, 94, time.Second, true)
+	is.True(!vm.BeginEra(3))
+	is.True(!vm.BeginEra(4))
+	is.True(!vm.BeginEra(0))
+	is.Equal(vm.Era(), uint64(4))
+	is.True(vm.Stale(3, 1000))
+	is.True(vm.Stale(4, 93))
+	is.True(!vm.Stale(5, 1))
+	is.Equal(vm.Next(0, time.Second).Action, poller.Watch)
+}
+
+// A VM that can't read the table in the new era lacks what its peer has read there.
+func TestClaimOfNewEraMakesVMBehindUntilItHasRead(t *testing.T) {
+	is := is.New(t)
+	vm := &poller.Poller{MaxStaleness: bound}
+	vm.BeginEra(1)
+	vm.RecordAnswer(94, 94, time.Second, true)
+	vm.BeginEra(2)
+	vm.RecordClaim(92, 5*time.Second)
+	is.True(vm.Behind())
+	is.Equal(vm.AsOf(), time.Second)
+	vm.RecordFailure(0, 6*time.Second, 1)
+	is.True(vm.Behind())
+	vm.RecordAnswer(92, 92, 7*time.Second, true)
+	is.True(!vm.Behind())
+}
--- a/gateway/internal/messenger/fuzz_test.go
+++ b/gateway/internal/messenger/fuzz_test.go
@@ -22,6 +22,7 @@
 		{From: "a", DataCentre: "e", Address: "127.0.0.1:9", Relay: true, RelayPart: spreader.Part{First: -3, End: 1 << 30},
 			Events: []Event{{Kind: AttemptOutcome, Name: "t", Outcome: placer.Failed}, {Kind: 200, Load: 1}}},
 		{From: "a", DataCentre: "d", Address: "nowhere", Claims: []Claim{{Table: "t", Version: 1 << 60, Rows: []Row{{Key: "k"}}}}},
+		{From: "a", DataCentre: "d", Address: "127.0.0.1:9", Claims: []Claim{{Table: "t", Era: 1<<64 - 1, Version: 1<<64 - 1}, {Table: erasPrefix}}},
 		{From: "a", DataCentre: "d", Address: "127.0.0.1:9", Asks: []ask{{ID: 1, Organisation: "o", Tokens: -1}}, Grants: []grant{{ID: 2, Tokens: 1e300}}},
 	} {
 		var plain bytes.Buffer
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -96,6 +97,12 @@
 
 // EncodeMsgpack encodes the message.
 func (message *message) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	sent := *message
+	sent.Claims = splitEras(message.Claims)
+	return sent.encode(encoder)
+}
+
+func (message *message) encode(encoder *msgpack.Encoder) error {
 	used := firstMessageFields
 	switch {
 	case len(message.Grants) > 0:
@@ -110,7 +117,11 @@
 
 // DecodeMsgpack decodes a message of any version.
 func (message *message) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, message.fields(), firstMessageFields)
+	if err := decodeFields(decoder, message.fields(), firstMessageFields); err != nil {
+		return err
+	}
+	message.Claims = joinEras(message.Claims)
+	return nil
 }
 
 func (message *message) fields() []any {
@@ -184,6 +195,42 @@
 	// Transferring is true while the sender receives a long answer of the store with the
 	// changes since After.
 	Transferring bool
+	// Era is the era of the store to which Version and StoreTime belong, see erasPrefix.
+	Era uint64 `msgpack:"-"`
+}
+
+// erasPrefix and the name of a table are the table of an extra claim, which is sent along
+// with those of the message: its Version is the Era of the claim about that table. All
+// versions refuse claims with more fields, but ignore and relay claims about tables that
+// they don't know.
+const erasPrefix = "//era/"
+
+// splitEras adds the extra claims. There are none if the store has no eras.
+func splitEras(claims []Claim) []Claim {
+	sent := claims[:len(claims):len(claims)]
+	for _, claim := range claims {
+		if claim.Era > 0 {
+			sent = append(sent, Claim{Table: erasPrefix + claim.Table, Version: claim.Era})
+		}
+	}
+	return sent
+}
+
+// joinEras takes the extra claims out and sets the fields that they carry.
+func joinEras(received []Claim) []Claim {
+	var claims []Claim
+	extra := make(map[string]Claim)
+	for _, claim := range received {
+		if table, ok := strings.CutPrefix(claim.Table, erasPrefix); ok {
+			extra[table] = claim
+			continue
+		}
+		claims = append(claims, claim)
+	}
+	for i := range claims {
+		claims[i].Era = extra[claims[i].Table].Version
+	}
+	return claims
 }
 
 // Row is a changed or deleted row of the store.
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -65,7 +65,7 @@
 	var claims []messenger.Claim
 	for _, own := range starter.tracker.Claims() {
 		claim := messenger.Claim{
-			Table: own.Table, Version: own.Version, StoreTime: own.StoreTime, After: own.After, AfterOutage: own.AfterOutage,
+			Table: own.Table, Era: own.Era, Version: own.Version, StoreTime: own.StoreTime, After: own.After, AfterOutage: own.AfterOutage,
 			Transferring: own.Transferring,
 		}
 		for _, row := range own.Rows {
@@ -79,7 +79,7 @@
 // handleClaim passes a claim of another VM to the tracker.
 func (starter *Starter) handleClaim(received messenger.Claim) {
 	claim := tracker.Claim{
-		Table: received.Table, Version: received.Version, StoreTime: received.StoreTime, After: received.After, AfterOutage: received.AfterOutage,
+		Table: received.Table, Era: received.Era, Version: received.Version, StoreTime: received.StoreTime, After: received.After, AfterOutage: received.AfterOutage,
 		Transferring: received.Transferring,
 	}
 	for _, row := range received.Rows {
--- a/gateway/internal/tracker/faults_test.go
+++ b/gateway/internal/tracker/faults_test.go
@@ -115,6 +115,13 @@
 	})
 }
 
+// freshness returns how current the VM's configuration is.
+func (member *member) freshness() verifier.Freshness {
+	return verifier.Freshness{
+		Age: time.Since(member.fleet.startTime) - member.AsOf(), Behind: member.Behind(), StoreUnreachable: member.StoreUnreachable(),
+	}
+}
+
 // checkVMs checks that every VM without a recent fault has the newest version that must
 // be in force by now, or refuses to serve.
 func (faultRun *faultRun) checkVMs() {
@@ -133,9 +140,7 @@
 		if now.Sub(faultRun.vmFaultUntil[rank]) < settleTime || now.Sub(faultRun.storeFaultUntil) < settleTime {
 			continue
 		}
-		freshness := verifier.Freshness{
-			Age: now.Sub(faultRun.startTime) - member.AsOf(), Behind: member.Behind(), StoreUnreachable: member.StoreUnreachable(),
-		}
+		freshness := member.freshness()
 		if policy.MayServe(freshness) {
 			faultRun.t.Errorf("VM %d serves with version %d at %v, must have %d: %+v", rank, index.Version, now.Sub(faultRun.startTime), due, freshness)
 		} else {
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -22,8 +22,10 @@
 type Store interface {
 	Read(ctx context.Context, table, part string, onLongTransfer func()) (platform.Reading, error)
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration, onLongTransfer func()) (platform.Reading, error)
-	// LocalTime converts a time of the store's clock to the earliest time that it can be
-	// on the VM's clock. It reports false before the first answer.
+	// Era is the newest era that an answer has named. It never falls.
+	Era() uint64
+	// LocalTime converts a time of the store's clock in that era to the earliest time that
+	// it can be on the VM's clock. It reports false before the first answer of the era.
 	LocalTime(storeTime time.Duration) (time.Duration, bool)
 }
 
@@ -39,7 +41,10 @@
 // Claim states that, as of StoreTime on the store's clock, a table has not changed
 // after Version.
 type Claim struct {
-	Table     string
+	Table string
+	// Era is the era of the store to which Version and StoreTime belong. It is 0 if the
+	// store has no eras, and from VMs that don't know them.
+	Era       uint64
 	Version   uint64
 	StoreTime time.Duration
 	// Transferring is true while the sender receives a long answer. The others should
@@ -79,6 +84,10 @@
 	poller     poller.Poller
 	// storeTime is the time of the newest answer on the store's clock.
 	storeTime time.Duration
+	// hasRead is true once a reading has been applied, and readEra and readVersion are the
+	// newest era and version of those.
+	hasRead              bool
+	readEra, readVersion uint64
 	// pendingRelay is the claim with the rows of the newest answer, until it is sent.
 	pendingRelay *Claim
 	// transferring is true while a long answer with changes is arriving.
@@ -90,6 +99,7 @@
 func (follower *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		follower.mutex.Lock()
+		follower.poller.BeginEra(follower.store.Era()) // another call may have seen a new one
 		next := follower.poller.Next(follower.group.Rank(), follower.clock())
 		after := follower.poller.Version()
 		follower.mutex.Unlock()
@@ -148,15 +158,23 @@
 		follower.mutex.Unlock()
 		follower.log.WithFields(logrus.Fields{"table": follower.table, "version": version}).Warn("store-history-gone")
 		return
+	case errors.Is(err, platform.ErrEraEnded):
+		follower.recordStaleAnswer(reading, err)
+		return
 	case err != nil:
 		follower.recordFailure(err)
 		return
 	}
 	follower.mutex.Lock()
 	failures, mayBeOutage := follower.poller.Failures(), follower.poller.MayBeOutage()
+	follower.poller.BeginEra(reading.Era)
+	based := full || follower.poller.Based()
 	follower.mutex.Unlock()
+	if !based {
+		return // changes after a version of another era: the whole table is read next
+	}
 	if !follower.apply(reading, full, mayBeOutage) {
-		follower.recordStaleAnswer(reading)
+		follower.recordStaleAnswer(reading, nil)
 		return
 	}
 	if failures > 0 {
@@ -168,13 +186,19 @@
 	}
 }
 
-// recordStaleAnswer records an answer that is older than the VM's data.
-func (follower *follower) recordStaleAnswer(reading platform.Reading) {
+// recordStaleAnswer records an answer that is older than the VM's data, or the error for
+// one of an ended era.
+func (follower *follower) recordStaleAnswer(reading platform.Reading, err error) {
 	follower.mutex.Lock()
-	known := follower.poller.Version()
+	known, era := follower.poller.Version(), max(follower.poller.Era(), follower.store.Era())
 	follower.poller.RecordStaleAnswer(follower.clock())
 	follower.mutex.Unlock()
-	follower.log.WithFields(logrus.Fields{"table": follower.table, "version": reading.Version, "known": known}).Info("store-answer-stale")
+	log := follower.log.WithFields(logrus.Fields{"table": follower.table, "known": known, "known-era": era})
+	if err != nil {
+		log.WithError(err).Info("store-answer-stale")
+		return
+	}
+	log.WithFields(logrus.Fields{"version": reading.Version, "era": reading.Era}).Info("store-answer-stale")
 }
 
 // apply applies an answer of the store. It ignores an answer that is older than the
@@ -183,48 +207,71 @@
 	follower.applyMutex.Lock()
 	defer follower.applyMutex.Unlock()
 	follower.mutex.Lock()
-	before, stale := follower.poller.Version(), follower.poller.Stale(reading.Version)
+	before, stale := follower.poller.Version(), follower.poller.Stale(reading.Era, reading.Version)
 	follower.mutex.Unlock()
 	if stale {
 		return false
 	}
+	restored := follower.hasRead && reading.Era > follower.readEra
+	if restored {
+		follower.log.WithFields(logrus.Fields{
+			"table": follower.table, "era-before": follower.readEra, "version-before": follower.readVersion,
+			"era": reading.Era, "version": reading.Version,
+		}).Warn("store-restored")
+		mayBeOutage = true // entries that are missing in the copy are written again, as after an outage
+	}
 	rows := reading.Rows
 	if !full {
 		reading.Rows = rowsAfter(rows, before)
 	}
 	follower.onReading(reading, full, mayBeOutage)
 	follower.mutex.Lock()
+	defer func() { follower.onFresh(follower.asOf()) }()
+	defer follower.mutex.Unlock()
+	follower.hasRead, follower.readEra, follower.readVersion = true, reading.Era, reading.Version
+	if follower.poller.Era() != reading.Era {
+		return true // a peer has claimed that a new era has begun meanwhile
+	}
 	follower.poller.RecordAnswer(reading.Version, newestVersion(reading.Rows), reading.AsOf, full)
 	if len(reading.Rows) > 0 {
 		follower.poller.RecordAnswerSize(reading.Bytes, full)
 	}
 	follower.poller.ScheduleRecheck(follower.clock())
+	if restored {
+		follower.storeTime = 0 // the clock of another era
+	}
 	follower.storeTime = max(follower.storeTime, reading.StoreTime)
 	if follower.relays && !full && len(rows) > 0 {
 		follower.pendingRelay = &Claim{
-			Table: follower.table, Version: reading.Version, StoreTime: reading.StoreTime, After: before, Rows: rows, AfterOutage: mayBeOutage,
+			Table: follower.table, Era: reading.Era, Version: reading.Version, StoreTime: reading.StoreTime, After: before, Rows: rows, AfterOutage: mayBeOutage,
 		}
 	}
-	asOf := follower.poller.AsOf()
-	follower.mutex.Unlock()
-	follower.onFresh(asOf)
 	return true
 }
 
-// applyRelayed applies the rows of another VM's claim, if they leave no gap after the
-// VM's own version.
+// asOf returns the time up to which the VM has all changes.
+func (follower *follower) asOf() time.Duration {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.poller.AsOf()
+}
+
+// applyRelayed applies the rows of another VM's claim, if they are of the VM's own era and
+// leave no gap after its version.
 func (follower *follower) applyRelayed(claim Claim, asOf time.Duration) {
 	follower.applyMutex.Lock()
 	defer follower.applyMutex.Unlock()
 	follower.mutex.Lock()
-	contiguous, before := follower.poller.Contiguous(claim.After), follower.poller.Version()
+	contiguous, before := follower.poller.Era() == claim.Era && follower.poller.Contiguous(claim.After), follower.poller.Version()
 	follower.mutex.Unlock()
 	if !contiguous || claim.Version <= before {
 		return
 	}
-	follower.onReading(platform.Reading{Rows: rowsAfter(claim.Rows, before), Version: claim.Version, AsOf: asOf}, false, claim.AfterOutage)
+	follower.onReading(platform.Reading{Rows: rowsAfter(claim.Rows, before), Era: claim.Era, Version: claim.Version, AsOf: asOf}, false, claim.AfterOutage)
 	follower.mutex.Lock()
-	follower.poller.RecordRelayed(claim.Version, asOf)
+	if follower.poller.Era() == claim.Era {
+		follower.poller.RecordRelayed(claim.Version, asOf)
+	}
 	follower.mutex.Unlock()
 }
 
@@ -289,23 +336,57 @@
 		return *relay, true
 	}
 	change, loaded := follower.poller.LastChange()
-	claim := Claim{Table: follower.table, Version: change, StoreTime: follower.storeTime}
+	claim := Claim{Table: follower.table, Era: follower.poller.Era(), Version: change, StoreTime: follower.storeTime}
 	if follower.transferring {
 		claim.Transferring, claim.After = true, follower.poller.Version()
 	}
 	return claim, loaded && follower.storeTime > 0
 }
 
-// handleClaim processes a claim of another VM.
+// handleClaim processes a claim of another VM. One of an ended era is ignored. One of a
+// newer era makes the VM read the table, and tells it that there is something to read; its
+// time can't be converted before the store has answered this VM in that era.
 func (follower *follower) handleClaim(claim Claim) {
-	asOf, ok := follower.store.LocalTime(claim.StoreTime)
-	if !ok {
+	asOf, dated := follower.localTime(claim)
+	follower.mutex.Lock()
+	wake := follower.poller.BeginEra(max(claim.Era, follower.store.Era()))
+	current := follower.poller.Era() == claim.Era
+	follower.mutex.Unlock()
+	if wake {
+		follower.wakeUp()
+	}
+	if !current || !dated && claim.Era == 0 {
 		return
 	}
-	if len(claim.Rows) > 0 {
+	if dated && len(claim.Rows) > 0 {
 		follower.applyRelayed(claim, asOf)
 	}
+	if follower.recordClaim(claim, asOf, dated) {
+		follower.wakeUp()
+	}
+}
+
+// localTime returns the time of a claim on the VM's clock, and false if the store has not
+// answered this VM in the claim's era, or has answered in a newer one.
+func (follower *follower) localTime(claim Claim) (time.Duration, bool) {
+	if follower.store.Era() != claim.Era {
+		return 0, false
+	}
+	asOf, ok := follower.store.LocalTime(claim.StoreTime)
+	return asOf, ok && follower.store.Era() == claim.Era // a new era may have begun meanwhile
+}
+
+// recordClaim records a claim of the present era, and reports whether the VM should call
+// the poller again.
+func (follower *follower) recordClaim(claim Claim, asOf time.Duration, dated bool) bool {
 	follower.mutex.Lock()
+	if follower.poller.Era() != claim.Era {
+		follower.mutex.Unlock()
+		return false
+	}
+	if !dated {
+		asOf = 0 // never newer than the VM's data
+	}
 	wake := follower.poller.RecordClaim(claim.Version, asOf)
 	if claim.Transferring && follower.poller.RecordTransfer(claim.After) {
 		wake = true
@@ -313,10 +394,13 @@
 	asOf = follower.poller.AsOf()
 	follower.mutex.Unlock()
 	follower.onFresh(asOf)
-	if wake {
-		select {
-		case follower.wake <- struct{}{}:
-		default: // a wake-up is pending already
-		}
+	return wake
+}
+
+// wakeUp ends idle early.
+func (follower *follower) wakeUp() {
+	select {
+	case follower.wake <- struct{}{}:
+	default: // a wake-up is pending already
 	}
 }
--- /dev/null
+++ b/gateway/internal/tracker/restore_test.go
@@ -0,0 +1,155 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"godwitramp.example/platform"
+	"godwitramp.example/platform/faker"
+)
+
+// restoreAfterLoss lets the configuration 11 be written after the copy, and restores it.
+func restoreAfterLoss(fleet *fleet) {
+	fleet.changeConfiguration(10, 1)
+	snapshot := fleet.store.Snapshot()
+	fleet.changeConfiguration(11, 1)
+	fleet.store.Restore(snapshot)
+}
+
+// checkServing checks the version in force on a VM, and whether the VM may serve and trust keys.
+func checkServing(t *testing.T, vm *member, version uint64, serves bool) {
+	t.Helper()
+	if index := vm.Index(); index == nil || index.Version != version {
+		t.Errorf("VM %d has %v in force, must have %d", vm.rank, index, version)
+	}
+	if freshness := vm.freshness(); policy.MayServe(freshness) != serves || policy.MayTrustKeys(freshness) != serves {
+		t.Errorf("VM %d: serves=%t, trusts-keys=%t, must be %t: %+v", vm.rank, policy.MayServe(freshness), policy.MayTrustKeys(freshness), serves, freshness)
+	}
+}
+
+func TestChangeAfterRestoreIsInForceInTime(t *testing.T) {
+	runFleet(t, 3, 1<<20, func(fleet *fleet) {
+		fleet.changeConfiguration(10, 1)
+		snapshot := fleet.store.Snapshot()
+		for version := uint64(11); version < 20; version++ {
+			fleet.putConfiguration(version, 1)
+			time.Sleep(time.Second)
+		}
+		fleet.store.Restore(snapshot)
+		time.Sleep(time.Second)
+		fleet.changeConfiguration(20, 1)
+	})
+}
+
+// The store gives version 11 of its rows out again, with another configuration, and has the
+// history since, so that no VM gets an error.
+func TestVersionGivenOutAgainHidesNoChange(t *testing.T) {
+	runFleet(t, 3, 1<<20, func(fleet *fleet) {
+		restoreAfterLoss(fleet)
+		fleet.changeConfiguration(12, 1)
+	})
+}
+
+// A VM that was cut off through the restore waits after a version that was given out again.
+func TestVersionGivenOutAgainHidesNoChangeFromAVMThatWasCutOff(t *testing.T) {
+	runFleet(t, 3, 1<<20, func(fleet *fleet) {
+		fleet.changeConfiguration(10, 1)
+		snapshot := fleet.store.Snapshot()
+		fleet.changeConfiguration(11, 1)
+		fleet.members()[0].link.Cut()
+		time.Sleep(5 * time.Second)
+		fleet.store.Restore(snapshot)
+		fleet.putConfiguration(12, 1)
+		time.Sleep(5 * time.Second)
+		fleet.members()[0].link.Restore()
+		time.Sleep(5 * time.Second)
+		for _, member := range fleet.members() {
+			checkServing(t, member, 12, true)
+		}
+	})
+}
+
+func TestConfigurationInForceDoesNotFallOverARestore(t *testing.T) {
+	runFleet(t, 3, 1<<20, func(fleet *fleet) {
+		restoreAfterLoss(fleet)
+		time.Sleep(10 * time.Second)
+		for _, member := range fleet.members() {
+			checkServing(t, member, 11, true)
+			if age := time.Since(fleet.startTime) - member.AsOf(); age > fleetMaxStaleness {
+				t.Errorf("the configuration of VM %d is %v old though the store has nothing newer", member.rank, age)
+			}
+		}
+	})
+}
+
+// The stand-in breaks calls off while it is away, then a page of each era comes.
+func TestTwoRestoresInQuickSuccession(t *testing.T) {
+	runFleet(t, 3, answerBytes(manyRoutes), func(fleet *fleet) {
+		fleet.changeConfiguration(10, manyRoutes)
+		snapshot := fleet.store.Snapshot()
+		fleet.changeConfiguration(11, manyRoutes)
+		for range 4 {
+			fleet.store.Restore(snapshot)
+			time.Sleep(150 * time.Millisecond)
+		}
+		fleet.putConfiguration(11, manyRoutes)
+		fleet.store.Restore(snapshot)
+		fleet.changeConfiguration(12, manyRoutes)
+	})
+}
+
+// After a restore, a VM must not count as fresh, nor take rows, by claims about the time before.
+func TestClaimsOfAnEndedEraAreIgnored(t *testing.T) {
+	runFleet(t, 2, 1<<20, func(fleet *fleet) {
+		fleet.changeConfiguration(10, 1)
+		snapshot := fleet.store.Snapshot()
+		fleet.changeConfiguration(11, 1)
+		second := fleet.members()[1]
+		old := fleet.members()[0].Claims()
+		fleet.store.Restore(snapshot)
+		fleet.changeConfiguration(12, 1)
+		asOf := second.AsOf()
+		for _, claim := range old {
+			claim.StoreTime += time.Hour
+			claim.Version += 100
+			claim.After = 1
+			claim.Rows = []platform.Row{{Table: claim.Table, Key: "forged", Version: claim.Version, Value: []byte("{}")}}
+			second.HandleClaim(claim)
+		}
+		if second.AsOf() != asOf || second.Behind() {
+			t.Errorf("a claim of an ended era changed the VM: as of %v, then %v, behind=%t", asOf, second.AsOf(), second.Behind())
+		}
+	})
+}
+
+// Targets that registered after the copy must have time to write their entries again.
+func TestEntriesMissingInTheCopyLapse(t *testing.T) {
+	store, address := newStore(t, "a", "b")
+	snapshot := store.Snapshot()
+	putTarget(store, "c", "ready")
+	putTarget(store, "d", "ready")
+	vm := start(t, address, &group{})
+	waitUntil(t, "configuration and targets are read", func() bool { return vm.Complete() && vm.has("a", "b", "c", "d") })
+	store.Restore(snapshot)
+	putTarget(store, "e", "ready")
+	waitUntil(t, "the VM has read the copy and kept the targets", func() bool { return vm.has("a", "b", "c", "d", "e") })
+	putTarget(store, "c", "ready")
+	waitUntil(t, "the target that did not write again is gone", func() bool { return vm.has("a", "b", "c", "e") })
+}
+
+func TestStoreThatIsAwayDuringARestore(t *testing.T) {
+	for _, faults := range []faker.Faults{{Refuse: 503}, {Silent: true}, {Delay: 300 * time.Millisecond}} {
+		runFleet(t, 3, 1<<20, func(fleet *fleet) {
+			fleet.changeConfiguration(10, 1)
+			snapshot := fleet.store.Snapshot()
+			fleet.changeConfiguration(11, 1)
+			fleet.store.SetFaults(faults)
+			time.Sleep(time.Second)
+			fleet.store.Restore(snapshot)
+			time.Sleep(time.Second)
+			fleet.store.SetFaults(faker.Faults{})
+			time.Sleep(500 * time.Millisecond)
+			fleet.changeConfiguration(12, 1)
+		})
+	}
+}
--- a/gateway/internal/tracker/stale_test.go
+++ b/gateway/internal/tracker/stale_test.go
@@ -76,6 +76,8 @@
 	return store.answer(after), nil
 }
 
+func (store *laggingStore) Era() uint64 { return 0 }
+
 func (store *laggingStore) LocalTime(storeTime time.Duration) (time.Duration, bool) {
 	return storeTime, true
 }
