tracker: a version of the configuration that is given out again comes into force

After a restore the operator may write another configuration under a version that was lost. A VM that had the lost one ignored it as known. In a newer era of the store the same version with other contents replaces the one in force and is logged as configuration-replaced; the version in force still never falls. Within an era nothing changes.

--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -122,6 +122,20 @@
 	})
 }
 
+func TestRestoredConfigurationOfTheSameVersionIsTheStoresTruth(t *testing.T) {
+	runFleet(t, 2, 1<<20, func(fleet *fleet) {
+		restoreAfterLoss(fleet)
+		time.Sleep(time.Second)
+		fleet.putConfiguration(11, 7)
+		time.Sleep(fleetMaxStaleness)
+		for _, member := range fleet.members() {
+			if routes := len(member.Index().Routes); routes != 7 {
+				t.Errorf("VM %d has %d routes, must have the 7 that the store acknowledged last", member.rank, routes)
+			}
+		}
+	})
+}
+
 // Targets that registered after the copy must have time to write their entries again.
 func TestEntriesMissingInTheCopyLapse(t *testing.T) {
 	store, address := newStore(t, "a", "b")
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -2,7 +2,8 @@
 // platform's store: it polls one table for each, shares what it reads with the VM's
 // group, and reports how old the configuration may be.
 //
-// The version of the configuration never falls. If the newest configuration can't be
+// The version of the configuration never falls, also if the store is restored from an older
+// copy. One of the same version with other contents replaces it only after a restore. If the newest configuration can't be
 // decoded or is invalid, the last good one stays in force.
 //
 // # Usage
@@ -18,6 +19,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +62,9 @@
 	// Clock.
 	asOf       atomic.Int64
 	hasTargets atomic.Bool
+	// indexEra is the era of the store in which index was read last. It is written and read
+	// while a reading is applied.
+	indexEra uint64
 	// refused is true while the newest configuration is invalid.
 	refused atomic.Bool
 
@@ -215,8 +220,14 @@
 		return
 	}
 	tracker.refused.Store(false)
+	restored := reading.Era > tracker.indexEra
+	tracker.indexEra = reading.Era
 	if current != nil && index.Version == current.Version {
-		return
+		// After a restore the operator may have given the version out again.
+		if !restored || reflect.DeepEqual(index.Configuration, current.Configuration) {
+			return
+		}
+		tracker.Log.WithFields(logrus.Fields{"version": index.Version, "entry-version": row.Version}).Warn("configuration-replaced")
 	}
 	tracker.index.Store(index)
 	tracker.Log.WithFields(logrus.Fields{
