verifier, tracker, messenger: a configuration older than one that the store lost is withheld

A VM that started after a restore, before the operator wrote again, took the configuration of the copy as the newest, in which a withdrawn key works and an added route is unknown, though the other VMs held the newer one.

Claims about the configuration also carry the version in force at the sender and the era in which it read it. A VM that has read an older one in a newer era withholds it: one that started in that era treats it as never confirmed (not ready, no key accepted, nothing rejected as unknown, no request served), one that was up as if it had heard of the newer one before the restore and couldn't read it. It ends with the next configuration that is as new. One line configuration-withheld tells both versions. A VM that says hello gets the claims of its group at once, not with the next heartbeat.

--- a/gateway/internal/messenger/eras_test.go
+++ b/gateway/internal/messenger/eras_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bytes"
+	"io"
+	"net"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -18,7 +22,7 @@
 		is.NoErr(encoder.Encode(value))
 		return plain.Bytes()
 	}
-	claims := []Claim{{Table: "t", Era: 3, Version: 7, Rows: []Row{{Key: "k"}}}, {Table: "u", Version: 8}}
+	claims := []Claim{{Table: "t", Era: 3, Version: 7, Rows: []Row{{Key: "k"}}}, {Table: "u", Version: 8}, {Table: "v", InForce: 21, InForceEra: 2}}
 	var first struct {
 		From, DataCentre, Address string
 		Hello, Leaving, Relay     bool
@@ -32,3 +36,32 @@
 	is.NoErr(msgpack.Unmarshal(encode(&first), &decoded))
 	is.Equal(decoded.Claims, claims)
 }
+
+// A VM that starts from an older copy of the store must not serve by it until the next heartbeat.
+func TestVMThatJoinsHearsClaimsAtOnce(t *testing.T) {
+	is := is.New(t)
+	joining, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = joining.Close() })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	messenger := &Messenger{ // doesn't run, so that there are no heartbeats
+		Self: Peer{Name: "self", DataCentre: "d", Address: "127.0.0.1:0"}, Key: make([]byte, keyBytes),
+		Clock: func() time.Duration { return 0 }, Log: logrus.NewEntry(log), StoreUnreachable: func() bool { return false },
+		Claims: func() []Claim { return []Claim{{Table: "t", InForce: 21, InForceEra: 1}} },
+	}
+	is.NoErr(messenger.Open())
+	t.Cleanup(func() { _ = messenger.connection.Close() })
+	messenger.receive(message{From: "joining", DataCentre: "d", Address: joining.LocalAddr().String(), Hello: true})
+	opener, err := newSealer(messenger.Key)
+	is.NoErr(err)
+	is.NoErr(joining.SetReadDeadline(time.Now().Add(30 * time.Second))) // only keeps a failing test from hanging
+	buffer := make([]byte, maxDatagram)
+	for heard := false; !heard; {
+		n, _, err := joining.ReadFrom(buffer)
+		is.NoErr(err)
+		opened, err := opener.open(buffer[:n])
+		is.NoErr(err)
+		heard = len(opened.Claims) == 1 && opened.Claims[0].InForce == 21
+	}
+}
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -197,21 +197,30 @@
 	Transferring bool
 	// Era is the era of the store to which Version and StoreTime belong, see erasPrefix.
 	Era uint64 `msgpack:"-"`
+	// InForce is the version of the configuration in force at the sender, and InForceEra the
+	// era in which it read that, in claims about its table.
+	InForce    uint64 `msgpack:"-"`
+	InForceEra uint64 `msgpack:"-"`
 }
 
 // erasPrefix and the name of a table are the table of an extra claim, which is sent along
-// with those of the message: its Version is the Era of the claim about that table. All
-// versions refuse claims with more fields, but ignore and relay claims about tables that
+// with those of the message. It carries fields of the claim about that table: Era as Version,
+// InForce as After, and InForceEra as the Version of its only row, if it isn't 0. All versions refuse claims with more fields, but ignore and relay claims about tables that
 // they don't know.
 const erasPrefix = "//era/"
 
-// splitEras adds the extra claims. There are none if the store has no eras.
+// splitEras adds the extra claims.
 func splitEras(claims []Claim) []Claim {
 	sent := claims[:len(claims):len(claims)]
 	for _, claim := range claims {
-		if claim.Era > 0 {
-			sent = append(sent, Claim{Table: erasPrefix + claim.Table, Version: claim.Era})
+		if claim.Era == 0 && claim.InForce == 0 {
+			continue
+		}
+		extra := Claim{Table: erasPrefix + claim.Table, Version: claim.Era, After: claim.InForce}
+		if claim.InForceEra > 0 {
+			extra.Rows = []Row{{Version: claim.InForceEra}}
 		}
+		sent = append(sent, extra)
 	}
 	return sent
 }
@@ -228,7 +237,11 @@
 		claims = append(claims, claim)
 	}
 	for i := range claims {
-		claims[i].Era = extra[claims[i].Table].Version
+		found := extra[claims[i].Table]
+		claims[i].Era, claims[i].InForce = found.Version, found.After
+		if len(found.Rows) > 0 {
+			claims[i].InForceEra = found.Rows[0].Version
+		}
 	}
 	return claims
 }
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -177,6 +177,10 @@
 	messenger.handleGrants(from.Name, message.Grants)
 	if message.Hello {
 		messenger.send(from.Address, messenger.newMessage(false, nil))
+		if messenger.InGroup(from.Name) {
+			// It must learn before it serves whether the store has lost a configuration.
+			messenger.SendHeartbeat()
+		}
 	}
 	for _, event := range message.Events {
 		messenger.OnEvent(from, event)
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/registrar"
 	"godwitramp.example/gateway/internal/tracker"
@@ -66,7 +67,7 @@
 	for _, own := range starter.tracker.Claims() {
 		claim := messenger.Claim{
 			Table: own.Table, Era: own.Era, Version: own.Version, StoreTime: own.StoreTime, After: own.After, AfterOutage: own.AfterOutage,
-			Transferring: own.Transferring,
+			Transferring: own.Transferring, InForce: own.InForce.Version, InForceEra: own.InForce.Era,
 		}
 		for _, row := range own.Rows {
 			claim.Rows = append(claim.Rows, messenger.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
@@ -80,7 +81,7 @@
 func (starter *Starter) handleClaim(received messenger.Claim) {
 	claim := tracker.Claim{
 		Table: received.Table, Era: received.Era, Version: received.Version, StoreTime: received.StoreTime, After: received.After, AfterOutage: received.AfterOutage,
-		Transferring: received.Transferring,
+		Transferring: received.Transferring, InForce: verifier.Origin{Version: received.InForce, Era: received.InForceEra},
 	}
 	for _, row := range received.Rows {
 		claim.Rows = append(claim.Rows, platform.Row{
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/poller"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/platform"
 	"godwitramp.example/shell/timer"
 )
@@ -47,6 +48,9 @@
 	Era       uint64
 	Version   uint64
 	StoreTime time.Duration
+	// InForce is the configuration in force at the sender, in claims about its table. It
+	// holds also if Era has ended.
+	InForce verifier.Origin
 	// Transferring is true while the sender receives a long answer. The others should
 	// call the store at once instead of waiting for its end.
 	Transferring bool
--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -167,3 +167,85 @@
 		})
 	}
 }
+
+// The copy lacks the configuration 11, which may have withdrawn a key. The VMs that hold it may
+// be cut off from the store.
+func TestVMThatStartsFromTheCopyDoesNotServeByIt(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		runFleet(t, 3, 1<<20, func(fleet *fleet) {
+			fleet.changeConfiguration(10, 1)
+			snapshot := fleet.store.Snapshot()
+			fleet.changeConfiguration(11, 1)
+			fleet.kill(2)
+			if cutOff {
+				fleet.members()[0].link.Cut()
+				fleet.members()[1].link.Cut()
+			}
+			fleet.store.Restore(snapshot)
+			fleet.start(2, 1<<20)
+			time.Sleep(time.Second)
+			started := fleet.members()[2]
+			for range 20 {
+				checkServing(t, started, 10, false)
+				if policy.MayRejectUnknown(started.freshness()) {
+					t.Error("a VM rejects by a configuration that is withheld")
+				}
+				time.Sleep(time.Second)
+			}
+			fleet.putConfiguration(11, 1)
+			time.Sleep(fleetMaxStaleness)
+			checkServing(t, started, 11, true)
+			if cutOff {
+				fleet.members()[0].link.Restore()
+				fleet.members()[1].link.Restore()
+			}
+		})
+	}
+}
+
+// A VM that had not read the configuration 11 before the restore may use 10 for as long as if
+// there had been no restore.
+func TestVMThatLackedWhatTheCopyLacksAgesOn(t *testing.T) {
+	runFleet(t, 3, 1<<20, func(fleet *fleet) {
+		fleet.changeConfiguration(10, 1)
+		snapshot := fleet.store.Snapshot()
+		late := fleet.members()[2]
+		late.link.Cut()
+		time.Sleep(20 * time.Millisecond)
+		late.down.Store(true) // no claims either
+		fleet.putConfiguration(11, 1)
+		time.Sleep(500 * time.Millisecond)
+		fleet.store.Restore(snapshot)
+		late.link.Restore()
+		late.down.Store(false)
+		time.Sleep(time.Second)
+		checkServing(t, late, 10, true)
+		time.Sleep(fleetMaxStaleness)
+		checkServing(t, late, 10, false)
+		fleet.store.Restore(snapshot)
+		time.Sleep(fleetMaxStaleness)
+		checkServing(t, late, 10, false)
+		fleet.putConfiguration(12, 1)
+		time.Sleep(fleetMaxStaleness)
+		checkServing(t, late, 12, true)
+	})
+}
+
+// In an ordinary change, the VMs that have it already must not make the others refuse.
+func TestOrdinaryChangeWithholdsNothing(t *testing.T) {
+	runFleet(t, 3, answerBytes(manyRoutes), func(fleet *fleet) {
+		restoreAfterLoss(fleet)
+		time.Sleep(fleetMaxStaleness)
+		for version := uint64(12); version < 20; version++ {
+			fleet.putConfiguration(version, manyRoutes)
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				for _, member := range fleet.members() {
+					if freshness := member.freshness(); !policy.MayTrustKeys(freshness) {
+						t.Errorf("VM %d refuses during a change: %+v", member.rank, freshness)
+					}
+				}
+			}
+		}
+	})
+}
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -29,6 +29,7 @@
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/poller"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/platform"
 	"godwitramp.example/shell/timer"
 )
@@ -62,9 +63,14 @@
 	// Clock.
 	asOf       atomic.Int64
 	hasTargets atomic.Bool
-	// indexEra is the era of the store in which index was read last. It is written and read
-	// while a reading is applied.
-	indexEra uint64
+	// indexEra is the era of the store in which index was read last. It is set before index.
+	indexEra atomic.Uint64
+	// withholder decides whether index is older than what the store had confirmed before it
+	// was restored. withheldAsOf is the limit of AsOf while withheld is true.
+	withholderMutex sync.Mutex
+	withholder      verifier.Withholder
+	withheld        atomic.Bool
+	withheldAsOf    atomic.Int64
 	// refused is true while the newest configuration is invalid.
 	refused atomic.Bool
 
@@ -106,7 +112,14 @@
 func (tracker *Tracker) Claims() []Claim {
 	var claims []Claim
 	for _, follower := range tracker.followers {
-		if claim, ok := follower.claim(); ok {
+		claim, ok := follower.claim()
+		if index := tracker.index.Load(); index != nil && follower == tracker.configuration && claim.Era > 0 {
+			claim.InForce = verifier.Origin{Version: index.Version, Era: tracker.indexEra.Load()}
+			if !ok { // only what is in force is known
+				claim, ok = Claim{Table: follower.table, InForce: claim.InForce}, true
+			}
+		}
+		if ok {
 			claims = append(claims, claim)
 		}
 	}
@@ -125,6 +138,9 @@
 
 // HandleClaim processes a claim of another VM of the group.
 func (tracker *Tracker) HandleClaim(claim Claim) {
+	if claim.Table == platform.ConfigurationTable && claim.InForce.Version > 0 {
+		tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordPeer(claim.InForce) })
+	}
 	for _, follower := range tracker.followers {
 		if follower.table == claim.Table {
 			follower.handleClaim(claim)
@@ -147,19 +163,26 @@
 func (tracker *Tracker) Index() *indexer.Index { return tracker.index.Load() }
 
 // AsOf returns the time of Clock up to which Index is known to be the newest
-// configuration. It is an hour before the zero of Clock if none has been read yet.
+// configuration. It is an hour before the zero of Clock if none has been read yet, or none
+// but from an older copy of the store.
 func (tracker *Tracker) AsOf() time.Duration {
 	if tracker.index.Load() == nil {
 		return -unknownAge
 	}
-	return time.Duration(tracker.asOf.Load())
+	asOf := tracker.asOf.Load()
+	if tracker.withheld.Load() {
+		asOf = min(asOf, tracker.withheldAsOf.Load())
+	}
+	return time.Duration(asOf)
 }
 
 const unknownAge = time.Hour
 
 // Behind reports whether a configuration newer than Index is known to exist, or may
 // be in the answer that the VM is receiving.
-func (tracker *Tracker) Behind() bool { return tracker.configuration.behind() }
+func (tracker *Tracker) Behind() bool {
+	return tracker.withheld.Load() || tracker.configuration.behind()
+}
 
 // StoreUnreachable reports whether this VM's last call for the configuration failed.
 func (tracker *Tracker) StoreUnreachable() bool { return tracker.configuration.unreachable() }
@@ -170,9 +193,28 @@
 }
 
 func (tracker *Tracker) handleConfiguration(reading platform.Reading, _, _ bool) {
+	asOf := tracker.AsOf()
 	for _, row := range reading.Rows {
 		tracker.applyConfiguration(row, reading)
 	}
+	if index := tracker.index.Load(); index != nil {
+		tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordReading(index.Version, reading.Era, asOf) })
+	}
+}
+
+// updateWithheld changes the withholder, and logs when it begins to withhold the configuration
+// or requires a newer one.
+func (tracker *Tracker) updateWithheld(change func(*verifier.Withholder)) {
+	tracker.withholderMutex.Lock()
+	defer tracker.withholderMutex.Unlock()
+	before := tracker.withholder.Required()
+	change(&tracker.withholder)
+	required := tracker.withholder.Required()
+	tracker.withheldAsOf.Store(int64(tracker.withholder.AsOf()))
+	tracker.withheld.Store(required > 0)
+	if required > before {
+		tracker.Log.WithFields(logrus.Fields{"version": tracker.index.Load().Version, "required": required}).Warn("configuration-withheld")
+	}
 }
 
 func (tracker *Tracker) notifyComplete() {
@@ -182,10 +224,10 @@
 }
 
 // advanceAsOf records that the configuration is up to date as of the given time. While
-// the newest configuration is invalid, the time doesn't advance, because keys may have
-// been withdrawn in it.
+// the newest configuration is invalid or was lost by the store, the time doesn't advance,
+// because keys may have been withdrawn in it.
 func (tracker *Tracker) advanceAsOf(asOf time.Duration) {
-	if tracker.refused.Load() {
+	if tracker.refused.Load() || tracker.withheld.Load() {
 		return
 	}
 	for known := tracker.asOf.Load(); int64(asOf) > known; known = tracker.asOf.Load() {
@@ -220,8 +262,7 @@
 		return
 	}
 	tracker.refused.Store(false)
-	restored := reading.Era > tracker.indexEra
-	tracker.indexEra = reading.Era
+	restored := reading.Era > tracker.indexEra.Swap(reading.Era)
 	if current != nil && index.Version == current.Version {
 		// After a restore the operator may have given the version out again.
 		if !restored || reflect.DeepEqual(index.Configuration, current.Configuration) {
