tracker: a restored store doesn't bring targets back that have left

The copy has entries of targets that have gone since, and says ready of those that are leaving: requests would have reached them again, or another target at the same address. In a newer era an entry of a target that is known to be leaving or gone (same start, no higher number of writes, or the very row that was known) is not believed and logged as target-entry-outdated. Those that have gone are remembered for a minute, 4,096 at most. If the store keeps such an entry for 10 s, its target writes and is taken: the store doesn't tell of writes that change nothing but their number. Within an era nothing changes.

TestTargetsThatLeftStayAwayOverARestore failed before (the leaving target was ready again); TestEntryWithFewerWritesIsTakenWithinAnEra holds before and after.

--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -1,9 +1,12 @@
 package tracker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
 )
@@ -249,3 +252,68 @@
 		}
 	})
 }
+
+// putEntry writes a target's entry with a start and a number of writes since.
+func putEntry(store *faker.Store, id, state string, born, sequence int) {
+	store.Put(platform.TargetTable, "", id, fmt.Appendf(nil,
+		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":%q,"Sequence":%d,"born":%d}`, state, sequence, born))
+}
+
+// knows reports whether the VM has the target.
+func (vm *vm) knows(id string) bool {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	_, ok := vm.targets[id]
+	return ok
+}
+
+// leaving reports whether the VM has the target and knows that it is leaving.
+func (vm *vm) leaving(id string) bool {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	return vm.targets[id].Leaving
+}
+
+// The copy says that leaving targets are ready and has entries of targets that are gone, at
+// whose addresses others may live.
+func TestTargetsThatLeftStayAwayOverARestore(t *testing.T) {
+	is := is.New(t)
+	store, address := newStore(t, "a")
+	for _, id := range []string{"leaving", "gone", "restarted"} {
+		putEntry(store, id, "ready", 7, 3)
+	}
+	snapshot := store.Snapshot()
+	vm := start(t, address, &group{})
+	waitUntil(t, "configuration and targets are read", func() bool { return vm.Complete() && vm.has("a", "leaving", "gone", "restarted") })
+	putEntry(store, "leaving", "draining", 7, 4)
+	store.Delete(platform.TargetTable, "", "gone")
+	store.Delete(platform.TargetTable, "", "restarted")
+	waitUntil(t, "the VM has the changes", func() bool { return vm.has("a", "leaving") && vm.leaving("leaving") })
+	for i, marker := range []string{"first", "second", "third"} {
+		if i == 1 {
+			store.ForgetHistory() // the table is read once more
+		} else {
+			store.Restore(snapshot)
+		}
+		putEntry(store, "restarted", "ready", 8, 1)
+		putTarget(store, marker, "ready")
+		waitUntil(t, "the VM has read the table", func() bool { return vm.knows(marker) && vm.knows("restarted") })
+		is.True(vm.leaving("leaving"))
+		is.True(!vm.knows("gone"))
+	}
+	putEntry(store, "leaving", "ready", 7, 5)
+	putEntry(store, "gone", "ready", 7, 5)
+	waitUntil(t, "targets that write again are taken as they are", func() bool {
+		return vm.knows("gone") && !vm.leaving("leaving")
+	})
+}
+
+// Within an era, an entry is taken as it is whatever its number of writes.
+func TestEntryWithFewerWritesIsTakenWithinAnEra(t *testing.T) {
+	store, address := newStore(t, "a")
+	putEntry(store, "b", "draining", 7, 9)
+	vm := start(t, address, &group{})
+	waitUntil(t, "configuration and targets are read", func() bool { return vm.Complete() && vm.has("a", "b") })
+	putEntry(store, "b", "ready", 7, 1)
+	waitUntil(t, "the target is ready again", func() bool { return !vm.leaving("b") })
+}
--- a/gateway/internal/tracker/targets.go
+++ b/gateway/internal/tracker/targets.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,13 @@
 	lapseGrace = 2 * time.Second
 	// maxLoggedUpdates is the number of targets in one answer up to which each has a line.
 	maxLoggedUpdates = 8
+	// goneMemory is how long after a target has gone its entry is known again, if the store
+	// is restored from an older copy, and maxGone the number of such targets.
+	goneMemory = time.Minute
+	maxGone    = 4096
+	// holdTime is how long the entry of a target that is known to be gone is not believed.
+	// The store removes the entries of targets that are silent sooner.
+	holdTime = 10 * time.Second
 )
 
 // targets holds the targets with a valid entry in the store. The tracker's mutex guards
@@ -28,14 +36,36 @@
 	// time until which they are kept.
 	lapsed        map[string]time.Duration
 	outageEndedAt time.Duration
+	// sightings are the newest entries of the targets in byID, and of those that have gone.
+	sightings map[string]sighting
+	// held are the entries that aren't believed yet.
+	held map[string]heldEntry
 }
 
-// apply applies rows of the table, all of them if full is true, and reports whether a
-// target has changed.
-func (targets *targets) apply(rows []platform.Row, full bool, now time.Duration) bool {
+// sighting tells the newest entry of a target from older ones, which an older copy of the
+// store brings back.
+type sighting struct {
+	incarnation, sequence int64
+	era, version          uint64
+	// forgetAt is set for a target that has gone.
+	forgetAt time.Duration
+}
+
+// heldEntry is an entry of a target that is known to be gone.
+type heldEntry struct {
+	target placer.Target
+	found  sighting
+	until  time.Duration
+}
+
+// apply applies rows of the table in an era of the store, all of them if full is true, and
+// reports whether a target has changed.
+func (targets *targets) apply(rows []platform.Row, full bool, era uint64, now time.Duration) bool {
 	if targets.byID == nil {
 		targets.byID = make(map[string]placer.Target)
 		targets.lapsed = make(map[string]time.Duration)
+		targets.sightings = make(map[string]sighting)
+		targets.held = make(map[string]heldEntry)
 	}
 	changed := false
 	present := make(map[string]bool, len(rows))
@@ -43,7 +73,7 @@
 	for _, row := range rows {
 		present[row.Key] = true
 		known := targets.byID[row.Key]
-		if targets.applyRow(row, now) {
+		if targets.applyRow(row, era, now) {
 			changed = true
 			if target, ok := targets.byID[row.Key]; ok && target != known {
 				updated = append(updated, update{target, row.Version})
@@ -54,6 +84,11 @@
 	if !full {
 		return changed
 	}
+	for id := range targets.held {
+		if !present[id] {
+			delete(targets.held, id)
+		}
+	}
 	for id := range targets.byID {
 		if !present[id] && targets.remove(id, now) {
 			changed = true
@@ -62,15 +97,27 @@
 	return changed
 }
 
-func (targets *targets) applyRow(row platform.Row, now time.Duration) bool {
+func (targets *targets) applyRow(row platform.Row, era uint64, now time.Duration) bool {
+	held := targets.held[row.Key]
+	delete(targets.held, row.Key)
 	if row.Deleted {
 		return targets.remove(row.Key, now)
 	}
-	target, err := platform.Target(row)
+	target, sequence, err := platform.TargetEntry(row)
 	if err != nil {
 		targets.log.WithError(err).WithField("entry-version", row.Version).Warn("target-entry-invalid")
-		return targets.drop(row.Key)
+		dropped := targets.drop(row.Key, now)
+		delete(targets.sightings, row.Key) // the target may be well
+		return dropped
+	}
+	found := sighting{incarnation: target.Incarnation, sequence: sequence, era: era, version: row.Version}
+	if targets.outdated(target, found) {
+		if _, ok := targets.byID[row.Key]; !ok {
+			targets.hold(target, found, held, now)
+		}
+		return false
 	}
+	targets.sightings[row.Key] = found
 	delete(targets.lapsed, row.Key)
 	current, ok := targets.byID[row.Key]
 	if ok && current == target {
@@ -80,6 +127,52 @@
 	return true
 }
 
+// outdated reports whether an entry was brought back by an older copy of the store, and says
+// that a target is there that is known to be leaving or gone.
+func (targets *targets) outdated(target placer.Target, found sighting) bool {
+	known, ok := targets.sightings[target.ID]
+	if !ok || known.era >= found.era || known.incarnation != found.incarnation {
+		return false
+	}
+	current, present := targets.byID[target.ID]
+	switch {
+	case present && (!current.Leaving || target.Leaving):
+		return false // nothing is undone
+	case found.sequence > known.sequence && (present || found.version != known.version):
+		return false // the target has written again
+	}
+	targets.log.WithFields(logrus.Fields{"target": target.ID, "leaving": present, "entry-version": found.version}).Info("target-entry-outdated")
+	return true
+}
+
+// hold keeps the entry of a target that is known to be gone. If the store still has it after
+// holdTime, the target writes: the store doesn't tell of writes that change nothing but their
+// number.
+func (targets *targets) hold(target placer.Target, found sighting, held heldEntry, now time.Duration) {
+	known := targets.sightings[target.ID]
+	known.forgetAt = now + goneMemory
+	targets.sightings[target.ID] = known
+	if held.found != found {
+		held = heldEntry{target: target, found: found, until: now + holdTime}
+	}
+	targets.held[target.ID] = held
+}
+
+// releaseHeld adds the targets whose entries were held for long enough, and reports whether
+// there was any.
+func (targets *targets) releaseHeld(now time.Duration) bool {
+	var updated []update
+	for id, held := range targets.held {
+		if now >= held.until {
+			delete(targets.held, id)
+			targets.byID[id], targets.sightings[id] = held.target, held.found
+			updated = append(updated, update{held.target, held.found.version})
+		}
+	}
+	targets.logUpdates(updated)
+	return len(updated) > 0
+}
+
 // update is a target that came or changed, with the version of its row.
 type update struct {
 	target  placer.Target
@@ -122,25 +215,53 @@
 		}
 		return false
 	}
-	return targets.drop(id)
+	return targets.drop(id, now)
 }
 
-func (targets *targets) drop(id string) bool {
+func (targets *targets) drop(id string, now time.Duration) bool {
 	delete(targets.lapsed, id)
 	if _, ok := targets.byID[id]; !ok {
 		return false
 	}
 	delete(targets.byID, id)
+	targets.limitGone()
+	known := targets.sightings[id]
+	known.forgetAt = now + goneMemory
+	targets.sightings[id] = known
 	targets.log.WithField("target", id).Info("target-gone")
 	return true
 }
 
+// limitGone forgets a target that went long ago if there are too many.
+func (targets *targets) limitGone() {
+	gone := len(targets.sightings) - len(targets.byID)
+	if gone <= maxGone {
+		return
+	}
+	oldest, forgetAt := "", time.Duration(math.MaxInt64)
+	for id, known := range targets.sightings {
+		if known.forgetAt > 0 && known.forgetAt < forgetAt {
+			oldest, forgetAt = id, known.forgetAt
+		}
+	}
+	delete(targets.sightings, oldest)
+}
+
+// forgetGone forgets the targets that went long ago.
+func (targets *targets) forgetGone(now time.Duration) {
+	for id, known := range targets.sightings {
+		if known.forgetAt > 0 && now >= known.forgetAt {
+			delete(targets.sightings, id)
+		}
+	}
+}
+
 // dropLapsed drops the lapsed targets whose entry was not renewed in time, and reports
 // whether there was any.
 func (targets *targets) dropLapsed(now time.Duration) bool {
 	changed := false
 	for id, until := range targets.lapsed {
-		if now >= until && targets.drop(id) {
+		if now >= until && targets.drop(id, now) {
 			changed = true
 		}
 	}
--- /dev/null
+++ b/gateway/internal/tracker/targets_test.go
@@ -0,0 +1,58 @@
+package tracker
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/platform"
+)
+
+func newTargets() *targets {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &targets{log: logrus.NewEntry(log)}
+}
+
+func entry(id string, version uint64, sequence int) platform.Row {
+	return platform.Row{Key: id, Version: version, Value: fmt.Appendf(nil,
+		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":"ready","Sequence":%d,"born":7}`, sequence)}
+}
+
+// The store doesn't tell of writes that change nothing but their number: a target that was taken
+// for gone before the restore, and lives, must not be left out for good.
+func TestEntryThatTheStoreKeepsAfterARestoreIsBelieved(t *testing.T) {
+	is := is.New(t)
+	targets := newTargets()
+	targets.apply([]platform.Row{entry("a", 5, 3), entry("b", 6, 3), entry("c", 7, 3)}, true, 1, 0)
+	for _, id := range []string{"a", "b", "c"} {
+		targets.apply([]platform.Row{{Key: id, Deleted: true, Version: 9}}, false, 1, time.Second)
+	}
+	copied := []platform.Row{entry("a", 5, 3), entry("b", 6, 8), entry("c", 7, 3)}
+	is.True(!targets.apply(copied, true, 2, 2*time.Second))
+	is.True(!targets.releaseHeld(2*time.Second + holdTime - 1))
+	targets.apply([]platform.Row{{Key: "b", Deleted: true, Version: 8}}, false, 2, 5*time.Second)
+	is.True(!targets.apply([]platform.Row{entry("a", 5, 3)}, true, 2, 6*time.Second)) // doesn't begin anew
+	is.True(targets.releaseHeld(2*time.Second + holdTime))
+	is.Equal(len(targets.byID), 1)
+	is.Equal(targets.byID["a"].ID, "a")
+}
+
+func TestMemoryOfTargetsThatHaveGoneIsBounded(t *testing.T) {
+	is := is.New(t)
+	targets := newTargets()
+	for i := range 3 * maxGone {
+		id := fmt.Sprint(i)
+		targets.apply([]platform.Row{entry(id, 5, 3)}, false, 1, time.Duration(i))
+		targets.apply([]platform.Row{{Key: id, Deleted: true, Version: 9}}, false, 1, time.Duration(i))
+	}
+	is.Equal(len(targets.sightings), maxGone)
+	_, oldest := targets.sightings["0"]
+	is.True(!oldest)
+	targets.forgetGone(time.Second + goneMemory)
+	is.Equal(len(targets.sightings), 0)
+}
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -285,7 +285,7 @@
 	if afterOutage {
 		tracker.targets.outageEndedAt = now
 	}
-	changed := tracker.targets.apply(reading.Rows, full, now)
+	changed := tracker.targets.apply(reading.Rows, full, reading.Era, now)
 	if changed || !tracker.hasTargets.Load() {
 		tracker.OnTargets(tracker.targets.all())
 		tracker.hasTargets.Store(true)
@@ -301,7 +301,10 @@
 func (tracker *Tracker) dropLapsed(ctx context.Context) {
 	for timer.Sleep(ctx, lapseCheckInterval) {
 		tracker.mutex.Lock()
-		if tracker.targets.dropLapsed(tracker.Clock()) {
+		now := tracker.Clock()
+		tracker.targets.forgetGone(now)
+		released := tracker.targets.releaseHeld(now)
+		if tracker.targets.dropLapsed(now) || released {
 			tracker.OnTargets(tracker.targets.all())
 		}
 		tracker.mutex.Unlock()
