--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -96,6 +97,12 @@
 
 // EncodeMsgpack encodes the message.
 func (message *message) EncodeMsgpack(encoder *msgpack.Encoder) error {
+	sent := *message
+	sent.Claims = splitEras(message.Claims)
+	return sent.encode(encoder)
+}
+
+func (message *message) encode(encoder *msgpack.Encoder) error {
 	used := firstMessageFields
 	switch {
 	case len(message.Grants) > 0:
@@ -110,7 +117,11 @@
 
 // DecodeMsgpack decodes a message of any version.
 func (message *message) DecodeMsgpack(decoder *msgpack.Decoder) error {
-	return decodeFields(decoder, message.fields(), firstMessageFields)
+	if err := decodeFields(decoder, message.fields(), firstMessageFields); err != nil {
+		return err
+	}
+	message.Claims = joinEras(message.Claims)
+	return nil
 }
 
 func (message *message) fields() []any {
@@ -184,6 +195,55 @@
 	// Transferring is true while the sender receives a long answer of the store with the
 	// changes since After.
 	Transferring bool
+	// Era is the era of the store to which Version and StoreTime belong, see erasPrefix.
+	Era uint64 `msgpack:"-"`
+	// InForce is the version of the configuration in force at the sender, and InForceEra the
+	// era in which it read that, in claims about its table.
+	InForce    uint64 `msgpack:"-"`
+	InForceEra uint64 `msgpack:"-"`
+}
+
+// erasPrefix and the name of a table are the table of an extra claim, which is sent along
+// with those of the message. It carries fields of the claim about that table: Era as Version,
+// InForce as After, and InForceEra as the Version of its only row, if it isn't 0. All versions refuse claims with more fields, but ignore and relay claims about tables that
+// they don't know.
+const erasPrefix = "//era/"
+
+// splitEras adds the extra claims.
+func splitEras(claims []Claim) []Claim {
+	sent := claims[:len(claims):len(claims)]
+	for _, claim := range claims {
+		if claim.Era == 0 && claim.InForce == 0 {
+			continue
+		}
+		extra := Claim{Table: erasPrefix + claim.Table, Version: claim.Era, After: claim.InForce}
+		if claim.InForceEra > 0 {
+			extra.Rows = []Row{{Version: claim.InForceEra}}
+		}
+		sent = append(sent, extra)
+	}
+	return sent
+}
+
+// joinEras takes the extra claims out and sets the fields that they carry.
+func joinEras(received []Claim) []Claim {
+	var claims []Claim
+	extra := make(map[string]Claim)
+	for _, claim := range received {
+		if table, ok := strings.CutPrefix(claim.Table, erasPrefix); ok {
+			extra[table] = claim
+			continue
+		}
+		claims = append(claims, claim)
+	}
+	for i := range claims {
+		found := extra[claims[i].Table]
+		claims[i].Era, claims[i].InForce = found.Version, found.After
+		if len(found.Rows) > 0 {
+			claims[i].InForceEra = found.Rows[0].Version
+		}
+	}
+	return claims
 }
 
 // Row is a changed or deleted row of the store.
