registrar: a VM whose row a restore undid while it joined writes it again

Cause: a VM wrote its row, read the table and joined without looking whether the row is in what it read. If the store comes back from an older copy between the two calls, the VM runs on without a row and VMs that start later don't know it: each part spends the group's rates.

Now the VM joins again from the start.

--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -36,6 +36,9 @@
 // that starts writes its rows faster than a part of the store takes them.
 const retryDelay = 300 * time.Millisecond
 
+// errRowGone means that the store was restored after it had acknowledged the VM's row.
+var errRowGone = errors.New("the store no longer has the VM's row")
+
 // Member is a VM of the fleet.
 type Member struct {
 	Name       string `json:"-"`
@@ -109,6 +112,9 @@
 	if err != nil {
 		return Members{}, err
 	}
+	if registrar.registered = slices.Contains(members.All, member); !registrar.registered {
+		return Members{}, errRowGone
+	}
 	if len(members.Key) == 0 {
 		if members.Key, err = registrar.createKey(ctx); err != nil {
 			return Members{}, err
