messenger: a fleet with two keys converges to that of the newest era without going deaf

Cause: a VM had one key for its whole run.

Now a VM holds up to three keys. As the row of the key is only written if there is none, an era of the store has at most one key, and that of the newest era is in use (core/keeper). A message to a VM that may only know the one before is still encrypted with that, and tells it the new one, so that nobody counts as silent meanwhile. Messages with claims tell the newest era of the store, as most VMs make no calls. Both fields are left out for a store that was never restored, and VMs of the version before skip them; they can't learn the new key and are heard and written to under theirs.

Ruled out: changing the key at a time set in advance (VMs that don't reach the store would miss it), sending every message twice (doubles the bytes for as long as one VM of the group is gone), the order of the keys' bytes in place of eras (the store's key would not be the one in use).

--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -7,10 +7,13 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"godwitramp.example/core/keeper"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/spreader"
 )
@@ -86,6 +89,15 @@
 	// Asks ask the receiver for tokens, and Grants answer asks of the receiver.
 	Asks   []ask
 	Grants []grant
+	// Era is the newest era of the store that the sender has heard of. It is only set on
+	// messages with claims, and left out for a store that was never restored.
+	Era uint64
+	// Key is the fleet's key, which the store had in Era, for a receiver that may only know
+	// an earlier one.
+	Key []byte
+
+	// sealedWith is the key that the message was opened with.
+	sealedWith []byte
 }
 
 // The numbers of fields of the first version.
@@ -98,6 +110,10 @@
 func (message *message) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	used := firstMessageFields
 	switch {
+	case len(message.Key) > 0:
+		used += 5
+	case message.Era > 0:
+		used += 4
 	case len(message.Grants) > 0:
 		used += 3
 	case len(message.Asks) > 0:
@@ -116,7 +132,7 @@
 func (message *message) fields() []any {
 	return []any{
 		&message.From, &message.DataCentre, &message.Address, &message.Hello, &message.Leaving, &message.Relay, &message.Events,
-		&message.Claims, &message.StoreUnreachable, &message.RelayPart, &message.Asks, &message.Grants,
+		&message.Claims, &message.StoreUnreachable, &message.RelayPart, &message.Asks, &message.Grants, &message.Era, &message.Key,
 	}
 }
 
@@ -210,10 +226,13 @@
 	return claim
 }
 
-// sealer encrypts and authenticates messages with the fleet's key by AES-GCM. Only open is
+// sealer encrypts and authenticates messages with the fleet's keys by AES-GCM. Only open is
 // not safe for concurrent use.
 type sealer struct {
-	aead cipher.AEAD
+	mutex sync.RWMutex
+	keys  *keeper.Keys
+	// ciphers are those of keys.Held.
+	ciphers []cipher.AEAD
 	// seen are the nonces of the last messages, and recent the same in their order, from
 	// position next on.
 	seen   map[string]bool
@@ -221,6 +240,9 @@
 	next   int
 }
 
+// nonceSize is that of AES-GCM.
+const nonceSize = 12
+
 // maxNonces is the number of nonces that are remembered: those of some seconds on a busy VM.
 const maxNonces = 4096
 
@@ -240,7 +262,17 @@
 	return true
 }
 
-func newSealer(key []byte) (*sealer, error) {
+func newSealer(era uint64, key []byte) (*sealer, error) {
+	sealer := &sealer{keys: keeper.NewKeys(era, key), seen: make(map[string]bool)}
+	aead, err := newCipher(key)
+	if err != nil {
+		return nil, err
+	}
+	sealer.ciphers = []cipher.AEAD{aead}
+	return sealer, nil
+}
+
+func newCipher(key []byte) (cipher.AEAD, error) {
 	block, err := aes.NewCipher(key)
 	if err != nil {
 		return nil, fmt.Errorf("create cipher from the fleet's key: %w", err)
@@ -249,21 +281,62 @@
 	if err != nil {
 		return nil, fmt.Errorf("create cipher from the fleet's key: %w", err)
 	}
-	return &sealer{aead: aead, seen: make(map[string]bool)}, nil
+	return aead, nil
+}
+
+// confirm takes in that the store had the key in an era, and reports whether another key is
+// in use now.
+func (sealer *sealer) confirm(era uint64, key []byte) (bool, error) {
+	if _, err := newCipher(key); err != nil {
+		return false, err
+	}
+	sealer.mutex.Lock()
+	defer sealer.mutex.Unlock()
+	changed := sealer.keys.Confirm(era, key)
+	if !changed {
+		return false, nil
+	}
+	sealer.ciphers = nil
+	for _, key := range sealer.keys.Held() {
+		aead, err := newCipher(key)
+		if err != nil {
+			return false, err
+		}
+		sealer.ciphers = append(sealer.ciphers, aead)
+	}
+	return true, nil
+}
+
+// current returns the key in use, and the newest era in which the store was known to have it.
+func (sealer *sealer) current() (uint64, []byte) {
+	sealer.mutex.RLock()
+	defer sealer.mutex.RUnlock()
+	return sealer.keys.Era(), sealer.keys.Held()[0]
 }
 
-func (sealer *sealer) seal(message message) ([]byte, error) {
+// seal encrypts a message with a key, or with the one in use if the key is nil or no longer
+// held.
+func (sealer *sealer) seal(message message, key []byte) ([]byte, error) {
+	sealer.mutex.RLock()
+	aead := sealer.ciphers[max(0, sealer.indexOf(key))]
+	sealer.mutex.RUnlock()
 	var plain bytes.Buffer
 	encoder := msgpack.NewEncoder(&plain)
 	encoder.UseArrayEncodedStructs(true) // field names would double the size
 	if err := encoder.Encode(&message); err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
-	nonce := make([]byte, sealer.aead.NonceSize(), sealer.aead.NonceSize()+plain.Len()+sealer.aead.Overhead())
+	nonce := make([]byte, nonceSize, nonceSize+plain.Len()+aead.Overhead())
 	if _, err := rand.Read(nonce); err != nil {
 		return nil, fmt.Errorf("generate nonce: %w", err)
 	}
-	return sealer.aead.Seal(nonce, nonce, plain.Bytes(), nil), nil
+	return aead.Seal(nonce, nonce, plain.Bytes(), nil), nil
+}
+
+// indexOf returns the position of a key among those held, -1 if it isn't. The caller holds
+// the mutex.
+func (sealer *sealer) indexOf(key []byte) int {
+	return slices.IndexFunc(sealer.keys.Held(), func(held []byte) bool { return bytes.Equal(held, key) })
 }
 
 var errDoubled = errors.New("datagram arrived twice")
@@ -273,20 +346,32 @@
 // open decrypts a message. It refuses a datagram that the network has doubled: the tokens in
 // a message must count once.
 func (sealer *sealer) open(datagram []byte) (message, error) {
-	size := sealer.aead.NonceSize()
-	if len(datagram) < size {
-		return message{}, errNotAuthenticated
-	}
-	plain, err := sealer.aead.Open(nil, datagram[:size], datagram[size:], nil)
+	plain, key, err := sealer.decrypt(datagram)
 	if err != nil {
-		return message{}, errNotAuthenticated
+		return message{}, err
 	}
-	if !sealer.addNonce(string(datagram[:size])) {
+	if !sealer.addNonce(string(datagram[:nonceSize])) {
 		return message{}, errDoubled
 	}
 	var decoded message
 	if err := msgpack.Unmarshal(plain, &decoded); err != nil {
 		return message{}, fmt.Errorf("decode message: %w", err)
 	}
+	decoded.sealedWith = key
 	return decoded, nil
 }
+
+// decrypt returns the content of a datagram and the key that opened it.
+func (sealer *sealer) decrypt(datagram []byte) (plain, key []byte, err error) {
+	sealer.mutex.RLock()
+	defer sealer.mutex.RUnlock()
+	for i, aead := range sealer.ciphers {
+		if len(datagram) < nonceSize {
+			break
+		}
+		if plain, err := aead.Open(nil, datagram[:nonceSize], datagram[nonceSize:], nil); err == nil {
+			return plain, sealer.keys.Held()[i], nil
+		}
+	}
+	return nil, nil, errNotAuthenticated
+}
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -18,6 +18,7 @@
 package messenger
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -54,8 +55,10 @@
 // The methods are safe for concurrent use after Open.
 type Messenger struct {
 	Self Peer
-	// Key is the fleet's AES key, which encrypts and authenticates the datagrams.
-	Key []byte
+	// Key is the fleet's AES key, which encrypts and authenticates the datagrams. The store
+	// had it in KeyEra.
+	Key    []byte
+	KeyEra uint64
 	// OnEvent handles an event of another VM. It is called from one goroutine.
 	OnEvent func(from Peer, event Event)
 	// Claims, if set, returns the claims of this VM about the store, which heartbeats
@@ -65,6 +68,8 @@
 	// StoreUnreachable reports whether the store does not answer this VM. It must be set
 	// if Claims is.
 	StoreUnreachable func() bool
+	// StoreEra, if set, returns the newest era of the store that its answers have named.
+	StoreEra func() uint64
 	// OnGroupChange, if set, is called when the group or the number of its members that
 	// are not silent may have changed.
 	OnGroupChange func()
@@ -94,8 +99,12 @@
 	contacts map[string][]netip.AddrPort
 	// dataCentreSize is the number of VMs of the data centre, including this one.
 	dataCentreSize int
-	leaving        bool
-	pendingAsks    map[uint64]pendingAsk
+	// behind are the keys known last of the VMs that may not know the one in use.
+	behind map[netip.AddrPort][]byte
+	// heardEra is the newest era of the store that a message has named.
+	heardEra    uint64
+	leaving     bool
+	pendingAsks map[uint64]pendingAsk
 }
 
 // peer is the state of another VM of the data centre.
@@ -111,7 +120,7 @@
 // Open binds the address. Call it before all other methods.
 func (messenger *Messenger) Open() error {
 	var err error
-	if messenger.sealer, err = newSealer(messenger.Key); err != nil {
+	if messenger.sealer, err = newSealer(messenger.KeyEra, messenger.Key); err != nil {
 		return err
 	}
 	address, err := net.ResolveUDPAddr("udp4", messenger.Self.Address)
@@ -125,6 +134,7 @@
 	messenger.groups = make([][]*peer, 1)
 	messenger.peers = make(map[string]*peer)
 	messenger.contacts = make(map[string][]netip.AddrPort)
+	messenger.behind = make(map[netip.AddrPort][]byte)
 	messenger.pendingAsks = make(map[uint64]pendingAsk)
 	return nil
 }
@@ -160,6 +170,7 @@
 	if from.Name == messenger.Self.Name {
 		return
 	}
+	messenger.receiveKey(message)
 	if message.Leaving {
 		messenger.remove(from.Name)
 		return
@@ -216,7 +227,7 @@
 		for _, claim := range messenger.Claims() {
 			message.Claims = append(message.Claims, claim.bounded())
 		}
-		message.StoreUnreachable = messenger.StoreUnreachable()
+		message.StoreUnreachable, message.Era = messenger.StoreUnreachable(), messenger.restoredEra()
 	}
 	messenger.sendAll(messenger.groupAddresses(), message)
 	if len(message.Claims) > 0 && messenger.Rank() == 0 {
@@ -229,6 +240,7 @@
 func (messenger *Messenger) relayClaims(part spreader.Part, claims []Claim) {
 	message := messenger.newMessage(false, nil)
 	message.Claims, message.StoreUnreachable = claims, messenger.StoreUnreachable()
+	message.Era = messenger.restoredEra()
 	messenger.sendAll(messenger.groupAddresses(), message)
 	messenger.sendClaims(part, claims)
 }
@@ -239,6 +251,7 @@
 	for _, relay := range messenger.relays(part) {
 		message := messenger.newMessage(false, nil)
 		message.Claims, message.StoreUnreachable = claims, messenger.StoreUnreachable()
+		message.Era = messenger.restoredEra()
 		message.Relay, message.RelayPart = true, relay.part
 		messenger.sendAll([]netip.AddrPort{relay.address}, message)
 	}
@@ -267,10 +280,18 @@
 }
 
 func (messenger *Messenger) sendAll(addresses []netip.AddrPort, message message) {
-	if len(addresses) == 0 {
-		return
+	for key, addresses := range messenger.byKey(addresses) {
+		messenger.sendSealed(addresses, message, []byte(key))
 	}
-	sealed, err := messenger.sealer.seal(message)
+}
+
+// sendSealed sends a message that is encrypted with a key. If the key isn't the one in use,
+// the message tells the one in use.
+func (messenger *Messenger) sendSealed(addresses []netip.AddrPort, message message, key []byte) {
+	if era, current := messenger.sealer.current(); !bytes.Equal(key, current) {
+		message.Era, message.Key = era, current
+	}
+	sealed, err := messenger.sealer.seal(message, key)
 	if err != nil {
 		messenger.Log.WithError(err).Error("message-not-encrypted")
 		return
@@ -312,12 +333,5 @@
 		messenger.Log.WithError(err).Warn("peer-address-malformed")
 		return
 	}
-	sealed, err := messenger.sealer.seal(message)
-	if err != nil {
-		messenger.Log.WithError(err).Error("message-not-encrypted")
-		return
-	}
-	if _, err := messenger.connection.WriteToUDPAddrPort(sealed, target); err != nil {
-		messenger.Log.WithError(err).WithField("peer", address).Debug("message-not-sent")
-	}
+	messenger.sendAll([]netip.AddrPort{target}, message)
 }
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -198,6 +198,27 @@
 	return rank
 }
 
+// FirstInGroup reports whether this VM is the first of its group, by name, among the VMs that
+// are not silent and that the store answers.
+func (messenger *Messenger) FirstInGroup() bool {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	return !slices.ContainsFunc(messenger.group, func(peer *peer) bool {
+		return !peer.silent && !peer.storeUnreachable && peer.Name < messenger.Self.Name
+	})
+}
+
+// Group returns the other VMs of the group, silent ones included.
+func (messenger *Messenger) Group() []Peer {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	var peers []Peer
+	for _, peer := range messenger.group {
+		peers = append(peers, peer.Peer)
+	}
+	return peers
+}
+
 // InGroup reports whether the named VM belongs to this VM's group.
 func (messenger *Messenger) InGroup(name string) bool {
 	messenger.mutex.Lock()
