registrar, starter: VMs write their rows and key again after the store was restored

Cause: a VM wrote its row and looked for the key once, when it joined.

A VM that hears of a new era, from an answer of the store or another VM, reads the table once: the first of its group within a second, the others over 20 ms a member of the fleet, so that 5,800 VMs don't call at one moment. It writes the rows of its group and the key if they are missing, under the condition that they are, and its own if another stands there; takes the key that the store has; and greets VMs that it didn't know. As when joining, it reads after writing. A VM that can't reach the store tries again with up to 10 s between attempts.

Before, of the starter's tests: "timed out after 30 s: the VM's row is back" after a restore to before the first start, "timed out after 30 s: for twice the time of silence, all hear all" after one with another key. Ruled out: each VM looking for its own row and the key only, by a transaction whose condition fails (half the bytes, but VMs that came meanwhile stay unknown to those whose row another has written again).

--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -5,6 +5,7 @@
 //
 //	registrar := &registrar.Registrar{Store: store, Log: log}
 //	members, err := registrar.Join(ctx, registrar.Member{Name: name, DataCentre: dataCentre, Address: address})
+//	members, err = registrar.Verify(ctx, member, members.Key, group) // after a restore
 package registrar
 
 import (
@@ -21,6 +22,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/platform"
+	"godwitramp.example/shell/timer"
 )
 
 // The table has one row with the key of the fleet's messages, and one row for each VM.
@@ -49,6 +51,8 @@
 
 // Members are all VMs that have ever joined, and the key of their messages.
 type Members struct {
+	// Era is the era of the store in which it had the rows and the key.
+	Era uint64
 	Key []byte
 	All []Member
 }
@@ -81,81 +85,161 @@
 			return members, nil
 		}
 		registrar.Log.WithError(err).Warn("join-failed")
-		select {
-		case <-ctx.Done():
+		if !timer.Sleep(ctx, time.Duration((0.5+mathrand.Float64())*float64(retryDelay))) {
 			return Members{}, fmt.Errorf("join the fleet: %w", context.Cause(ctx))
-		case <-time.After(time.Duration((0.5 + mathrand.Float64()) * float64(retryDelay))):
 		}
 	}
 }
 
 func (registrar *Registrar) join(ctx context.Context, member Member) (Members, error) {
 	if !registrar.registered && !registrar.FirstStart {
-		members, err := registrar.read(ctx)
+		found, err := registrar.read(ctx)
 		if err != nil {
 			return Members{}, err
 		}
-		registrar.registered = slices.Contains(members.All, member)
-		if registrar.registered && len(members.Key) > 0 {
-			return members, nil // a restart
+		registrar.registered = slices.Contains(found.All, member)
+		if registrar.registered && len(found.Key) > 0 {
+			return found.Members, nil // a restart
 		}
 	}
+	found, err := registrar.register(ctx, member)
+	if err != nil {
+		return Members{}, err
+	}
+	members := found.Members
+	if len(members.Key) == 0 {
+		if members.Key, err = registrar.createKey(ctx); err != nil {
+			return Members{}, err
+		}
+	}
+	if len(members.Key) != keyLength {
+		return Members{}, fmt.Errorf("the key of the fleet has %d bytes, must be %d", len(members.Key), keyLength)
+	}
+	return members, nil
+}
+
+// register writes the VM's row unless the store has it, and returns the table.
+func (registrar *Registrar) register(ctx context.Context, member Member) (contents, error) {
 	if !registrar.registered {
 		if err := registrar.writeMember(ctx, member); err != nil {
-			return Members{}, err
+			return contents{}, err
 		}
 		registrar.registered = true
 	}
 	// Read after writing: of two VMs that register concurrently, the second then finds the
 	// first.
-	members, err := registrar.read(ctx)
+	found, err := registrar.read(ctx)
+	if err != nil {
+		return contents{}, err
+	}
+	if registrar.registered = slices.Contains(found.All, member); !registrar.registered {
+		return contents{}, errRowGone
+	}
+	return found, nil
+}
+
+// Verify writes again what the store lacks after it was restored: the row of this VM, those
+// of its group, and the key. It returns all VMs registered so far and the key that the store
+// has.
+func (registrar *Registrar) Verify(ctx context.Context, member Member, key []byte, group []Member) (Members, error) {
+	found, err := registrar.read(ctx)
 	if err != nil {
 		return Members{}, err
 	}
-	if registrar.registered = slices.Contains(members.All, member); !registrar.registered {
-		return Members{}, errRowGone
+	transaction, err := found.repair(member, key, group)
+	if err != nil || len(transaction.Writes) == 0 {
+		return found.Members, err
 	}
-	if len(members.Key) == 0 {
-		if members.Key, err = registrar.createKey(ctx); err != nil {
-			return Members{}, err
-		}
+	if err := registrar.commit(ctx, transaction); err != nil {
+		return Members{}, err
 	}
-	if len(members.Key) != keyLength {
-		return Members{}, fmt.Errorf("the key of the fleet has %d bytes, must be %d", len(members.Key), keyLength)
+	registrar.Log.WithField("rows", len(transaction.Writes)).Info("rows-written-again")
+	// Read after writing, as when joining.
+	if found, err = registrar.read(ctx); err != nil {
+		return Members{}, err
 	}
-	return members, nil
+	if transaction, err = found.repair(member, key, group); err == nil && len(transaction.Writes) > 0 {
+		err = errRowGone
+	}
+	return found.Members, err
+}
+
+// contents are those of the table.
+type contents struct {
+	Members
+}
+
+// repair returns the transaction that writes what is missing. A row of another VM is only
+// written if there is none, as the VM may have joined with another address.
+func (contents *contents) repair(member Member, key []byte, group []Member) (platform.Transaction, error) {
+	var transaction platform.Transaction
+	add := func(write platform.Write, condition platform.Condition) {
+		transaction.Writes = append(transaction.Writes, write)
+		transaction.Conditions = append(transaction.Conditions, condition)
+	}
+	if len(contents.Key) == 0 {
+		add(platform.Write{Table: table, Key: keyRow, Value: key}, platform.Condition{Table: table, Key: keyRow})
+	}
+	known := make(map[string]Member, len(contents.All))
+	for _, other := range contents.All {
+		known[other.Name] = other
+	}
+	for _, other := range append([]Member{member}, group...) {
+		stored, exists := known[other.Name]
+		if exists && (other.Name != member.Name || stored == member) {
+			continue
+		}
+		write, err := memberWrite(other)
+		if err != nil {
+			return platform.Transaction{}, err
+		}
+		if exists {
+			transaction.Writes = append(transaction.Writes, write)
+			continue
+		}
+		add(write, platform.Condition{Table: table, Key: write.Key})
+	}
+	return transaction, nil
 }
 
-func (registrar *Registrar) read(ctx context.Context) (Members, error) {
+func (registrar *Registrar) read(ctx context.Context) (contents, error) {
 	reading, err := registrar.Store.Read(ctx, table, "", nil)
 	if err != nil {
-		return Members{}, fmt.Errorf("read members: %w", err)
+		return contents{}, fmt.Errorf("read members: %w", err)
 	}
-	var members Members
+	found := contents{Members: Members{Era: reading.Era}}
 	for _, row := range reading.Rows {
 		name, isVM := strings.CutPrefix(row.Key, vmPrefix)
 		switch {
 		case row.Key == keyRow:
-			members.Key = row.Value
+			found.Key = row.Value
 		case isVM:
 			other := Member{Name: name}
 			if err := json.Unmarshal(row.Value, &other); err != nil {
 				registrar.Log.WithError(err).WithField("peer", name).Warn("member-malformed")
 				continue
 			}
-			members.All = append(members.All, other)
+			found.All = append(found.All, other)
 		}
 	}
-	return members, nil
+	return found, nil
+}
+
+func memberWrite(member Member) (platform.Write, error) {
+	value, err := json.Marshal(member)
+	if err != nil {
+		return platform.Write{}, fmt.Errorf("encode member: %w", err)
+	}
+	return platform.Write{Table: table, Key: vmPrefix + member.Name, Value: value}, nil
 }
 
 // writeMember writes the VM's row.
 func (registrar *Registrar) writeMember(ctx context.Context, member Member) error {
-	value, err := json.Marshal(member)
+	write, err := memberWrite(member)
 	if err != nil {
-		return fmt.Errorf("encode member: %w", err)
+		return err
 	}
-	return registrar.commit(ctx, platform.Transaction{Writes: []platform.Write{{Table: table, Key: vmPrefix + member.Name, Value: value}}})
+	return registrar.commit(ctx, platform.Transaction{Writes: []platform.Write{write}})
 }
 
 // createKey writes a new key, and returns it, or the key that another VM has written
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
 
+	"godwitramp.example/core/keeper"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/registrar"
 	"godwitramp.example/gateway/internal/tracker"
@@ -22,7 +27,7 @@
 	peers := peersOf(members)
 	messenger := &messenger.Messenger{
 		Self: messenger.Peer{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages},
-		Key:  members.Key, Clock: timer.Now, Log: starter.Log,
+		Key:  members.Key, KeyEra: members.Era, StoreEra: starter.store.Era, Clock: timer.Now, Log: starter.Log,
 		OnEvent: starter.handleEvent, Claims: starter.claims, OnClaim: starter.handleClaim, StoreUnreachable: starter.tracker.AnyTableUnreachable,
 		OnGroupChange: starter.updateShare, Regions: settings.Regions,
 		OnAsk: starter.dispatcher.Lend, OnTokens: starter.dispatcher.HandleTokens,
@@ -36,9 +41,71 @@
 	messenger.AddPeers(peers)
 	starter.updateShare()
 	starter.messages.onJoin()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { starter.keepMembership(ctx, registrar, messenger, members.Era) })
 	_ = messenger.Run(ctx)
 }
 
+const (
+	// eraInterval is the interval at which the VM looks whether the store was restored, which
+	// needs no call.
+	eraInterval = 500 * time.Millisecond
+	// verifyDelay is the wait after the first failed attempt to verify the rows. It doubles
+	// with each up to maxVerifyDelay, and varies by half.
+	verifyDelay    = 300 * time.Millisecond
+	maxVerifyDelay = 10 * time.Second
+)
+
+// keepMembership verifies the rows in the store, and the fleet's key, once in each era after
+// the given one until the context ends.
+func (starter *Starter) keepMembership(
+	ctx context.Context, registrar *registrar.Registrar, messenger *messenger.Messenger, verified uint64,
+) {
+	for timer.Sleep(ctx, eraInterval) {
+		era := messenger.Era()
+		if era <= verified {
+			continue
+		}
+		share := messenger.Share()
+		delay := keeper.Delay(messenger.FirstInGroup(), share.VMs*max(1, len(starter.Settings.Regions)), rand.Float64())
+		if !timer.Sleep(ctx, delay) {
+			return
+		}
+		members, err := starter.verify(ctx, registrar, messenger)
+		if err != nil {
+			return // the context has ended
+		}
+		verified = max(era, members.Era)
+		messenger.ConfirmKey(members.Era, members.Key)
+		messenger.AddPeers(peersOf(members))
+	}
+}
+
+// verify retries until the rows have been verified or the context ends.
+func (starter *Starter) verify(
+	ctx context.Context, registrar *registrar.Registrar, messenger *messenger.Messenger,
+) (registrar.Members, error) {
+	for delay := verifyDelay; ; delay = min(2*delay, maxVerifyDelay) {
+		members, err := registrar.Verify(ctx, starter.member(), messenger.CurrentKey(), membersOf(messenger.Group()))
+		if err == nil {
+			return members, nil
+		}
+		starter.Log.WithError(err).Warn("rows-not-verified")
+		if !timer.Sleep(ctx, time.Duration((0.5+rand.Float64())*float64(delay))) {
+			return members, fmt.Errorf("verify rows: %w", context.Cause(ctx))
+		}
+	}
+}
+
+func membersOf(peers []messenger.Peer) []registrar.Member {
+	var members []registrar.Member
+	for _, peer := range peers {
+		members = append(members, registrar.Member{Name: peer.Name, DataCentre: peer.DataCentre, Address: peer.Address})
+	}
+	return members
+}
+
 func (starter *Starter) member() registrar.Member {
 	settings := starter.Settings
 	return registrar.Member{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages}
--- /dev/null
+++ b/gateway/internal/starter/restore_test.go
@@ -0,0 +1,96 @@
+package starter_test
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+// logged keeps the events that a VM logs, with the peer or the number of peers.
+type logged struct {
+	mutex  sync.Mutex
+	events []string
+}
+
+func (logged *logged) Levels() []logrus.Level { return logrus.AllLevels }
+
+func (logged *logged) Fire(entry *logrus.Entry) error {
+	event := entry.Message
+	for _, field := range []string{"peer", "peers"} {
+		if value, ok := entry.Data[field]; ok {
+			event += fmt.Sprint(" ", value)
+		}
+	}
+	logged.mutex.Lock()
+	defer logged.mutex.Unlock()
+	logged.events = append(logged.events, event)
+	return nil
+}
+
+func (logged *logged) has(event string) bool {
+	logged.mutex.Lock()
+	defer logged.mutex.Unlock()
+	for _, other := range logged.events {
+		if other == event {
+			return true
+		}
+	}
+	return false
+}
+
+func (fleet *fleet) row(key string) []byte { return fleet.store.Row("vms", "", key) }
+
+// A restore to a copy from before the first start must not leave the table without the VMs'
+// rows, nor without their key.
+func TestRowsAndKeyMissingAfterRestore(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 0)
+	snapshot := fleet.store.Snapshot()
+	for i := range 3 {
+		fleet.run(fmt.Sprint("vm-", i))
+	}
+	key := fleet.row("key")
+	for range 2 {
+		fleet.store.Restore(snapshot)
+		for i := range 3 {
+			fleet.waitUntil("the VM's row is back", func() bool { return fleet.row(fmt.Sprint("vm/vm-", i)) != nil })
+		}
+		fleet.waitUntil("the key is back", func() bool { return fleet.row("key") != nil })
+		is.Equal(fleet.row("key"), key)
+	}
+}
+
+// If the copy has another key, VMs that were up must hear those that start with it, and must
+// go on to hear each other.
+func TestFleetInTwoPartsAfterRestoreWithAnotherKey(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 0)
+	other := bytes.Repeat([]byte{7}, 32)
+	fleet.store.Put("vms", "", "key", other)
+	snapshot := fleet.store.Snapshot()
+	fleet.store.Delete("vms", "", "key")
+	fleet.run("vm-0")
+	fleet.run("vm-1")
+	is.True(!bytes.Equal(fleet.row("key"), other))
+	fleet.store.Restore(snapshot)
+	fleet.run("vm-2")
+	heardSince := time.Now()
+	fleet.waitUntil("for twice the time of silence, all hear all", func() bool {
+		for _, vm := range fleet.vms {
+			if share := vm.starter.Share(); share.VMs != 3 || share.Reachable < 1 {
+				heardSince = time.Now()
+			}
+		}
+		return time.Since(heardSince) > 3500*time.Millisecond
+	})
+	for _, vm := range fleet.vms[:2] {
+		is.True(!vm.logged.has("peer-silent vm-0"))
+		is.True(!vm.logged.has("peer-silent vm-1"))
+	}
+	is.Equal(fleet.row("key"), other)
+}
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -40,6 +40,7 @@
 	settings loader.Settings
 	stop     context.CancelFunc
 	stopped  chan struct{}
+	logged   *logged
 }
 
 // start runs a fleet of VMs and waits until they are ready.
@@ -112,10 +113,12 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	logged := &logged{}
+	log.AddHook(logged)
 	starter := &starter.Starter{Settings: settings, Log: logrus.NewEntry(log)}
 	starter.Open()
 	ctx, cancel := context.WithCancel(context.Background())
-	vm := &vm{starter: starter, settings: settings, stop: cancel, stopped: make(chan struct{})}
+	vm := &vm{starter: starter, settings: settings, stop: cancel, stopped: make(chan struct{}), logged: logged}
 	go func() {
 		defer close(vm.stopped)
 		if err := starter.Run(ctx); err != nil {
