registrar, keeper: a VM that joins after a restore waits for the rows of the others

Cause: a VM that starts between the restore and the others' writing their rows again finds a table without them, takes itself for the whole fleet, spends all of the rates, and creates a key of its own if there is none.

The first VM that writes to the table in an era marks it with the era and the store's time. Who joins in an era after the first waits until 5 s after that before it reads the table that counts and creates a key. A restart later in the era joins with one read as before; a store that was never restored costs no call and no wait.

Before: "timed out after 30 s: the VM joins with all others" (it joined with one). Weak side: a group of which the store answers no VM for longer is unknown until it comes back, and a VM that isn't joined spends a sixteenth of its data centre's rates, now for up to 5 s after a restore.

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -1,12 +1,14 @@
 // Package keeper decides how a VM keeps its place in the fleet after the platform's store has
 // come back from an older copy, in which rows of VMs and the key of their messages may be
-// missing: which key its messages use, and when it looks after the rows.
+// missing: which key its messages use, when it looks after the rows, and how long a VM that
+// joins waits for the rows of the others.
 //
 // # Usage
 //
 //	keys := keeper.NewKeys(era, key)
 //	changed := keys.Confirm(laterEra, otherKey) // the store has this key
 //	delay := keeper.Delay(first, members, rand.Float64())
+//	wait := mark.Wait(era, storeTime) // 0 if the table is complete
 package keeper
 
 import (
@@ -60,6 +62,11 @@
 	// what it has to be for each member.
 	minSpread    = 2 * time.Second
 	memberSpread = 20 * time.Millisecond
+	// SettleTime is the time within which the first VM of a group has heard of a new era and
+	// has written the rows of its group again.
+	SettleTime = 5 * time.Second
+	// firstEra is the era of a store that was never restored.
+	firstEra = 1
 )
 
 // Delay returns how long a VM that has heard of a new era waits before it reads the table.
@@ -71,3 +78,22 @@
 	}
 	return time.Duration(random * float64(spread))
 }
+
+// Mark is the time of the store's clock at which the first VM wrote to the table in an era.
+type Mark struct {
+	Era   uint64        `json:"era"`
+	Since time.Duration `json:"since"`
+}
+
+// Wait returns how long a VM that joins has to wait until the rows that the copy lacked have
+// been written again. A VM that doesn't know of others would spend what is theirs.
+func (mark Mark) Wait(era uint64, now time.Duration) time.Duration {
+	switch {
+	case era <= firstEra:
+		return 0
+	case mark.Era != era:
+		return SettleTime
+	default:
+		return min(SettleTime, max(0, mark.Since+SettleTime-now))
+	}
+}
--- a/core/keeper/keeper_test.go
+++ b/core/keeper/keeper_test.go
@@ -56,3 +56,16 @@
 	is.True(keeper.Delay(false, 2, 1) >= time.Second)
 	is.Equal(keeper.Delay(false, 5800, 0), time.Duration(0))
 }
+
+func TestVMThatJoinsWaitsUntilTheRowsAreBack(t *testing.T) {
+	is := is.New(t)
+	var mark keeper.Mark
+	is.Equal(mark.Wait(0, time.Hour), time.Duration(0)) // a store without eras
+	is.Equal(mark.Wait(1, time.Hour), time.Duration(0)) // was never restored
+	is.Equal(mark.Wait(2, time.Hour), keeper.SettleTime)
+	mark = keeper.Mark{Era: 2, Since: time.Hour}
+	is.Equal(mark.Wait(2, time.Hour+time.Second), keeper.SettleTime-time.Second)
+	is.Equal(mark.Wait(2, 2*time.Hour), time.Duration(0))
+	is.Equal(mark.Wait(2, 0), keeper.SettleTime)           // the store's clock went back
+	is.Equal(mark.Wait(3, 2*time.Hour), keeper.SettleTime) // the copy has an old mark
+}
--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -21,15 +21,17 @@
 
 	"github.com/sirupsen/logrus"
 
+	"godwitramp.example/core/keeper"
 	"godwitramp.example/platform"
 	"godwitramp.example/shell/timer"
 )
 
-// The table has one row with the key of the fleet's messages, and one row for each VM.
-// keyLength is in bytes.
+// The table has one row with the key of the fleet's messages, one row for each VM, and one
+// with the keeper.Mark of a store that was restored. keyLength is in bytes.
 const (
 	table     = "vms"
 	keyRow    = "key"
+	markRow   = "era"
 	vmPrefix  = "vm/"
 	keyLength = 32
 )
@@ -98,7 +100,7 @@
 			return Members{}, err
 		}
 		registrar.registered = slices.Contains(found.All, member)
-		if registrar.registered && len(found.Key) > 0 {
+		if registrar.registered && len(found.Key) > 0 && found.wait() == 0 {
 			return found.Members, nil // a restart
 		}
 	}
@@ -106,6 +108,14 @@
 	if err != nil {
 		return Members{}, err
 	}
+	if wait := found.wait(); wait > 0 {
+		if err := registrar.settle(ctx, found, wait); err != nil {
+			return Members{}, err
+		}
+		if found, err = registrar.register(ctx, member); err != nil {
+			return Members{}, err
+		}
+	}
 	members := found.Members
 	if len(members.Key) == 0 {
 		if members.Key, err = registrar.createKey(ctx); err != nil {
@@ -138,6 +148,28 @@
 	return found, nil
 }
 
+// settle waits until the VMs that were up have written again what the copy lacked.
+func (registrar *Registrar) settle(ctx context.Context, found contents, wait time.Duration) error {
+	if found.unmarked() {
+		mark, err := found.newMark()
+		if err != nil {
+			return err
+		}
+		var conflict *platform.ConflictError // another VM has written it
+		err = registrar.commit(ctx, platform.Transaction{
+			Conditions: []platform.Condition{found.markCondition()}, Writes: []platform.Write{mark},
+		})
+		if err != nil && !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	registrar.Log.WithField("wait", wait).Info("join-delayed")
+	if !timer.Sleep(ctx, wait) {
+		return fmt.Errorf("wait for the rows of other VMs: %w", context.Cause(ctx))
+	}
+	return nil
+}
+
 // Verify writes again what the store lacks after it was restored: the row of this VM, those
 // of its group, and the key. It returns all VMs registered so far and the key that the store
 // has.
@@ -167,6 +199,31 @@
 // contents are those of the table.
 type contents struct {
 	Members
+	mark        keeper.Mark
+	markVersion uint64
+	// storeTime is on the store's clock.
+	storeTime time.Duration
+}
+
+func (contents *contents) wait() time.Duration {
+	return contents.mark.Wait(contents.Era, contents.storeTime)
+}
+
+// unmarked reports whether no VM has written to the table since it was restored.
+func (contents *contents) unmarked() bool {
+	return contents.wait() > 0 && contents.mark.Era != contents.Era
+}
+
+func (contents *contents) newMark() (platform.Write, error) {
+	value, err := json.Marshal(keeper.Mark{Era: contents.Era, Since: contents.storeTime})
+	if err != nil {
+		return platform.Write{}, fmt.Errorf("encode mark of the era: %w", err)
+	}
+	return platform.Write{Table: table, Key: markRow, Value: value}, nil
+}
+
+func (contents *contents) markCondition() platform.Condition {
+	return platform.Condition{Table: table, Key: markRow, Version: contents.markVersion}
 }
 
 // repair returns the transaction that writes what is missing. A row of another VM is only
@@ -180,6 +237,13 @@
 	if len(contents.Key) == 0 {
 		add(platform.Write{Table: table, Key: keyRow, Value: key}, platform.Condition{Table: table, Key: keyRow})
 	}
+	if contents.unmarked() {
+		mark, err := contents.newMark()
+		if err != nil {
+			return platform.Transaction{}, err
+		}
+		add(mark, contents.markCondition())
+	}
 	known := make(map[string]Member, len(contents.All))
 	for _, other := range contents.All {
 		known[other.Name] = other
@@ -207,12 +271,18 @@
 	if err != nil {
 		return contents{}, fmt.Errorf("read members: %w", err)
 	}
-	found := contents{Members: Members{Era: reading.Era}}
+	found := contents{Members: Members{Era: reading.Era}, storeTime: reading.StoreTime}
 	for _, row := range reading.Rows {
 		name, isVM := strings.CutPrefix(row.Key, vmPrefix)
 		switch {
 		case row.Key == keyRow:
 			found.Key = row.Value
+		case row.Key == markRow:
+			found.markVersion = row.Version
+			if err := json.Unmarshal(row.Value, &found.mark); err != nil {
+				found.mark = keeper.Mark{}
+				registrar.Log.WithError(err).Warn("mark-malformed")
+			}
 		case isVM:
 			other := Member{Name: name}
 			if err := json.Unmarshal(row.Value, &other); err != nil {
--- a/gateway/internal/registrar/restore_test.go
+++ b/gateway/internal/registrar/restore_test.go
@@ -144,3 +144,27 @@
 		is.Equal(found[i].All, all)
 	}
 }
+
+// Two VMs of which one starts after the restore and the other was up must find each other,
+// and use the key that the fleet had.
+func TestStartWhileTheCopyLacksTheFleet(t *testing.T) {
+	is := is.New(t)
+	store, shared := newRegistrar(t)
+	snapshot := store.Snapshot()
+	key := join(t, shared, vm(0)).Key
+	store.Restore(snapshot)
+	started := make(chan registrar.Members)
+	go func() { started <- join(t, shared, vm(1)) }()
+	for store.Row("vms", "", "vm/vm-1") == nil {
+		time.Sleep(time.Millisecond)
+	}
+	members, err := shared.Verify(context.Background(), vm(0), key, nil)
+	for err != nil { // the other may have written at the same moment
+		members, err = shared.Verify(context.Background(), vm(0), key, nil)
+	}
+	is.Equal(members.All, []registrar.Member{vm(0), vm(1)})
+	is.Equal(<-started, registrar.Members{Era: 2, Key: key, All: members.All})
+	calls := store.Calls()
+	join(t, shared, vm(1)) // a restart in the same era doesn't wait again
+	is.Equal(store.Calls(), calls+1)
+}
--- a/gateway/internal/starter/restore_test.go
+++ b/gateway/internal/starter/restore_test.go
@@ -94,3 +94,15 @@
 	}
 	is.Equal(fleet.row("key"), other)
 }
+
+// A VM that starts while the copy lacks the others must not take itself for the whole fleet:
+// it would spend all of the rates.
+func TestVMStartedAfterRestoreKnowsOnlyTheCopy(t *testing.T) {
+	fleet := start(t, 0)
+	snapshot := fleet.store.Snapshot()
+	fleet.run("vm-0")
+	fleet.run("vm-1")
+	fleet.store.Restore(snapshot)
+	fleet.run("vm-2")
+	fleet.waitUntil("the VM joins with all others", func() bool { return fleet.vms[2].logged.has("joined 3") })
+}
