--- a/gateway/internal/messenger/eras_test.go
+++ b/gateway/internal/messenger/eras_test.go
@@ -53,7 +53,7 @@
 	is.NoErr(messenger.Open())
 	t.Cleanup(func() { _ = messenger.connection.Close() })
 	messenger.receive(message{From: "joining", DataCentre: "d", Address: joining.LocalAddr().String(), Hello: true})
-	opener, err := newSealer(messenger.Key)
+	opener, err := newSealer(0, messenger.Key)
 	is.NoErr(err)
 	is.NoErr(joining.SetReadDeadline(time.Now().Add(30 * time.Second))) // only keeps a failing test from hanging
 	buffer := make([]byte, maxDatagram)
