soak: requests passed on behind another count as lost, callers go on through planned stops

Now a request that was passed on counts whatever stood ahead of it, unless the loss of that one is excused; callers send long requests ahead, up to 1 s after each other, and go on until the last process is gone; all VMs stop at the end, half of them 2 s after the others.

AfterClose was a flag that excused; Behind names the request instead.

--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -41,7 +41,7 @@
 	record := auditor.Record{
 		Bounds: auditor.Bounds{
 			SettleTime: 3 * time.Second, Propagation: 2 * time.Second, Leaving: 2 * time.Second, Withdrawal: 5 * time.Second,
-			RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
+			Grace: 6 * time.Second, RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
 			RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryMargin: 5,
 		},
 		Versions: []auditor.Version{{
@@ -135,6 +135,15 @@
 			record.Calls[0].Ended = record.Calls[0].Sent.Add(time.Second)
 			record.Arrivals = record.Arrivals[1:]
 		}},
+		{"answer thrown away behind a closing one", "uncut", func(record *auditor.Record) { loseBehind(record) }},
+		{"request that is sent late cut at the end of a stop", "uncut", func(record *auditor.Record) {
+			cutByStop(record, 3100*time.Millisecond)
+		}},
+		{"answer of a target replaced during a stop", "uncut", func(record *auditor.Record) {
+			record.Stops = []auditor.Stop{{VM: "vm", Start: 1, From: at(-time.Second), Until: at(5 * time.Second)}}
+			setLocalAnswer(&record.Calls[0], 502)
+			record.Arrivals[0].Left = true
+		}},
 		{"request to a target that announced leaving", "leaving-told", func(record *auditor.Record) {
 			record.Arrivals[0].Leaving = true
 			record.Disturbances = append(record.Disturbances, auditor.Disturbance{Subject: auditor.Store, From: at(0), Until: at(time.Minute)})
@@ -231,3 +240,60 @@
 	record.Disturbances = []auditor.Disturbance{{Subject: "vm", From: at(5 * time.Second), Until: at(6 * time.Second)}}
 	is.True(violatedPromises(record)["uncut"]) // the settle time has passed
 }
+
+// loseBehind makes the connection end at the answer to the first call, behind which the
+// third was sent. It returns both calls.
+func loseBehind(record *auditor.Record) (first, third *auditor.Call) {
+	first, third = &record.Calls[0], &record.Calls[2]
+	first.Answer.Closes = true
+	third.Behind, third.Outcome, third.Answer = first.ID, auditor.Incomplete, faker.Answer{}
+	return first, third
+}
+
+// cutByStop makes the VM exit 5.6 s after SIGTERM, 90 ms after the start of the first call,
+// which was sent the given time after SIGTERM, and start again before the caller has noticed.
+func cutByStop(record *auditor.Record, sentAfter time.Duration) {
+	call, arrival := &record.Calls[0], &record.Arrivals[0]
+	stop := auditor.Stop{VM: "vm", Start: 1, From: call.Sent.Add(-sentAfter)}
+	stop.Until = stop.From.Add(5600 * time.Millisecond)
+	record.Stops = []auditor.Stop{stop}
+	call.Outcome, call.Answer, call.Ended = auditor.Incomplete, faker.Answer{}, stop.Until.Add(10*time.Millisecond)
+	arrival.Ended, arrival.Left = stop.Until, true
+	record.Disturbances = []auditor.Disturbance{{Subject: "vm", From: stop.Until.Add(time.Millisecond), Until: stop.Until.Add(time.Second)}}
+}
+
+// Guards against reports of losses that a planned stop or a connection that ended may bring.
+func TestAllowedLossesAreNoViolations(t *testing.T) {
+	for _, allowed := range []struct {
+		name  string
+		apply func(*auditor.Record)
+	}{
+		{"not passed on behind a closing answer", func(record *auditor.Record) {
+			loseBehind(record)
+			record.Arrivals = append(record.Arrivals[:2], record.Arrivals[3:]...)
+		}},
+		{"behind an answer that its target broke", func(record *auditor.Record) {
+			first, _ := loseBehind(record)
+			first.Outcome, first.Answer = auditor.Incomplete, faker.Answer{}
+			record.Arrivals[0].Broken = true
+		}},
+		{"behind a request that the caller gave up", func(record *auditor.Record) {
+			first, _ := loseBehind(record)
+			first.Outcome, first.Answer = auditor.CallerLeft, faker.Answer{}
+		}},
+		{"sent early, its target at work until late in the stop", func(record *auditor.Record) { cutByStop(record, 2900*time.Millisecond) }},
+		{"answered by the VM at its timeout during a stop", func(record *auditor.Record) {
+			record.Stops = []auditor.Stop{{VM: "vm", Start: 1, From: at(-time.Second), Until: at(5 * time.Second)}}
+			setLocalAnswer(&record.Calls[0], 504)
+			record.Arrivals[0].Left = true
+			record.Calls[0].Ended = record.Calls[0].Sent.Add(2 * time.Second)
+		}},
+	} {
+		t.Run(allowed.name, func(t *testing.T) {
+			is := is.New(t)
+			record := validRecord()
+			allowed.apply(&record)
+			is.Equal(len(violatedPromises(record)), 0)
+		})
+	}
+}
--- a/soak/internal/auditor/record.go
+++ b/soak/internal/auditor/record.go
@@ -44,10 +44,10 @@
 	Start       int
 	Sent, Ended time.Time
 	Outcome     Outcome
-	// AfterClose is true if the request was pipelined after a request at which the
-	// connection ended, so its loss is no violation.
-	AfterClose bool
-	Answer     faker.Answer
+	// Behind is the ID of the earlier request at which the connection ended, if the request
+	// was sent before the answer to that one.
+	Behind string
+	Answer faker.Answer
 }
 
 // Version is one version of the configuration. Sent is when the write to the store
@@ -64,6 +64,13 @@
 	Acknowledged time.Time
 }
 
+// Stop is a planned stop of a process: when SIGTERM was sent to it and when it had ended.
+type Stop struct {
+	VM          string
+	Start       int
+	From, Until time.Time
+}
+
 // Store is the subject of disturbances that affect the store for all VMs.
 const Store = "store"
 
@@ -85,6 +92,8 @@
 	// Propagation, Leaving and Withdrawal are the longest times until a new
 	// version, a leaving target and a withdrawn key take effect on every VM.
 	Propagation, Leaving, Withdrawal time.Duration
+	// Grace is the time within which a process ends after SIGTERM.
+	Grace time.Duration
 	// An organisation may run (rate * RateWindow + burst) * (1 + RateOvershoot) +
 	// RateTolerance requests in any RateWindow.
 	RateWindow                   time.Duration
@@ -102,6 +111,7 @@
 	Arrivals     []faker.Arrival
 	Versions     []Version // in the order in which they were written
 	Departures   []Departure
+	Stops        []Stop
 	Disturbances []Disturbance
 }
 
--- a/soak/internal/auditor/requests.go
+++ b/soak/internal/auditor/requests.go
@@ -1,6 +1,7 @@
 package auditor
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -101,29 +102,87 @@
 	}
 }
 
-// noLostConnections checks that a VM that is undisturbed or stops as planned does
-// not close the caller's connection without an answer, unless a target of the
-// request was disturbed or broke its answer. Faults of the store are no excuse.
-// Connections that end within sendSlack and before any attempt are not counted.
+// noLostConnections checks that a VM that is undisturbed or stops as planned does not
+// close the caller's connection without an answer, and that a stop replaces no answer on
+// which a target is at work. Faults of the store are no excuse. A request without any attempt
+// isn't counted if the connection ends within sendSlack, or at an earlier request.
 func (audit *audit) noLostConnections(promise string) {
 	for id, call := range audit.calls {
-		if call.AfterClose || !audit.undisturbed(call.Sent, call.Ended, call.VM) {
-			continue
-		}
-		targetsUndisturbed := true
 		arrivals := audit.arrivals[id]
-		for _, arrival := range arrivals {
-			targetsUndisturbed = targetsUndisturbed && !arrival.Broken && audit.undisturbed(call.Sent, call.Ended, arrival.TargetID)
-		}
-		if !targetsUndisturbed || call.Ended.Sub(call.Sent) > call.Remaining {
+		if call.Behind != "" && len(arrivals) == 0 || audit.lossExcused(call) {
 			continue
 		}
 		audit.report.Checked[promise]++
-		if call.Outcome == Incomplete && (len(arrivals) > 0 || call.Ended.Sub(call.Sent) > sendSlack) {
-			audit.addViolation(promise, id, "%s closed the connection without an answer after %s and %d attempts",
-				call.VM, call.Ended.Sub(call.Sent), len(arrivals))
+		duration := call.Ended.Sub(call.Sent)
+		switch {
+		case call.Outcome == Incomplete && (len(arrivals) > 0 || duration > sendSlack):
+			audit.addViolation(promise, id, "%s closed the connection without an answer after %s and %d attempts%s",
+				call.VM, duration, len(arrivals), audit.circumstances(call))
+		case audit.replacedByStop(call):
+			audit.addViolation(promise, id, "%s answered %d itself after %s while its target was at work%s",
+				call.VM, call.Answer.Status, duration, audit.circumstances(call))
+		}
+	}
+}
+
+// lossExcused reports whether something else than the VM explains that a request ended
+// without an answer: a disturbance of the VM or of a target, a broken answer, the caller's
+// deadline, a target that works until late in a planned stop, or the loss of an earlier
+// request of the connection.
+func (audit *audit) lossExcused(call *Call) bool {
+	ended := call.Ended
+	stop := audit.stopOf(call)
+	if stop != nil && stop.Until.Before(ended) {
+		ended = stop.Until // what comes after the end of the process has not cut the request
+	}
+	if !audit.undisturbed(call.Sent, ended, call.VM) || call.Ended.Sub(call.Sent) > call.Remaining {
+		return true
+	}
+	for _, arrival := range audit.arrivals[call.ID] {
+		sentInTime := stop != nil && !call.Sent.After(stop.From.Add(audit.Bounds.Grace/2))
+		if arrival.Broken || !audit.undisturbed(call.Sent, call.Ended, arrival.TargetID) ||
+			sentInTime && arrival.Ended.After(stop.From.Add(audit.Bounds.Grace*5/6)) {
+			return true
+		}
+	}
+	earlier := audit.calls[call.Behind]
+	return earlier != nil && (earlier.Outcome == CallerLeft || earlier.Outcome == Incomplete && audit.lossExcused(earlier))
+}
+
+// stopOf returns the planned stop of the call's process, or nil if there was none.
+func (audit *audit) stopOf(call *Call) *Stop {
+	for i := range audit.Stops {
+		if stop := &audit.Stops[i]; stop.VM == call.VM && stop.Start == call.Start {
+			return stop
 		}
 	}
+	return nil
+}
+
+// replacedByStop reports whether the VM, while it stopped, broke off the request at a target
+// that ran it and gave an answer of its own, with more than timingSlack left.
+func (audit *audit) replacedByStop(call *Call) bool {
+	stop := audit.stopOf(call)
+	if stop == nil || call.Ended.Before(stop.From) || call.Outcome != Complete || call.Answer.Signed {
+		return false
+	}
+	_, timeout := audit.limits(call)
+	if call.Ended.Sub(call.Sent)+timingSlack > min(timeout, call.Remaining) {
+		return false
+	}
+	return slices.ContainsFunc(audit.arrivals[call.ID], func(arrival *faker.Arrival) bool { return arrival.Run && arrival.Left })
+}
+
+// circumstances describes the stop and the earlier request that a loss has to do with.
+func (audit *audit) circumstances(call *Call) string {
+	text := ""
+	if call.Behind != "" {
+		text = ", behind " + call.Behind
+	}
+	if stop := audit.stopOf(call); stop != nil {
+		text += fmt.Sprintf(", sent %s after SIGTERM", call.Sent.Sub(stop.From))
+	}
+	return text
 }
 
 // attempts checks that a request reaches no more targets than its route allows.
@@ -167,7 +226,7 @@
 	for _, call := range audit.calls {
 		_, timeout := audit.limits(call)
 		duration := call.Ended.Sub(call.Sent)
-		if call.Outcome == CallerLeft || timeout == 0 || duration < timeout || call.AfterClose || !audit.undisturbed(call.Sent, call.Ended, call.VM) {
+		if call.Outcome == CallerLeft || timeout == 0 || duration < timeout || call.Behind != "" || !audit.undisturbed(call.Sent, call.Ended, call.VM) {
 			continue
 		}
 		audit.report.Checked[promise]++
--- a/soak/internal/runner/caller.go
+++ b/soak/internal/runner/caller.go
@@ -29,6 +29,14 @@
 	// Callers wait between minWait and maxWait for an answer.
 	minWait = time.Second
 	maxWait = 4 * time.Second
+	// One in longShare pipelines consists of requests at which a target works between
+	// minWork and maxWork, which are sent up to maxLongGap after each other. Those of half
+	// of the others are sent up to maxGap after each other.
+	longShare  = 120
+	minWork    = 200 * time.Millisecond
+	maxWork    = 2500 * time.Millisecond
+	maxLongGap = time.Second
+	maxGap     = 40 * time.Millisecond
 	// Callers that abandon a request do so between minLeaveDelay and maxLeaveDelay
 	// after they sent it.
 	minLeaveDelay = 5 * time.Millisecond
@@ -89,23 +97,40 @@
 		requests = math.MaxInt
 	}
 	for range requests {
-		calls := caller.newCalls(vm, start)
-		if !caller.exchange(connection, reader, calls) || !timer.Sleep(ctx, caller.pause()) {
+		calls, maxGap := caller.newCalls(vm, start)
+		if !caller.exchange(connection, reader, calls, maxGap) || !timer.Sleep(ctx, caller.pause()) {
 			return
 		}
 	}
 }
 
-// newCalls returns the requests to pipeline: one request, or up to maxPipelined if all
-// are idempotent.
-func (caller *caller) newCalls(vm *vm, start int) []*auditor.Call {
+// newCalls returns the requests to pipeline and the longest time between two of them: one
+// request, or up to maxPipelined if all are idempotent.
+func (caller *caller) newCalls(vm *vm, start int) ([]*auditor.Call, time.Duration) {
+	if caller.random.IntN(longShare) == 0 {
+		var calls []*auditor.Call
+		for range 1 + caller.random.IntN(maxPipelined) {
+			calls = append(calls, caller.newLongCall(vm, start))
+		}
+		return calls, maxLongGap
+	}
 	calls := []*auditor.Call{caller.newCall(vm, start)}
 	for calls[0].Idempotent && len(calls) < maxPipelined && caller.random.IntN(8) == 0 {
 		if next := caller.newCall(vm, start); next.Idempotent {
 			calls = append(calls, next)
 		}
 	}
-	return calls
+	return calls, time.Duration(caller.random.IntN(2)) * maxGap
+}
+
+// newLongCall returns a request that lasts long, possibly longer than the VM.
+func (caller *caller) newLongCall(vm *vm, start int) *auditor.Call {
+	call := caller.newCall(vm, start)
+	call.Method, call.Idempotent, call.Body = http.MethodGet, true, ""
+	call.Remaining += maxWork
+	work := minWork + time.Duration(caller.random.Int64N(int64(maxWork-minWork)))
+	call.Path = fmt.Sprintf("/long/%s?work=%s", call.ID, work.Truncate(time.Millisecond))
+	return call
 }
 
 // newCall returns a random request.
@@ -135,37 +160,61 @@
 	return call
 }
 
-// exchange sends the requests and reads their answers. It reports false if the
-// connection must not be used again.
-func (caller *caller) exchange(connection net.Conn, reader *bufio.Reader, calls []*auditor.Call) bool {
+// exchange sends the requests, up to maxGap after each other, and reads their answers. It
+// reports false if the connection must not be used again.
+func (caller *caller) exchange(connection net.Conn, reader *bufio.Reader, calls []*auditor.Call, maxGap time.Duration) bool {
 	defer func() {
 		for _, call := range calls {
 			caller.runner.addCall(*call)
 		}
 	}()
 	abandons := caller.random.IntN(50) == 0 || caller.runner.giveUp.on() && caller.random.IntN(3) == 0
-	usable := true
-	for i, call := range calls {
-		call.Sent = time.Now()
-		if err := call.Write(connection); err != nil {
-			call.Outcome, usable = auditor.Incomplete, false
-			call.AfterClose = i > 0
-		}
+	gaps := make([]time.Duration, len(calls))
+	for i := 1; i < len(calls) && maxGap > 0; i++ {
+		gaps[i] = time.Duration(caller.random.Int64N(int64(maxGap)))
 	}
-	for _, call := range calls {
-		deadline := call.Sent.Add(call.Remaining)
-		if abandons {
-			leaveDelay := minLeaveDelay + time.Duration(caller.random.Int64N(int64(maxLeaveDelay-minLeaveDelay)))
-			deadline = earlier(deadline, call.Sent.Add(leaveDelay))
+	sent := make(chan *auditor.Call, len(calls))
+	go func() {
+		defer close(sent)
+		for i, call := range calls {
+			time.Sleep(gaps[i])
+			call.Sent = time.Now()
+			if call.Write(connection) != nil {
+				call.Outcome = auditor.Incomplete
+			}
+			sent <- call
 		}
-		if !usable {
-			call.AfterClose = call.AfterClose || call.Outcome == ""
-			call.Outcome, call.Ended = auditor.Incomplete, time.Now()
-			continue
+	}()
+	var last *auditor.Call // at which the connection ended
+	for call := range sent {
+		switch {
+		case last != nil:
+			endBehind(call, last)
+		case call.Outcome == auditor.Incomplete:
+			call.Ended, last = time.Now(), call
+		default:
+			deadline := call.Sent.Add(call.Remaining)
+			if abandons {
+				leaveDelay := minLeaveDelay + time.Duration(caller.random.Int64N(int64(maxLeaveDelay-minLeaveDelay)))
+				deadline = earlier(deadline, call.Sent.Add(leaveDelay))
+			}
+			if !caller.read(connection, reader, call, deadline) {
+				last = call
+			}
+		}
+	}
+	return last == nil
+}
+
+// endBehind ends a call that was sent behind the one at which the connection ended.
+func endBehind(call, last *auditor.Call) {
+	call.Behind, call.Outcome, call.Ended = last.ID, auditor.Incomplete, time.Now()
+	if last.Outcome == auditor.CallerLeft {
+		call.Outcome = auditor.CallerLeft
+		if call.Sent.Before(last.Ended) {
+			call.Ended = last.Ended
 		}
-		usable = caller.read(connection, reader, call, deadline)
 	}
-	return usable
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/soak/internal/runner/configuration.go
+++ b/soak/internal/runner/configuration.go
@@ -18,8 +18,10 @@
 const (
 	host           = "soak.example"
 	rateLimitedKey = "key-of-the-small-one"
-	// routeTimeout is the timeout of all routes.
+	// routeTimeout is the timeout of routes.
 	routeTimeout = 2 * time.Second
+	// longTimeout is that of the route "long".
+	longTimeout = 5 * time.Second
 	// smallRate and smallBurst are the limits of the organisation whose callers exceed
 	// their rate.
 	smallRate  = 20
@@ -45,7 +47,8 @@
 	limits := indexer.Limits{HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
 	configuration.current = indexer.Configuration{
 		Routes: []indexer.Route{
-			route("lists", true, "lists"), route("jobs", false, "jobs"), route("moves", true, "lists"), route(addedRouteName(0), true, "notes"),
+			route("lists", true, "lists"), route("jobs", false, "jobs"), route("moves", true, "lists"), route("long", true, "notes"),
+			route(addedRouteName(0), true, "notes"),
 		},
 		Organisations: []indexer.Organisation{
 			{Name: "large", Keys: []string{"key-0"}},
@@ -53,6 +56,7 @@
 		},
 		Limits: limits,
 	}
+	configuration.current.Routes[3].Timeout = longTimeout
 	for _, service := range services {
 		configuration.current.Services = append(configuration.current.Services,
 			indexer.Service{Name: service, HealthPath: "/health", ConnectionLimit: 360})
--- a/soak/internal/runner/runner.go
+++ b/soak/internal/runner/runner.go
@@ -46,8 +46,11 @@
 	// stopSlack is how much longer than its grace period a planned stop may last,
 	// since the host may be busy.
 	stopSlack = time.Second
-	// postRecoveryTime is how long traffic continues after the fleet has recovered.
-	postRecoveryTime = 2 * time.Second
+	// postRecoveryTime is how long traffic continues undisturbed after the fleet has
+	// recovered.
+	postRecoveryTime = settleTime
+	// stopOverlap is how long after the first half of the VMs the others are stopped.
+	stopOverlap = 2 * time.Second
 )
 
 // Runner runs one soak. Exported fields are set before Run.
@@ -124,9 +127,9 @@
 	}
 	faults := runner.runFaults(ctx)
 	runner.awaitRecovery(ctx)
+	runner.stopAll(ctx)
 	stopCallers()
 	callers.Wait()
-	runner.stopAll()
 	if ctx.Err() != nil {
 		return Result{}, fmt.Errorf("soak interrupted: %w", context.Cause(ctx))
 	}
@@ -227,12 +230,16 @@
 	return call.Key != rateLimitedKey && status != http.StatusUnauthorized && status != http.StatusNotFound
 }
 
-// stopAll stops all VMs as planned.
-func (runner *Runner) stopAll() {
+// stopAll stops all VMs as planned, half of them while the others stop, as callers go on.
+func (runner *Runner) stopAll(ctx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
-	for _, vm := range runner.vms {
-		group.Go(vm.stop)
+	for i, vm := range runner.vms {
+		group.Go(func() {
+			if i%2 == 0 || timer.Sleep(ctx, stopOverlap) {
+				vm.stop()
+			}
+		})
 	}
 }
 
@@ -284,6 +291,12 @@
 	runner.record.Calls = append(runner.record.Calls, call)
 }
 
+func (runner *Runner) addStop(stop auditor.Stop) {
+	runner.mutex.Lock()
+	defer runner.mutex.Unlock()
+	runner.record.Stops = append(runner.record.Stops, stop)
+}
+
 func (runner *Runner) addArrival(arrival faker.Arrival) {
 	runner.mutex.Lock()
 	defer runner.mutex.Unlock()
@@ -299,7 +312,7 @@
 	}
 	runner.record.Versions = runner.configuration.versions()
 	runner.record.Bounds = auditor.Bounds{
-		SettleTime: settleTime, Propagation: propagation, Leaving: leaving, Withdrawal: withdrawal,
+		SettleTime: settleTime, Propagation: propagation, Leaving: leaving, Withdrawal: withdrawal, Grace: stopGrace,
 		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
 		RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetryMargin: 60,
 	}
--- a/soak/internal/runner/vm.go
+++ b/soak/internal/runner/vm.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"godwitramp.example/soak/internal/auditor"
 	"godwitramp.example/soak/internal/relayer"
 )
 
@@ -41,6 +42,8 @@
 
 // process is one start of a VM.
 type process struct {
+	// number counts the processes of the VM from 1.
+	number  int
 	command *exec.Cmd
 	started time.Time
 	// endRequested is true once the soak has sent SIGTERM or SIGKILL.
@@ -120,8 +123,8 @@
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", vm.name, err)
 	}
-	process := &process{command: command, started: time.Now(), ended: make(chan struct{})}
 	vm.starts++
+	process := &process{number: vm.starts, command: command, started: time.Now(), ended: make(chan struct{})}
 	vm.process = process
 	go func() {
 		process.err = command.Wait()
@@ -184,6 +187,9 @@
 	if process == nil {
 		return
 	}
+	defer func() {
+		vm.runner.addStop(auditor.Stop{VM: vm.name, Start: process.number, From: stopStarted, Until: time.Now()})
+	}()
 	select {
 	case <-process.ended:
 		if process.err != nil && !vm.runner.disturbed(vm.name, stopStarted) {
