auditor: a rejection that its VM may not have read binds to no cool-down

A cool-down isn't checked now if the answer that the caller got came from another target and ended no later than 20 ms after the rejection. The check stays as it was for all other rejections; "cool-down ignored" still fires.

--- a/soak/internal/auditor/announcements.go
+++ b/soak/internal/auditor/announcements.go
@@ -11,6 +11,9 @@
 	// cool-down, since they were in flight, and maxEarlyRequests may arrive later.
 	coolDownSlack    = 500 * time.Millisecond
 	maxEarlyRequests = 2
+	// cancelSlack is how much later than a target's rejection the answer of another target
+	// may end, so that the VM cancels the rejected attempt before it has read the rejection.
+	cancelSlack = 20 * time.Millisecond
 )
 
 // sender is a process of a VM (its start number) and a target that it sends to.
@@ -67,7 +70,8 @@
 // coolDowns checks that a VM respects the cool-down that a target requested: from
 // coolDownSlack after the request until the end of the cool-down, it sends the target at
 // most maxEarlyRequests requests. Cool-downs during which the VM or the link to the
-// target is disturbed are not checked.
+// target is disturbed are not checked, nor are those of which the VM may not have read, as
+// another target had answered by then.
 func (audit *audit) coolDowns(promise string) {
 	arrivals := make(map[sender][]time.Time)
 	for i := range audit.Arrivals {
@@ -80,7 +84,8 @@
 		arrival := &audit.Arrivals[i]
 		from, call := audit.senderOf(arrival)
 		until := arrival.Ended.Add(arrival.Quiet)
-		if call == nil || arrival.Quiet == 0 || audit.disturbed(arrival.Begun, until, call.VM, LinkTo(arrival.TargetID)) {
+		if call == nil || arrival.Quiet == 0 || audit.disturbed(arrival.Begun, until, call.VM, LinkTo(arrival.TargetID)) ||
+			audit.answeredBefore(call, arrival) {
 			continue
 		}
 		audit.report.Checked[promise]++
@@ -96,3 +101,14 @@
 		}
 	}
 }
+
+// answeredBefore reports whether the answer that the caller got came from another target and
+// may have ended the attempt before its own answer was read.
+func (audit *audit) answeredBefore(call *Call, attempt *faker.Arrival) bool {
+	for _, arrival := range audit.arrivals[call.ID] {
+		if arrival.TargetID == call.Answer.TargetID && arrival.TargetID != attempt.TargetID && arrival.Ended.Before(attempt.Ended.Add(cancelSlack)) {
+			return true
+		}
+	}
+	return false
+}
--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -282,6 +282,13 @@
 			first.Outcome, first.Answer = auditor.CallerLeft, faker.Answer{}
 		}},
 		{"sent early, its target at work until late in the stop", func(record *auditor.Record) { cutByStop(record, 2900*time.Millisecond) }},
+		{"a rejection that came after another target's answer", func(record *auditor.Record) {
+			rejection := addArrival(record, 0, "t-other")
+			rejection.Run, rejection.Status, rejection.Quiet = false, http.StatusServiceUnavailable, 7*time.Second
+			for _, i := range []int{2, 4, 6} {
+				record.Arrivals[i].TargetID, record.Calls[i].Answer.TargetID = "t-other", "t-other"
+			}
+		}},
 		{"answered by the VM at its timeout during a stop", func(record *auditor.Record) {
 			record.Stops = []auditor.Stop{{VM: "vm", Start: 1, From: at(-time.Second), Until: at(5 * time.Second)}}
 			setLocalAnswer(&record.Calls[0], 504)
