soak: the store is restored from older copies

The auditor counts a version that a restore has undone from its second acknowledgement, withdrawn keys from the first, and no-fall-back as before.

--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -182,6 +182,23 @@
 		{"old version used", "configuration", func(record *auditor.Record) {
 			addVersion(record, 10*time.Second, configuration(2, "key", route("lists", "notes", true), route("jobs", "jobs", false)))
 		}},
+		{"old version used after a restore", "configuration", func(record *auditor.Record) { useOldVersion(record, 20, 28) }},
+		{"key accepted again after a restore", "withdrawn-keys", func(record *auditor.Record) {
+			record.Disturbances = []auditor.Disturbance{{Subject: "vm", From: start, Until: at(time.Hour)}}
+			restoreStore(record, configuration(2, "new", record.Versions[0].Routes...))
+			for i := range 20 {
+				record.Calls[i].Key = []string{"key", "new"}[i/11]
+			}
+			for i := 20; i < calls; i++ {
+				record.Calls[i].Start = 2
+			}
+		}},
+		{"return to an older version after a restore", "no-fall-back", func(record *auditor.Record) {
+			useOldVersion(record, 20, 24)
+			for i := range record.Calls {
+				record.Calls[i].Start = 1
+			}
+		}},
 		{"valid key rejected", "configuration", func(record *auditor.Record) {
 			setLocalAnswer(&record.Calls[0], 401)
 			record.Arrivals = record.Arrivals[1:]
@@ -282,6 +299,7 @@
 			first.Outcome, first.Answer = auditor.CallerLeft, faker.Answer{}
 		}},
 		{"sent early, its target at work until late in the stop", func(record *auditor.Record) { cutByStop(record, 2900*time.Millisecond) }},
+		{"the older version until the operator has written again", func(record *auditor.Record) { useOldVersion(record, 20, 24) }},
 		{"a rejection that came after another target's answer", func(record *auditor.Record) {
 			rejection := addArrival(record, 0, "t-other")
 			rejection.Run, rejection.Status, rejection.Quiet = false, http.StatusServiceUnavailable, 7*time.Second
@@ -304,3 +322,24 @@
 		})
 	}
 }
+
+// restoreStore adds a version, acknowledged at 10 s, that a restore at 19.5 s undoes
+// until 23 s.
+func restoreStore(record *auditor.Record, configuration indexer.Configuration) {
+	addVersion(record, 10*time.Second, configuration)
+	record.Restores = []auditor.Restore{{From: at(19500 * time.Millisecond), Copied: at(8 * time.Second), Rewritten: at(23 * time.Second)}}
+}
+
+// useOldVersion moves the route "lists" by a version that a restore undoes. A second process
+// of the VM uses the older version for the requests sent between the two seconds.
+func useOldVersion(record *auditor.Record, from, until int) {
+	restoreStore(record, configuration(2, "key", route("lists", "notes", true), route("jobs", "jobs", false)))
+	for i := 10; i < calls; i += 2 {
+		if i < from || i > until {
+			record.Arrivals[i].Service = "notes"
+		}
+	}
+	for i := from; i < calls; i++ {
+		record.Calls[i].Start = 2
+	}
+}
--- a/soak/internal/planner/planner.go
+++ b/soak/internal/planner/planner.go
@@ -34,6 +34,7 @@
 	StoreSlow           Kind = "store-slow"
 	StoreLosesAnswers   Kind = "store-loses-answers"
 	StoreForgetsHistory Kind = "store-forgets"
+	RestoreStore        Kind = "store-restored"
 	CutFromStore        Kind = "cut-from-store"
 	ResetByStore        Kind = "reset-by-store"
 	StoreOneWay         Kind = "store-one-way"
@@ -128,6 +129,14 @@
 	// storeDurationFactor makes half of the faults of the store last longer than the
 	// time after which a disconnected VM must reject keys.
 	storeDurationFactor = 1.6
+	// meanRestoreGap is about the mean time between two restores of the store, which is away
+	// between minAway and maxAway. Every other one is followed by another within maxSecond,
+	// and up to maxChanges changes come before.
+	meanRestoreGap = 5 * time.Second
+	maxChanges     = 6
+	minAway        = 200 * time.Millisecond
+	maxAway        = 2 * time.Second
+	maxSecond      = 2500 * time.Millisecond
 	// maxSimultaneous is the maximum number of faults that start at the same time.
 	maxSimultaneous = 3
 )
@@ -144,6 +153,7 @@
 		}
 		at += time.Duration(random.ExpFloat64() * float64(meanGap))
 	}
+	faults = append(faults, plan.restores()...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -173,3 +183,51 @@
 		Subject: random.IntN(group.subjectCount(plan)),
 	}
 }
+
+// firstRestoreSeed is the first seed under which the store is restored from older copies.
+// Lower seeds have no such faults.
+const firstRestoreSeed = 1000
+
+// Restores reports whether the plan restores the store.
+func (plan Plan) Restores() bool { return plan.Seed >= firstRestoreSeed }
+
+// Changes and faults of VMs that begin around a restore.
+var (
+	changes         = []Kind{WithdrawKey, MoveRoute, AddRoute, ForgeTarget, ForgeTarget}
+	restoreVMFaults = []Kind{KillVM, KillVM, KillAllVMs, StopVM, FreezeVM, CutFromStore, ResetByStore}
+)
+
+// restores returns the restores of the store, with changes that they may undo, changes after
+// them, and faults of VMs that begin around them. They are drawn apart from all other faults.
+func (plan Plan) restores() []Fault {
+	if !plan.Restores() {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(plan.Seed, 1))
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(random.Int64N(int64(high-low)))
+	}
+	var faults []Fault
+	add := func(at, duration time.Duration, kinds ...Kind) {
+		if at+duration < plan.Duration {
+			faults = append(faults, Fault{Kind: kinds[random.IntN(len(kinds))], At: at, Duration: duration, Subject: random.IntN(plan.VMs)})
+		}
+	}
+	for at := between(2*maxAway, 3*maxAway); at < plan.Duration; at += 2*maxAway + time.Duration(random.ExpFloat64()*float64(meanRestoreGap)) {
+		for range random.IntN(maxChanges) {
+			add(at-between(0, 2*maxAway), 0, changes...)
+		}
+		add(at, between(minAway, maxAway), RestoreStore)
+		if random.IntN(2) == 0 {
+			add(at+between(-maxAway, maxAway), between(minDuration, maxDuration), restoreVMFaults...)
+		}
+		if random.IntN(2) == 0 {
+			at += between(minAway, maxSecond)
+			add(at, between(minAway, maxAway), RestoreStore)
+		}
+		for range 1 + random.IntN(2) {
+			add(at+between(maxAway, 2*maxAway), 0, changes...)
+		}
+	}
+	return faults
+}
--- a/soak/internal/planner/planner_test.go
+++ b/soak/internal/planner/planner_test.go
@@ -48,3 +48,29 @@
 	}
 	is.True(len((planner.Plan{Seed: 7, Duration: time.Minute, VMs: 1, Targets: 1}).Faults()) > 10)
 }
+
+// Guards against seeds without restores, restores without a second one, and restores that
+// outlast the plan.
+func TestRestoresBeginAtASeed(t *testing.T) {
+	is := is.New(t)
+	restores, soonAgain := 0, 0
+	for seed := uint64(990); seed < 1010; seed++ {
+		plan := planner.Plan{Seed: seed, Duration: time.Minute, VMs: 12, Targets: 8}
+		last := -time.Minute
+		for _, fault := range plan.Faults() {
+			is.True(fault.At >= 0 && fault.At+fault.Duration <= plan.Duration)
+			if fault.Kind != planner.RestoreStore {
+				continue
+			}
+			is.True(plan.Restores())
+			restores++
+			if fault.At-last < 3*time.Second {
+				soonAgain++
+			}
+			last = fault.At
+		}
+		is.Equal(plan.Restores(), seed >= 1000)
+	}
+	is.True(restores > 30)
+	is.True(soonAgain > restores/6)
+}
--- a/soak/internal/runner/configuration.go
+++ b/soak/internal/runner/configuration.go
@@ -36,6 +36,7 @@
 
 	mutex       sync.Mutex
 	history     []auditor.Version
+	restores    []auditor.Restore
 	current     indexer.Configuration
 	newestKey   int
 	newestAdded int
@@ -73,6 +74,11 @@
 
 // change writes a new version, edited from the current one.
 func (configuration *configuration) change(edit func(*indexer.Configuration)) {
+	configuration.runner.store.write(func() { configuration.put(edit) })
+}
+
+// put is change while the store is there.
+func (configuration *configuration) put(edit func(*indexer.Configuration)) {
 	configuration.mutex.Lock()
 	defer configuration.mutex.Unlock()
 	next := configuration.current
@@ -128,8 +134,28 @@
 	return configuration.newestKey, configuration.newestAdded
 }
 
-func (configuration *configuration) versions() []auditor.Version {
+// addRestore records a restore of the store and returns its index for rewrite.
+func (configuration *configuration) addRestore(restore auditor.Restore) int {
+	configuration.mutex.Lock()
+	defer configuration.mutex.Unlock()
+	configuration.restores = append(configuration.restores, restore)
+	return len(configuration.restores) - 1
+}
+
+// rewrite writes the newest version again after a restore.
+func (configuration *configuration) rewrite(restore int) {
+	configuration.runner.store.write(func() {
+		configuration.mutex.Lock()
+		defer configuration.mutex.Unlock()
+		value := faker.EncodeConfiguration(configuration.current)
+		configuration.runner.store.Put(platform.ConfigurationTable, "", platform.ConfigurationKey, value)
+		configuration.restores[restore].Rewritten = time.Now()
+	})
+}
+
+// written returns all versions and restores.
+func (configuration *configuration) written() ([]auditor.Version, []auditor.Restore) {
 	configuration.mutex.Lock()
 	defer configuration.mutex.Unlock()
-	return slices.Clone(configuration.history)
+	return slices.Clone(configuration.history), slices.Clone(configuration.restores)
 }
--- a/soak/internal/runner/endpoint.go
+++ b/soak/internal/runner/endpoint.go
@@ -1,10 +1,12 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +50,13 @@
 	// startedAt is when the current target started.
 	startedAt time.Time
 	server    *http.Server
+
+	// entryMutex is held while an entry is written or deleted.
+	entryMutex sync.Mutex
+	// leaving is true if the entry of the current target says that it leaves.
+	leaving bool
+	// gone holds the IDs of earlier targets, and of the current one once it has crashed.
+	gone []string
 }
 
 // open starts the relayer and the first target.
@@ -84,15 +93,68 @@
 	return nil
 }
 
-// writeEntry writes the entry of the target to the store.
+// writeEntry writes the entry of the current target to the store.
 func (endpoint *endpoint) writeEntry(target *faker.Target, leaving bool) {
+	endpoint.entryMutex.Lock()
+	defer endpoint.entryMutex.Unlock()
+	endpoint.leaving = leaving
+	endpoint.putEntry(target)
+}
+
+// putEntry writes the entry of a target. The entryMutex must be held.
+func (endpoint *endpoint) putEntry(target *faker.Target) {
+	store := &endpoint.runner.store
+	store.write(func() { store.Put(platform.TargetTable, "", target.ID, endpoint.entry(target)) })
+}
+
+// entry returns the entry of the current target. The entryMutex must be held.
+func (endpoint *endpoint) entry(target *faker.Target) []byte {
 	endpoint.mutex.Lock()
-	startedAt := endpoint.startedAt
-	endpoint.mutex.Unlock()
-	endpoint.runner.store.Put(platform.TargetTable, "", target.ID, faker.EncodeTarget(placer.Target{
-		ID: target.ID, Service: target.Service, Address: endpoint.address, Slots: target.Slots, Leaving: leaving,
-		DataCentre: dataCentres[endpoint.index%len(dataCentres)], Incarnation: startedAt.UnixMilli(),
-	}))
+	defer endpoint.mutex.Unlock()
+	return faker.EncodeTarget(placer.Target{
+		ID: target.ID, Service: target.Service, Address: endpoint.address, Slots: target.Slots, Leaving: endpoint.leaving,
+		DataCentre: dataCentres[endpoint.index%len(dataCentres)], Incarnation: endpoint.startedAt.UnixMilli(),
+	})
+}
+
+// rewriteEntry writes the entry of the current target again, unless the target is gone or,
+// if onlyChanged is true, the store has the entry.
+func (endpoint *endpoint) rewriteEntry(onlyChanged bool) {
+	endpoint.entryMutex.Lock()
+	defer endpoint.entryMutex.Unlock()
+	target := endpoint.current()
+	if slices.Contains(endpoint.gone, target.ID) {
+		return
+	}
+	inStore := bytes.Equal(endpoint.runner.store.Row(platform.TargetTable, "", target.ID), endpoint.entry(target))
+	if !onlyChanged || !inStore {
+		endpoint.putEntry(target)
+	}
+}
+
+// endEntry notes that a target has ended, so that its entry isn't written again.
+func (endpoint *endpoint) endEntry(targetID string) {
+	endpoint.entryMutex.Lock()
+	defer endpoint.entryMutex.Unlock()
+	endpoint.gone = append(endpoint.gone, targetID)
+}
+
+// deleteEntry deletes the entry of a target that has ended.
+func (endpoint *endpoint) deleteEntry(targetID string) {
+	store := &endpoint.runner.store
+	store.write(func() { store.Delete(platform.TargetTable, "", targetID) })
+}
+
+// deleteOldEntries deletes entries of targets that have ended, which a restore has brought
+// back.
+func (endpoint *endpoint) deleteOldEntries() {
+	endpoint.entryMutex.Lock()
+	defer endpoint.entryMutex.Unlock()
+	for _, targetID := range endpoint.gone {
+		if endpoint.runner.store.Row(platform.TargetTable, "", targetID) != nil {
+			endpoint.deleteEntry(targetID)
+		}
+	}
 }
 
 // close stops the target at once.
@@ -129,7 +191,8 @@
 	}
 	defer endpoint.runner.beginDisturbance(target.ID)()
 	endpoint.close()
-	endpoint.runner.store.Delete(platform.TargetTable, "", target.ID)
+	endpoint.endEntry(target.ID)
+	endpoint.deleteEntry(target.ID)
 	endpoint.startReplacement(target.Service)
 }
 
@@ -141,6 +204,7 @@
 	target := endpoint.current()
 	defer endpoint.runner.beginDisturbance(target.ID)()
 	endpoint.close()
+	endpoint.endEntry(target.ID)
 	if !timer.Sleep(ctx, after) {
 		return
 	}
@@ -148,7 +212,7 @@
 	if !timer.Sleep(ctx, entryTimeout-after) {
 		return
 	}
-	endpoint.runner.store.Delete(platform.TargetTable, "", target.ID)
+	endpoint.deleteEntry(target.ID)
 }
 
 // startReplacement starts another target and reports a violation if that fails.
--- a/soak/internal/runner/faults.go
+++ b/soak/internal/runner/faults.go
@@ -165,6 +165,8 @@
 	switch fault.Kind {
 	case planner.StoreForgetsHistory:
 		runner.store.ForgetHistory()
+	case planner.RestoreStore:
+		runner.restoreStore(ctx, fault)
 	case planner.WithdrawKey:
 		runner.configuration.withdrawKey()
 	case planner.MoveRoute:
@@ -173,7 +175,7 @@
 		runner.configuration.replaceAddedRoute()
 	case planner.ForgeTarget:
 		for i, entry := range forgedEntries {
-			runner.store.Put(platform.TargetTable, "", fmt.Sprint("forged-", i), []byte(entry))
+			runner.store.write(func() { runner.store.Put(platform.TargetTable, "", fmt.Sprint("forged-", i), []byte(entry)) })
 		}
 	case planner.Flood:
 		runner.flood.add(1)
--- a/soak/internal/runner/runner.go
+++ b/soak/internal/runner/runner.go
@@ -63,7 +63,7 @@
 	// CallersPerVM is the number of callers for each VM.
 	CallersPerVM int
 
-	store         faker.Store
+	store         storeHost
 	network       network
 	vms           []*vm
 	endpoints     []*endpoint
@@ -118,6 +118,9 @@
 	if err := runner.awaitReady(ctx); err != nil {
 		return Result{}, err
 	}
+	if runner.Plan.Restores() {
+		group.Go(func() { runner.store.takeCopies(ctx) })
+	}
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var callers sync.WaitGroup
@@ -144,9 +147,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: &runner.store, ReadHeaderTimeout: time.Minute}
-	group.Go(func() { _ = server.Serve(listener) }) // ends with Close
-	context.AfterFunc(ctx, func() { _ = server.Close() })
+	runner.store.serve(ctx, group, listener)
 	runner.configuration.open(runner)
 	for i := range runner.Plan.Targets {
 		endpoint := &endpoint{runner: runner, index: i}
@@ -310,7 +311,7 @@
 		disturbance.Until = time.Now()
 		runner.record.Disturbances = append(runner.record.Disturbances, *disturbance)
 	}
-	runner.record.Versions = runner.configuration.versions()
+	runner.record.Versions, runner.record.Restores = runner.configuration.written()
 	runner.record.Bounds = auditor.Bounds{
 		SettleTime: settleTime, Propagation: propagation, Leaving: leaving, Withdrawal: withdrawal, Grace: stopGrace,
 		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
