receiver: a disconnect is detected while a request waits for its turn

Cause: while a malformed request, one whose head came too late or one with "Expect: 100-continue" waited for the answers to earlier requests of its connection, nothing was read, so that the caller's leaving was not seen: the targets of the earlier requests went on to work for nobody until they answered or the deadline passed.

Now the connection reads ahead meanwhile, as far as its buffer goes. While the buffer is full, and while 64 requests are unanswered, a disconnect is still detected later.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -279,11 +280,8 @@
 		connection.lingerIfClosed()
 		return
 	}
-	_ = connection.raw.SetReadDeadline(time.Time{})
-	select {
-	case <-turn:
-	case <-ctx.Done():
-		connection.lingerIfClosed() // an answer has closed the connection meanwhile
+	if connection.awaitTurn(ctx, turn) != nil {
+		connection.lingerIfClosed() // an answer may have closed the connection meanwhile
 		return
 	}
 	connection.receiver.Log.WithFields(map[string]any{
@@ -294,6 +292,38 @@
 	}
 }
 
+// awaitTurn waits until the earlier requests are answered. Meanwhile it reads what its buffer
+// holds, so that a disconnect of the caller is detected. It removes the read deadline.
+func (connection *connection) awaitTurn(ctx context.Context, turn <-chan struct{}) error {
+	_ = connection.raw.SetReadDeadline(time.Time{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		select {
+		case <-turn:
+		case <-ctx.Done():
+		}
+		_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
+	}()
+	for {
+		_, err := connection.reader.Peek(connection.reader.Buffered() + 1)
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return fmt.Errorf("wait for earlier answers: %w", err)
+		}
+		<-ended
+		_ = connection.raw.SetReadDeadline(time.Time{})
+		select {
+		case <-turn:
+			return nil
+		default:
+			return fmt.Errorf("wait for earlier answers: %w", ctx.Err())
+		}
+	}
+}
+
 // write writes one answer. It returns false if that failed.
 func (connection *connection) write(reply Reply, request *http.Request, closes bool) bool {
 	var buffer bytes.Buffer
--- a/gateway/internal/receiver/random_test.go
+++ b/gateway/internal/receiver/random_test.go
@@ -87,11 +87,13 @@
 	if random.IntN(30) == 0 {
 		head += "Connection: close\r\n"
 	}
-	switch random.IntN(8) {
+	switch random.IntN(10) {
 	case 0:
 		return "POST " + head + "Content-Length: 5\r\n\r\nhello"
 	case 1:
 		return "POST " + head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	case 2:
+		return "POST " + head + "Expect: 100-continue\r\nContent-Length: 5\r\n\r\nhello"
 	default:
 		return "GET " + head + "\r\n"
 	}
@@ -133,6 +135,9 @@
 			caller.err = fmt.Errorf("head of an answer: %w", err)
 			return
 		}
+		if response.StatusCode == http.StatusContinue {
+			continue
+		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			caller.err = fmt.Errorf("body of an answer: %w", err)
 			return
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -79,8 +79,9 @@
 		return nil, err
 	}
 	call := &Call{Request: request, Target: request.RequestURI, Received: time.Now()}
-	connection.extendReadDeadline(call.Received.Add(connection.receiver.bodyTimeout(request.Header)))
-	if call.Body, err = connection.readBody(ctx, turn, request, limits.BodyBytes); err != nil {
+	deadline := call.Received.Add(connection.receiver.bodyTimeout(request.Header))
+	connection.extendReadDeadline(deadline)
+	if call.Body, err = connection.readBody(ctx, turn, request, limits.BodyBytes, deadline); err != nil {
 		return nil, err
 	}
 	request.Body = http.NoBody
@@ -203,7 +204,7 @@
 
 // readBody reads the whole body. turn is closed once the earlier requests are answered.
 func (connection *connection) readBody(
-	ctx context.Context, turn <-chan struct{}, request *http.Request, limit int64,
+	ctx context.Context, turn <-chan struct{}, request *http.Request, limit int64, deadline time.Time,
 ) ([]byte, error) {
 	chunked := len(request.TransferEncoding) > 0
 	if !chunked && request.ContentLength <= 0 {
@@ -213,11 +214,10 @@
 		return nil, &requestError{status: http.StatusRequestEntityTooLarge, reason: "body-too-large"}
 	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
-		select {
-		case <-turn: // an interim answer must not precede earlier answers
-		case <-ctx.Done():
-			return nil, fmt.Errorf("wait for earlier answers before 100 Continue: %w", ctx.Err())
+		if err := connection.awaitTurn(ctx, turn); err != nil { // an interim answer must not precede earlier answers
+			return nil, err
 		}
+		connection.extendReadDeadline(deadline)
 		if _, err := io.WriteString(connection.raw, continueLine); err != nil {
 			return nil, fmt.Errorf("write 100 Continue: %w", err)
 		}
