drainer, dispatcher: a booking that was taken in time isn't refused when its turn comes

Found in the review of: a booking that waited for earlier answers of its connection and whose turn came after the balancer's drain time was refused with 503 although 2.4 s were left. The second question asks now only whether the time suffices.

--- a/core/drainer/drainer.go
+++ b/core/drainer/drainer.go
@@ -39,9 +39,15 @@
 // keeps idle connections open.
 func (policy Policy) DrainTime() time.Duration { return min(policy.BalancerDrain, policy.GiveUpTime()) }
 
-// Admits reports whether the VM takes a request at a time since the start of the stop.
-// usual is the time within which such a request is answered nearly always, 0 if that isn't
-// known.
+// Admits reports whether the VM takes a request that arrives at a time since the start of the
+// stop. usual is the time within which such a request is answered nearly always, 0 if that
+// isn't known.
 func (policy Policy) Admits(elapsed, usual time.Duration) bool {
-	return elapsed < policy.DrainTime() && elapsed+usual <= policy.GiveUpTime()
+	return elapsed < policy.DrainTime() && policy.Fits(elapsed, usual)
+}
+
+// Fits reports whether a request that the VM has taken and that is sent to a target now will
+// nearly always be answered before it is given up.
+func (policy Policy) Fits(elapsed, usual time.Duration) bool {
+	return elapsed < policy.GiveUpTime() && elapsed+usual <= policy.GiveUpTime()
 }
--- a/core/drainer/drainer_test.go
+++ b/core/drainer/drainer_test.go
@@ -35,6 +35,9 @@
 	short := drainer.Policy{BalancerDrain: 3 * time.Second, Grace: 2 * time.Second, ExitReserve: 400 * time.Millisecond}
 	is.True(short.Admits(1500*time.Millisecond, 100*time.Millisecond))
 	is.True(!short.Admits(1500*time.Millisecond, 200*time.Millisecond))
+	is.True(policy.Fits(4*time.Second, time.Second)) // taken before the balancer's drain time
+	is.True(!policy.Fits(4*time.Second, 2*time.Second))
+	is.True(!policy.Fits(policy.GiveUpTime(), 0))
 	none := drainer.Policy{Grace: time.Second, ExitReserve: 2 * time.Second}
 	is.Equal(none.GiveUpTime(), time.Duration(0))
 	is.True(!none.Admits(0, 0))
--- a/gateway/internal/dispatcher/admit.go
+++ b/gateway/internal/dispatcher/admit.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"godwitramp.example/core/drainer"
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/platform"
@@ -55,7 +56,7 @@
 		return nil, refusal
 	}
 	job.setDeadline()
-	if !dispatcher.answersBeforeStop(job) {
+	if !dispatcher.askStop(job, drainer.Policy.Admits) {
 		return nil, &refusalStopping
 	}
 	return job, nil
@@ -63,15 +64,14 @@
 
 var refusalStopping = refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: otherVMRetryAfter}
 
-// answersBeforeStop reports whether the job, if it is sent to a target now, will most likely be
-// answered before the VM stops.
-func (dispatcher *Dispatcher) answersBeforeStop(job *job) bool {
+// askStop reports whether the policy allows to go on with the job, if the VM stops.
+func (dispatcher *Dispatcher) askStop(job *job, allows func(policy drainer.Policy, elapsed, usual time.Duration) bool) bool {
 	stop := dispatcher.stop.Load()
 	if stop == nil {
 		return true
 	}
 	usual := min(dispatcher.latency.usual(job.service), time.Until(job.deadline))
-	return stop.policy.Admits(dispatcher.Clock()-stop.startedAt, usual)
+	return allows(stop.policy, dispatcher.Clock()-stop.startedAt, usual)
 }
 
 var refusalStale = refusal{status: http.StatusServiceUnavailable, reason: "configuration-stale", retryAfter: otherVMRetryAfter}
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/assessor"
+	"godwitramp.example/core/drainer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/gateway/internal/messenger"
@@ -86,7 +87,7 @@
 	if !handler.job.route.Idempotent && !await(ctx, handler.job.call.Turn) {
 		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "turn-did-not-come", retryAfter: otherVMRetryAfter})
 	}
-	if !handler.dispatcher.answersBeforeStop(handler.job) { // it may have waited for its turn
+	if !handler.dispatcher.askStop(handler.job, drainer.Policy.Fits) { // it may have waited for its turn
 		return handler.refuse(refusalStopping)
 	}
 	if refusal := handler.charge(ctx); refusal != nil {
