dispatcher: an answer that is ready isn't replaced by a failure when the time ends

When an attempt's result and the end of the request's time, or of the VM's planned stop, were ready at the same moment, which one was taken was left to chance, and a whole answer became a 504 or 502.

TestReadyAnswerIsDeliveredWhenTheContextEnds fails before (502 != 200).

--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -203,11 +203,38 @@
 		case <-hedge.C:
 			handler.startAttempt(ctx)
 		case <-ctx.Done():
-			return handler.expire(ctx)
+			return handler.lastAnswer(ctx)
 		}
 	}
 }
 
+// lastAnswer returns the answer when the context has ended: that of an attempt if it is ready.
+func (handler *handler) lastAnswer(ctx context.Context) receiver.Reply {
+	for context.Cause(ctx) != context.Canceled {
+		select {
+		case attempt := <-handler.results:
+			handler.inFlight--
+			handler.mayHaveRun = handler.mayHaveRun || attempt.verdict.MayHaveRun
+			switch attempt.verdict.Deliver {
+			case assessor.Always:
+				return handler.deliver(attempt)
+			case assessor.IfLast:
+				handler.failure = attempt
+			}
+			continue
+		default:
+		}
+		break
+	}
+	return handler.expire(ctx)
+}
+
+// deliver returns the answer of the attempt.
+func (handler *handler) deliver(attempt *attempt) receiver.Reply {
+	handler.reason, handler.delivered = attempt.verdict.Reason, attempt
+	return attempt.reply()
+}
+
 // hedgeTimer returns a timer that fires when the request should be hedged. It never fires
 // if the request isn't idempotent or its route has no latency objective.
 func (handler *handler) hedgeTimer() *time.Timer {
@@ -231,8 +258,7 @@
 	}
 	handler.mayHaveRun = handler.mayHaveRun || verdict.MayHaveRun
 	if verdict.Deliver == assessor.Always {
-		handler.reason, handler.delivered = verdict.Reason, attempt
-		reply := attempt.reply()
+		reply := handler.deliver(attempt)
 		return &reply
 	}
 	if verdict.Deliver == assessor.IfLast {
@@ -291,7 +317,7 @@
 	givenUp := givenUp(ctx)
 	switch {
 	case handler.mayHaveRun && givenUp:
-		return handler.refuse(refusal{status: http.StatusBadGateway, reason: "given-up"})
+		return handler.refuse(refusalGivenUp)
 	case handler.mayHaveRun:
 		return handler.refuse(refusal{status: http.StatusGatewayTimeout, reason: "timed-out"})
 	case givenUp:
@@ -300,6 +326,9 @@
 	return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "timed-out-unsent", retryAfter: targetsRetryAfter})
 }
 
+// refusalGivenUp is the answer to requests that may have run when the VM stops.
+var refusalGivenUp = refusal{status: http.StatusBadGateway, reason: "given-up"}
+
 // givenUp reports whether the context has ended because the VM stops.
 func givenUp(ctx context.Context) bool { return errors.Is(context.Cause(ctx), receiver.ErrGivenUp) }
 
