dispatcher: what a stop refuses or gives up is no failure of the service

Requests that a VM refused or gave up because it stops were told to its group as failed requests of the service, and could make it count as degraded. The same refusal at admission was not.

TestStopIsNoFailureOfTheService fails before (2 failures told).

--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -68,9 +68,10 @@
 	reason      string
 }
 
-// reportFailure records a request that was refused or failed, in this VM and its group.
+// reportFailure records a request that was refused or failed, in this VM and its group, unless
+// that is because the VM stops.
 func (handler *handler) reportFailure(reply receiver.Reply) {
-	if reply.Abort || reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests {
+	if reply.Abort || handler.reason == refusalStopping.reason || handler.reason == refusalGivenUp.reason || reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests {
 		return
 	}
 	handler.dispatcher.state.recordFailure(handler.job.service, handler.dispatcher.Clock())
@@ -85,6 +86,9 @@
 	ctx, cancel := context.WithDeadline(parent, handler.job.deadline)
 	defer cancel()
 	if !handler.job.route.Idempotent && !await(ctx, handler.job.call.Turn) {
+		if givenUp(ctx) {
+			return handler.refuse(refusalStopping)
+		}
 		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "turn-did-not-come", retryAfter: otherVMRetryAfter})
 	}
 	if !handler.dispatcher.askStop(handler.job, drainer.Policy.Fits) { // it may have waited for its turn
--- a/gateway/internal/dispatcher/stop_test.go
+++ b/gateway/internal/dispatcher/stop_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"godwitramp.example/core/drainer"
+	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
 )
 
@@ -104,3 +106,35 @@
 	is.Equal(vm.Serve(ctx, waiting).Status, http.StatusServiceUnavailable) // not run
 	is.Equal(len(target.arrivals()), 1)
 }
+
+// failureCounter is a messenger that counts the failed requests told to the group.
+type failureCounter struct {
+	discardMessenger
+	failures atomic.Int32
+}
+
+func (failureCounter *failureCounter) SendToGroup(events ...messenger.Event) {
+	for _, event := range events {
+		if event.Kind == messenger.RequestFailed {
+			failureCounter.failures.Add(1)
+		}
+	}
+}
+
+// What a VM refuses or gives up because it stops must not count as failures of the service, for
+// which idle targets are tried.
+func TestStopIsNoFailureOfTheService(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, hang))
+	counter := &failureCounter{}
+	vm.Messenger = counter
+	ctx, giveUp := context.WithCancelCause(context.Background())
+	time.AfterFunc(50*time.Millisecond, func() { giveUp(receiver.ErrGivenUp) })
+	is.Equal(vm.Serve(ctx, call(http.MethodGet, "/read/1", "key")).Status, http.StatusBadGateway)
+	booking := call(http.MethodPost, "/book/1", "key")
+	booking.Turn = make(chan struct{})
+	is.Equal(vm.Serve(ctx, booking).Status, http.StatusServiceUnavailable)
+	vm.Leave(drainer.Policy{BalancerDrain: time.Hour})
+	is.Equal(vm.book().Status, http.StatusServiceUnavailable)
+	is.Equal(counter.failures.Load(), int32(0))
+}
