starter: a planned stop gives up no earlier than it cut before

Now requests are given up 0.4 s before the end of the grace, and the process exits at most 0.15 s later.

--- a/gateway/internal/starter/stop.go
+++ b/gateway/internal/starter/stop.go
@@ -9,8 +9,8 @@
 const (
 	// balancerDrain is two checks of the balancer a second apart, and a margin.
 	balancerDrain = 3 * time.Second
-	exitReserve   = 400 * time.Millisecond
-	answerReserve = 200 * time.Millisecond
+	exitReserve   = 250 * time.Millisecond
+	answerReserve = 150 * time.Millisecond
 	// stopPollInterval is how often stop checks for open connections.
 	stopPollInterval = 50 * time.Millisecond
 )
