verifier, tracker: a version that was lost stays known as lost once it is written again

Claims named the era in which the sender had read its configuration last. Once the operator had written a lost version again, a VM that had read the copy and was cut off then no longer learnt from its peers that its age was false: it counted as fresh as of a time at which they had the newer one. Claims name the era of the first reading now, and of two eras of a version the lower counts.

Besides the bound it checks that no VM counts as fresh as of a time at which a VM that it hears had a newer configuration, and all fleet tests check that the version in force never falls.

--- a/core/verifier/withholder.go
+++ b/core/verifier/withholder.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Origin is a version of the configuration, and the era of the store in which a VM read it.
+// Origin is a version of the configuration, and the era of the store in which a VM read it
+// first.
 type Origin struct {
 	Version uint64
 	Era     uint64
@@ -51,7 +52,8 @@
 
 // RecordPeer records what a peer has in force.
 func (withholder *Withholder) RecordPeer(peer Origin) {
-	if peer.Version > withholder.peer.Version {
+	known := withholder.peer
+	if peer.Version > known.Version || peer.Version == known.Version && peer.Era < known.Era {
 		withholder.peer = peer
 	}
 	withholder.update()
--- a/core/verifier/withholder_test.go
+++ b/core/verifier/withholder_test.go
@@ -32,6 +32,12 @@
 	late.RecordReading(10, 3, 7*time.Second) // another restore
 	is.Equal(late.AsOf(), 7*time.Second)
 
+	late.RecordReading(11, 3, 7*time.Second)
+	late.RecordPeer(verifier.Origin{Version: 12, Era: 3})
+	is.Equal(late.Required(), uint64(0))
+	late.RecordPeer(verifier.Origin{Version: 12, Era: 2}) // was lost and has been written again
+	is.Equal(late.Required(), uint64(12))
+
 	ordinary.RecordReading(10, 2, 0)
 	ordinary.RecordPeer(verifier.Origin{Version: 11, Era: 2})
 	ordinary.RecordPeer(verifier.Origin{Version: 9, Era: 1})
--- a/gateway/internal/tracker/faults_test.go
+++ b/gateway/internal/tracker/faults_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -32,6 +33,17 @@
 	// VM ended or will end.
 	storeFaultUntil time.Time
 	vmFaultUntil    [faultRunVMs]time.Time
+	// restores is true if the store is restored from older copies. snapshots are copies of
+	// the last seconds, the oldest first.
+	restores  bool
+	snapshots []faker.Snapshot
+	// restoreUntil is until when the store has no other fault after a restore, so that all
+	// VMs without a fault are checked.
+	restoreUntil time.Time
+	// routes is the number of routes of each of the versions.
+	routes []int
+	// claimsLostUntil is when the last loss of claims ended or will end.
+	claimsLostUntil time.Time
 	// refusals counts the checks at which a VM that lacked the due version
 	// refused to serve.
 	refusals int
@@ -45,6 +57,7 @@
 func (faultRun *faultRun) run() {
 	const step = 50 * time.Millisecond
 	for end := time.Now().Add(faultRunTime); time.Now().Before(end); time.Sleep(step) {
+		faultRun.takeSnapshot()
 		switch faultRun.random.IntN(60) {
 		case 0, 1, 2:
 			faultRun.writeConfiguration()
@@ -56,29 +69,128 @@
 			faultRun.store.ForgetHistory()
 		case 7:
 			duration := faultRun.randomDuration(200, 1500)
+			faultRun.claimsLostUntil = time.Now().Add(duration)
 			faultRun.dropClaims.Store(true)
 			faultRun.running.Go(func() {
 				time.Sleep(duration)
 				faultRun.dropClaims.Store(false)
 			})
+		case 8, 9:
+			if faultRun.restores {
+				faultRun.injectRestore()
+			}
 		}
 		faultRun.checkVMs()
+		faultRun.checkFreshness()
 	}
 }
 
+const (
+	// maxSnapshots is the number of steps whose snapshots are kept.
+	maxSnapshots = 200
+	// restoreCheckTime is the time without another fault of the store after a restore.
+	restoreCheckTime = 8 * time.Second
+)
+
+func (faultRun *faultRun) takeSnapshot() {
+	if !faultRun.restores {
+		return
+	}
+	faultRun.snapshots = append(faultRun.snapshots, faultRun.store.Snapshot())
+	if len(faultRun.snapshots) > maxSnapshots {
+		faultRun.snapshots = faultRun.snapshots[1:]
+	}
+}
+
+// injectRestore takes the store away for a moment, once or twice, and restores it from a copy
+// that is some seconds old. The operator writes the newest configuration again within a second.
+func (faultRun *faultRun) injectRestore() {
+	if time.Now().Before(faultRun.storeFaultUntil) || time.Now().Before(faultRun.restoreUntil) {
+		return
+	}
+	rewrite := faultRun.randomDuration(1, 1000)
+	snapshot := faultRun.snapshots[faultRun.random.IntN(len(faultRun.snapshots))]
+	for range 1 + faultRun.random.IntN(2) {
+		faultRun.store.SetFaults([]faker.Faults{{}, {Refuse: http.StatusServiceUnavailable}, {Silent: true}}[faultRun.random.IntN(3)])
+		time.Sleep(faultRun.randomDuration(1, 1000))
+		faultRun.store.Restore(snapshot)
+		faultRun.store.SetFaults(faker.Faults{})
+		time.Sleep(faultRun.randomDuration(1, 300))
+	}
+	faultRun.snapshots = nil // the copies of the era before are of a history that is gone
+	faultRun.takeSnapshot()
+	faultRun.storeFaultUntil = time.Now().Add(rewrite)
+	faultRun.restoreUntil = time.Now().Add(restoreCheckTime)
+	faultRun.running.Go(func() {
+		time.Sleep(rewrite)
+		if newest := len(faultRun.versions) - 1; newest >= 0 {
+			faultRun.putConfiguration(faultRun.versions[newest], faultRun.routes[newest])
+		}
+	})
+}
+
+// claimDelay is the time within which claims that are not lost have arrived.
+const claimDelay = 1100 * time.Millisecond
+
+// checkFreshness checks that no VM takes its configuration for the newest as of a time at which
+// another one had a newer one already, which the store may have lost: keys may have been
+// withdrawn in it.
+func (faultRun *faultRun) checkFreshness() {
+	now := time.Now()
+	if !faultRun.restores || now.Sub(faultRun.claimsLostUntil) < claimDelay {
+		return
+	}
+	for rank, member := range faultRun.members() {
+		index := member.Index()
+		if index == nil || !faultRun.heard(rank) {
+			continue
+		}
+		asOf := faultRun.startTime.Add(member.AsOf())
+		if version, since := faultRun.newerSince(index.Version); version > 0 && since.Before(asOf) && now.Sub(since) > claimDelay {
+			faultRun.t.Errorf("VM %d takes version %d for the newest as of %v, but %d was in force at %v",
+				rank, index.Version, member.AsOf(), version, since.Sub(faultRun.startTime))
+		}
+	}
+}
+
+// heard reports whether the VM's claims and those to it have had time to arrive.
+func (faultRun *faultRun) heard(rank int) bool {
+	return !faultRun.members()[rank].down.Load() && time.Since(faultRun.vmFaultUntil[rank]) >= claimDelay
+}
+
+// newerSince returns the newest version in force on a VM that is heard, if it is newer than the
+// given one, and since when that VM has had it.
+func (faultRun *faultRun) newerSince(known uint64) (uint64, time.Time) {
+	var newest uint64
+	var newestSince time.Time
+	for rank, member := range faultRun.members() {
+		index := member.Index()
+		if index == nil || !faultRun.heard(rank) || index.Version <= max(known, newest) {
+			continue
+		}
+		member.mutex.Lock()
+		if since, ok := member.inForce[index.Version]; ok {
+			newest, newestSince = index.Version, since
+		}
+		member.mutex.Unlock()
+	}
+	return newest, newestSince
+}
+
 // randomDuration returns a random duration; the bounds are in milliseconds.
 func (faultRun *faultRun) randomDuration(shortest, longest int) time.Duration {
 	return time.Duration(shortest+faultRun.random.IntN(longest-shortest)) * time.Millisecond
 }
 
 func (faultRun *faultRun) writeConfiguration() {
-	version := uint64(100 + len(faultRun.versions))
-	faultRun.putConfiguration(version, 1+faultRun.random.IntN(manyRoutes))
+	version, routes := uint64(100+len(faultRun.versions)), 1+faultRun.random.IntN(manyRoutes)
+	faultRun.putConfiguration(version, routes)
+	faultRun.routes = append(faultRun.routes, routes)
 	faultRun.versions, faultRun.confirmedAt = append(faultRun.versions, version), append(faultRun.confirmedAt, time.Now())
 }
 
 func (faultRun *faultRun) injectStoreFault() {
-	if time.Now().Before(faultRun.storeFaultUntil) {
+	if time.Now().Before(faultRun.storeFaultUntil) || time.Now().Before(faultRun.restoreUntil) {
 		return
 	}
 	duration := faultRun.randomDuration(500, 5000)
@@ -159,17 +271,42 @@
 // routes over 10 Mbit/s.
 func TestConfirmedChangesAreInForceUnderRandomFaults(t *testing.T) {
 	for _, seed := range faultRunSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			bytesPerSecond := answerBytes(manyRoutes) * 10 / 12
-			runFleet(t, faultRunVMs, bytesPerSecond, func(fleet *fleet) {
-				faultRun := &faultRun{fleet: fleet, random: rand.New(rand.NewPCG(seed, 1)), bytesPerSecond: bytesPerSecond}
-				faultRun.run()
-				time.Sleep(10 * time.Second) // lets all faults end
-				faultRun.checkVMs()
-				if faultRun.refusals > 0 {
-					t.Logf("refused in %d checks of %d", faultRun.refusals, faultRunVMs*int(faultRunTime/(50*time.Millisecond)))
-				}
-			})
+		sweep(t, seed, false)
+	}
+}
+
+// sweep makes one run from a seed.
+func sweep(t *testing.T, seed uint64, restores bool) {
+	t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		bytesPerSecond := answerBytes(manyRoutes) * 10 / 12
+		runFleet(t, faultRunVMs, bytesPerSecond, func(fleet *fleet) {
+			faultRun := &faultRun{fleet: fleet, random: rand.New(rand.NewPCG(seed, 1)), bytesPerSecond: bytesPerSecond, restores: restores}
+			faultRun.run()
+			time.Sleep(10 * time.Second) // lets all faults end
+			faultRun.checkVMs()
+			if faultRun.refusals > 0 {
+				t.Logf("refused in %d checks of %d", faultRun.refusals, faultRunVMs*int(faultRunTime/(50*time.Millisecond)))
+			}
 		})
+	})
+}
+
+// restoreRunSeeds are the seeds of the runs in which the store is restored as well.
+var restoreRunSeeds = []uint64{0, 1, 2, 3, 4, 5, 6, 7}
+
+// The same holds if the store comes back from older copies at times, overlapping with all
+// other faults, and no VM believes the copy where another one knows better.
+func TestConfirmedChangesAreInForceUnderRandomFaultsAndRestores(t *testing.T) {
+	seeds := restoreRunSeeds
+	if *extraSeeds > 0 {
+		seeds = nil
+		for seed := range *extraSeeds {
+			seeds = append(seeds, 1000+seed)
+		}
+	}
+	for _, seed := range seeds {
+		sweep(t, seed, true)
 	}
 }
+
+var extraSeeds = flag.Uint64("restore-seeds", 0, "run this number of other seeds with restores")
--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -317,3 +317,32 @@
 	putEntry(store, "b", "ready", 7, 1)
 	waitUntil(t, "the target is ready again", func() bool { return !vm.leaving("b") })
 }
+
+// A VM that has read the copy, and is cut off before the configuration 11 is written again, must
+// not count as fresh as of a time at which 11 was in force.
+func TestVersionThatWasLostIsKnownAsLostOnceItIsWrittenAgain(t *testing.T) {
+	runFleet(t, 3, 1<<20, func(fleet *fleet) {
+		fleet.changeConfiguration(10, 1)
+		snapshot := fleet.store.Snapshot()
+		late := fleet.members()[2]
+		late.link.Cut()
+		late.down.Store(true) // no claims either
+		fleet.putConfiguration(11, 1)
+		time.Sleep(500 * time.Millisecond)
+		lost := time.Since(fleet.startTime)
+		fleet.store.Restore(snapshot)
+		late.link.Restore()
+		time.Sleep(fleetMaxStaleness)
+		late.link.Cut()
+		fleet.putConfiguration(11, 1)
+		time.Sleep(500 * time.Millisecond)
+		late.down.Store(false)
+		time.Sleep(600 * time.Millisecond)
+		if asOf := late.AsOf(); asOf >= lost || !late.Behind() {
+			t.Errorf("VM 2 takes version 10 for the newest as of %v, 11 was in force before %v; behind=%t", asOf, lost, late.Behind())
+		}
+		late.link.Restore()
+		time.Sleep(fleetMaxStaleness)
+		checkServing(t, late, 11, true)
+	})
+}
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -63,8 +63,10 @@
 	// Clock.
 	asOf       atomic.Int64
 	hasTargets atomic.Bool
-	// indexEra is the era of the store in which index was read last. It is set before index.
+	// indexEra is the era of the store in which index was read first. It is set before index.
 	indexEra atomic.Uint64
+	// lastEra is the era in which it was read last, while a reading is applied.
+	lastEra uint64
 	// withholder decides whether index is older than what the store had confirmed before it
 	// was restored. withheldAsOf is the limit of AsOf while withheld is true.
 	withholderMutex sync.Mutex
@@ -262,7 +264,8 @@
 		return
 	}
 	tracker.refused.Store(false)
-	restored := reading.Era > tracker.indexEra.Swap(reading.Era)
+	restored := reading.Era > tracker.lastEra
+	tracker.lastEra = reading.Era
 	if current != nil && index.Version == current.Version {
 		// After a restore the operator may have given the version out again.
 		if !restored || reflect.DeepEqual(index.Configuration, current.Configuration) {
@@ -270,6 +273,7 @@
 		}
 		tracker.Log.WithFields(logrus.Fields{"version": index.Version, "entry-version": row.Version}).Warn("configuration-replaced")
 	}
+	tracker.indexEra.Store(reading.Era)
 	tracker.index.Store(index)
 	tracker.Log.WithFields(logrus.Fields{
 		"version": index.Version, "routes": len(index.Routes), "organisations": len(index.Organisations),
--- a/gateway/internal/tracker/transfer_test.go
+++ b/gateway/internal/tracker/transfer_test.go
@@ -77,6 +77,11 @@
 func (member *member) recordInForce(index *indexer.Index) {
 	member.mutex.Lock()
 	defer member.mutex.Unlock()
+	for version := range member.inForce {
+		if version > index.Version {
+			member.fleet.t.Errorf("version %d came into force on VM %d after %d", index.Version, member.rank, version)
+		}
+	}
 	member.inForce[index.Version] = time.Now()
 }
 
