placer, dispatcher: log whether a service counted as degraded

The lines of a request name its targets and their suspicion, but not whether the service counted as degraded, on which trials of idle targets depend.

--- a/core/placer/degradation.go
+++ b/core/placer/degradation.go
@@ -137,6 +137,11 @@
 		failureRates.fleetShares.perSecond(now)*share >= degradedFailureShare
 }
 
+// Degraded reports whether the service loses so many requests that idle targets are tried.
+func (placer *Placer) Degraded(service string, now time.Duration) bool {
+	return placer.failureRatesOf(service).degraded(placer.fleetShare(), now)
+}
+
 // Load returns the requests of a service that the VM's group ends a second.
 func (placer *Placer) Load(service string, now time.Duration) float64 {
 	return placer.failureRatesOf(service).load.perSecond(now)
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -125,7 +125,7 @@
 	var best *target
 	lowestCost := 0.0
 	divided := placer.dividesTrials(info.Service, info.Now)
-	degraded := placer.failureRatesOf(info.Service).degraded(placer.fleetShare(), info.Now)
+	degraded := placer.Degraded(info.Service, info.Now)
 	for _, candidate := range placer.byService[info.Service] {
 		if candidate.isLeaving() || candidate.coolingDown(info.Now) || candidate.backoffUntil > info.Now || slices.Contains(info.Tried, candidate.ID) != info.RetryTried {
 			continue
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -50,6 +50,8 @@
 	tried       []string
 	unreachable []string
 	attempts    int
+	// degraded is true if the service counted as degraded before an attempt.
+	degraded bool
 	// reached is the number of attempts that may have reached a target.
 	reached  int
 	inFlight int
@@ -140,7 +142,9 @@
 		return false
 	}
 	dispatcher := handler.dispatcher
-	target, ok := dispatcher.state.pick(handler.pickInfo(), handler.reached > 0)
+	info := handler.pickInfo()
+	handler.degraded = handler.degraded || dispatcher.state.degraded(info.Service, info.Now)
+	target, ok := dispatcher.state.pick(info, handler.reached > 0)
 	if !ok {
 		return false
 	}
@@ -331,6 +335,9 @@
 	if wait := handler.rateWait.Round(time.Millisecond); wait > 0 {
 		fields["waited-for-rate"] = wait
 	}
+	if handler.degraded {
+		fields["service-degraded"] = true
+	}
 	if len(handler.lenders) > 0 {
 		fields["lenders"] = handler.lenders
 	}
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -279,6 +279,13 @@
 	return state.placer.MarkLeaving(target.ID, target.Incarnation)
 }
 
+// degraded reports whether the service counts as degraded.
+func (state *state) degraded(service string, now time.Duration) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.Degraded(service, now)
+}
+
 // load returns the requests a second of the service in the VM's group.
 func (state *state) load(service string, now time.Duration) float64 {
 	state.mutex.Lock()
