placer, dispatcher: the fleet hears of every lost request

A service counts as degraded, so that idle targets are tried, by the losses of the VM's group or of the fleet. Other groups were told of a lost request only if its target had failed it at once and wasn't suspected yet.

Now every request that a target failed, or that found no target, is told, with the load of the group as before. An answer of the target that failed the request late is told too, as weak evidence on the target. Timeouts aren't evidence for others, as a VM that is slow or cut off itself sees them at all targets. What is told is now decided in core/placer.

The tests failed before (the dispatcher's: no event instead of one).

--- a/core/placer/floor_test.go
+++ b/core/placer/floor_test.go
@@ -58,6 +58,8 @@
 	outcome placer.Outcome
 	// load is that of the group in which the request failed.
 	load float64
+	// lost is true if other groups hear that the request failed.
+	lost bool
 }
 
 type events []event
--- a/gateway/internal/dispatcher/answers_test.go
+++ b/gateway/internal/dispatcher/answers_test.go
@@ -201,3 +201,16 @@
 	is.Equal(fleet.sent[1].Kind, messenger.FleetFailure)
 	is.Equal(fleet.sent[1].Service, "s")
 }
+
+// The fleet must hear of every lost booking, also of one that says little of its target.
+func TestBookingThatTimedOutAtItsTargetIsToldToTheFleet(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, answerWith(http.StatusGatewayTimeout, "")))
+	fleet := &recordingMessenger{}
+	vm.Messenger = fleet
+	is.Equal(vm.book().Status, http.StatusGatewayTimeout)
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	is.Equal(len(fleet.sent), 1) // nothing before
+	is.Equal(fleet.sent[0].Kind, messenger.FleetFailure)
+}
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -30,10 +30,6 @@
 	maxAnswerBytes = 32 << 20
 )
 
-// maxReportedSuspicion is the suspicion of a target below which a failure is sent to the
-// whole fleet. Above it a further failure would tell the other VMs nothing new.
-const maxReportedSuspicion = 0.6
-
 var errWithheld = errors.New("attempt withheld: key withdrawn, configuration too old or target no longer usable")
 
 // attempt is one attempt of a request at one target.
@@ -249,8 +245,8 @@
 	case placer.Good:
 		dispatcher.latency.observe(attempt.job.service, latency)
 	case placer.Failed:
-		if attempt.suspicionBefore < maxReportedSuspicion {
-			dispatcher.Messenger.SendToFleet(attempt.failureEvents()...)
+		if attempt.job.route.Idempotent { // for others the end of the request follows
+			dispatcher.report(attempt.failure(), attempt.target.ID)
 		}
 	}
 	if attempt.number == 1 && verdict.Outcome == placer.Good {
@@ -264,15 +260,24 @@
 	dispatcher.Log.WithFields(fields).Info("attempt-ended")
 }
 
-// failureEvents are the events that report a failed attempt to the fleet: the target's
-// failure, and that of the request if it can't be sent again.
-func (attempt *attempt) failureEvents() []messenger.Event {
-	events := []messenger.Event{{Kind: messenger.AttemptOutcome, Name: attempt.target.ID, Outcome: placer.Failed}}
-	if !attempt.job.route.Idempotent {
-		load := attempt.dispatcher.state.load(attempt.job.service, attempt.dispatcher.Clock())
-		events = append(events, messenger.Event{Kind: messenger.FleetFailure, Service: attempt.job.service, Load: load})
+func (attempt *attempt) failure() placer.Failure {
+	return placer.Failure{Service: attempt.job.service, Outcome: attempt.verdict.Outcome, Suspicion: attempt.suspicionBefore}
+}
+
+// report tells the VMs outside the group of a failure, if it is news to them. The target is
+// empty if none is to blame.
+func (dispatcher *Dispatcher) report(failure placer.Failure, target string) {
+	report := dispatcher.state.report(failure, dispatcher.Clock())
+	var events []messenger.Event
+	if report.Target && target != "" {
+		events = append(events, messenger.Event{Kind: messenger.AttemptOutcome, Name: target, Outcome: failure.Outcome})
+	}
+	if report.Request {
+		events = append(events, messenger.Event{Kind: messenger.FleetFailure, Service: failure.Service, Load: report.Load})
+	}
+	if len(events) > 0 {
+		dispatcher.Messenger.SendToFleet(events...)
 	}
-	return events
 }
 
 // reply returns the target's answer without hop-by-hop headers and those of the platform.
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -65,18 +65,38 @@
 	// answer is forwarded if no other attempt succeeds.
 	failure     *attempt
 	lastVerdict assessor.Verdict
-	reason      string
+	// last is the attempt that ended last.
+	last   *attempt
+	reason string
 }
 
-// reportFailure records a request that was refused or failed, in this VM and its group.
+// reportFailure records a request that was refused or failed, in this VM and its group, and
+// in the fleet if it was meant for a target.
 func (handler *handler) reportFailure(reply receiver.Reply) {
 	if reply.Abort || reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests {
 		return
 	}
 	handler.dispatcher.state.recordFailure(handler.job.service, handler.dispatcher.Clock())
 	handler.dispatcher.Messenger.SendToGroup(messenger.Event{Kind: messenger.RequestFailed, Service: handler.job.service})
+	if handler.attempts == 0 && handler.reason != noTarget || handler.reason == targetsQuiet {
+		return
+	}
+	failure, target := placer.Failure{Service: handler.job.service, Outcome: placer.Unknown}, ""
+	if handler.last != nil && !handler.job.route.Idempotent {
+		failure, target = handler.last.failure(), handler.last.target.ID
+	}
+	failure.Lost = true
+	handler.dispatcher.report(failure, target)
 }
 
+const (
+	// noTarget is the reason of refusals because no target can take a request.
+	noTarget = "no-target"
+	// targetsQuiet is the reason of refusals because all targets are cooling down, which goes
+	// before the trials of idle targets.
+	targetsQuiet = "targets-quiet"
+)
+
 // hedgeFraction is the fraction of the latency objective after which an idempotent request
 // is hedged at the latest.
 const hedgeFraction = 0.7
@@ -224,7 +244,7 @@
 // decided, and nil if other attempts are in flight or a retry was started.
 func (handler *handler) handleResult(ctx context.Context, attempt *attempt) *receiver.Reply {
 	verdict := attempt.verdict
-	handler.lastVerdict = verdict
+	handler.lastVerdict, handler.last = verdict, attempt
 	if verdict.Outcome == placer.Unreachable {
 		handler.markUnreachable(attempt.target.ID)
 	}
@@ -303,11 +323,11 @@
 		return handler.refuse(refusal{status: http.StatusBadGateway, reason: handler.lastVerdict.Reason})
 	}
 	if wait, ok := handler.dispatcher.state.coolDownRetryAfter(handler.job.service, handler.dispatcher.Clock()); ok {
-		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "targets-quiet", retryAfter: wait})
+		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: targetsQuiet, retryAfter: wait})
 	}
 	switch {
 	case handler.attempts == 0:
-		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "no-target", retryAfter: targetsRetryAfter})
+		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: noTarget, retryAfter: targetsRetryAfter})
 	case handler.lastVerdict.Reason == assessor.Withheld:
 		return handler.refuse(refusalStale)
 	default:
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -286,11 +286,11 @@
 	return state.placer.Degraded(service, now)
 }
 
-// load returns the requests a second of the service in the VM's group.
-func (state *state) load(service string, now time.Duration) float64 {
+// report returns what the VMs outside the group are told of a failure.
+func (state *state) report(failure placer.Failure, now time.Duration) placer.Report {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	return state.placer.Load(service, now)
+	return state.placer.Report(failure, now)
 }
 
 func (state *state) recordFailure(service string, now time.Duration) {
