placer: a failure in another group counts as an attempt at its target

A target is tried when it has been idle. Failures that other groups tell didn't count as attempts, so that each group tried an ill target once more, also when another had just failed there: with uploads that fail late (suspicion 0.45, below the 0.56 up to which targets are tried) callers paid for it.

TestFailureInAnotherGroupIsAnAttempt failed before (the target was tried 10 ms after the failure).

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -209,6 +209,7 @@
 // the starts of its attempts.
 func (placer *Placer) PeerOutcome(id string, outcome Outcome, now time.Duration) {
 	if known := placer.byID[id]; known != nil {
+		known.lastAttemptAt = max(known.lastAttemptAt, now)
 		known.record(outcome, false, now)
 	}
 }
--- a/core/placer/placer_test.go
+++ b/core/placer/placer_test.go
@@ -350,3 +350,25 @@
 	is.True(ok)
 	is.Equal(picked.ID, "idle") // it is tried, as the service is degraded
 }
+
+// A trial must not follow at once on another group's failure at the same target.
+func TestFailureInAnotherGroupIsAnAttempt(t *testing.T) {
+	is := is.New(t)
+	vm := at("a1")
+	vm.Replace([]placer.Target{target("t0", "a1"), target("t1", "a1")}, -10*time.Second)
+	for range 20 {
+		vm.RecordFleetFailure("s", 10, 0)
+	}
+	picked, _ := vm.Pick(placer.PickInfo{Service: "s", Now: 0}, random())
+	vm.Done(picked, placer.Good, 0)
+	idle := "t0"
+	if picked.ID == idle {
+		idle = "t1"
+	}
+	vm.PeerOutcome(idle, placer.FailedLate, 0)
+	next, _ := vm.Pick(placer.PickInfo{Service: "s", Now: 10 * time.Millisecond}, random())
+	is.Equal(next.ID, picked.ID)
+	vm.PeerStarted(picked.ID, time.Second)
+	tried, _ := vm.Pick(placer.PickInfo{Service: "s", Now: 1600 * time.Millisecond}, random())
+	is.Equal(tried.ID, idle)
+}
