assessor, dispatcher: failures right after the transfer of a request are the target's

A failure that comes far sooner than answers usually do is the target's, others are most often the request's own and move the target's suspicion little. The bound was an eighth of the mean latency, or 25 ms until a VM has had eight good answers of the service.

Now a failure is the target's also if it comes sooner than half of the quickest good answer that the VM has had, which one answer is enough for.

--- a/gateway/internal/dispatcher/latency.go
+++ b/gateway/internal/dispatcher/latency.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"godwitramp.example/core/assessor"
 	"godwitramp.example/core/retrier"
 )
 
@@ -12,6 +13,8 @@
 type latencies struct {
 	mutex     sync.Mutex
 	byService map[string]*retrier.Estimator
+	// quickest are the latencies of the quickest good answers of each service.
+	quickest map[string]*assessor.Quickest
 }
 
 func (latencies *latencies) observe(service string, latency time.Duration) {
@@ -24,6 +27,13 @@
 		latencies.byService[service] = &retrier.Estimator{}
 	}
 	latencies.byService[service].Observe(latency)
+	if latencies.quickest == nil {
+		latencies.quickest = make(map[string]*assessor.Quickest)
+	}
+	if latencies.quickest[service] == nil {
+		latencies.quickest[service] = &assessor.Quickest{}
+	}
+	latencies.quickest[service].Observe(latency)
 }
 
 // hedgeDelay returns how long to wait for an answer before a hedged request is sent, at
@@ -50,6 +60,9 @@
 func (latencies *latencies) isQuick(service string, latency time.Duration) bool {
 	latencies.mutex.Lock()
 	defer latencies.mutex.Unlock()
+	if quickest := latencies.quickest[service]; quickest != nil && quickest.TooQuick(latency) {
+		return true
+	}
 	if estimator := latencies.byService[service]; estimator != nil && estimator.MeanLatency() > 0 {
 		return latency < time.Duration(quickFraction*float64(estimator.MeanLatency()))
 	}
