placer: targets that fail their trials are tried less often

Each further failure in a row doubles the pause before a trial, up to 4 s: a target that failed counts as sound after 2 s, and a window is 2 s.

--- a/core/placer/degradation.go
+++ b/core/placer/degradation.go
@@ -193,10 +193,21 @@
 // request or, if its service is degraded, the next request of any kind. VMs try only
 // the targets of their own data centre.
 func (placer *Placer) dueForTrial(target *target, now time.Duration) bool {
-	return target.DataCentre == placer.Locality.DataCentre && now-target.lastAttemptAt > maxIdle &&
+	return target.DataCentre == placer.Locality.DataCentre && now-target.lastAttemptAt > target.trialPause() &&
 		target.suspicion.at(now) < maxTrialSuspicion
 }
 
+// maxTrialPause is the longest pause between the trials of a target that fails all of them.
+// A target that failed counts as sound two seconds later, and must get a request within two
+// more.
+const maxTrialPause = 4 * time.Second
+
+// trialPause returns how long the target must have been idle for a trial. Each further failure
+// in a row doubles it, as most of them are of targets that stay ill for long.
+func (target *target) trialPause() time.Duration {
+	return min(maxTrialPause, maxIdle<<min(max(0, target.failures-1), 8))
+}
+
 // maxTrialTime is the time in which a group must be able to try its part of the targets with
 // its usual load, so that all are tried within two seconds.
 const maxTrialTime = 500 * time.Millisecond
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -45,6 +45,8 @@
 	// peerStarts are the start times of the attempts of other VMs in flight, oldest
 	// first.
 	peerStarts []time.Duration
+	// failures counts the known failures since the last good answer.
+	failures int
 	// lastAttemptAt is when the last known attempt started.
 	lastAttemptAt time.Duration
 	// backoffUntil is when a target that was unreachable, full or replaced may be
@@ -89,6 +91,12 @@
 // attempts show whether this VM can reach the target.
 func (target *target) record(outcome Outcome, own bool, now time.Duration) {
 	target.suspicion.observe(outcome, now)
+	switch outcome {
+	case Good:
+		target.failures = 0
+	case Failed, FailedLate:
+		target.failures++
+	}
 	if outcome == Replaced {
 		target.backoffUntil = max(target.backoffUntil, now+maxBackoff) // its entry will be removed as well
 	}
--- a/core/placer/uploads_floor_test.go
+++ b/core/placer/uploads_floor_test.go
@@ -20,6 +20,8 @@
 	// lateShare is the share of the failures of ill targets that come as late as those of
 	// requests on which a target worked.
 	lateShare float64
+	// Each target is ill for illTime in every illPeriod.
+	illTime, illPeriod time.Duration
 }
 
 // uploadsResult counts requests and windows of two seconds.
@@ -29,12 +31,10 @@
 }
 
 const (
-	uploadsGroups    = 12
-	uploadsTargets   = 21
-	uploadsRunTime   = 30 * time.Second
-	uploadsRuns      = 50
-	uploadsIllTime   = 2700 * time.Millisecond
-	uploadsIllPeriod = 9 * time.Second
+	uploadsGroups  = 12
+	uploadsTargets = 21
+	uploadsRunTime = 30 * time.Second
+	uploadsRuns    = 50
 	// calmTime is how long a target has been without disruption when it counts as sound.
 	calmTime = 6 * time.Second
 )
@@ -68,7 +68,7 @@
 		declared := target(fmt.Sprint("t", i), centres[i%len(centres)])
 		declared.Slots = 2
 		targets = append(targets, declared)
-		run.illFrom[declared.ID] = time.Duration(run.random.Float64() * float64(uploadsIllPeriod))
+		run.illFrom[declared.ID] = time.Duration(run.random.Float64() * float64(run.illPeriod))
 	}
 	run.disrupt(targets)
 	for i := range uploadsGroups {
@@ -113,7 +113,7 @@
 // end returns how an attempt that starts now ends.
 func (run *uploadsRun) end(picked placer.Target, now time.Duration) (time.Duration, placer.Outcome) {
 	transfer := time.Duration((0.3 + 1.2*run.random.Float64()) * float64(70*time.Millisecond))
-	ill := (now-run.illFrom[picked.ID]+10*uploadsIllPeriod)%uploadsIllPeriod < uploadsIllTime
+	ill := (now-run.illFrom[picked.ID]+run.illPeriod)%run.illPeriod < run.illTime
 	switch {
 	case ill && run.random.Float64() < 0.9:
 		if run.random.Float64() < run.lateShare {
@@ -256,14 +256,17 @@
 // Ill targets fail uploads only once they are transferred, which looks like a failure of the
 // request itself. Sound targets must be used however the failures look.
 func TestSoundTargetsAreUsedWhileUploadsFailLate(t *testing.T) {
+	const short, long = 2700 * time.Millisecond, 10 * time.Second
 	for _, test := range []struct {
 		load      uploadsLoad
 		maxFailed float64
 	}{
-		{uploadsLoad{"many, late", 57, 0.87}, 0.212},
-		{uploadsLoad{"many, most at once", 57, 0.2}, 0.093},
-		{uploadsLoad{"few, late", 27, 0.87}, 0.246},
-		{uploadsLoad{"few, most at once", 27, 0.2}, 0.136},
+		{uploadsLoad{"many, late", 57, 0.87, short, 9 * time.Second}, 0.212},
+		{uploadsLoad{"many, most at once", 57, 0.2, short, 9 * time.Second}, 0.093},
+		{uploadsLoad{"few, late", 27, 0.87, short, 9 * time.Second}, 0.246},
+		{uploadsLoad{"few, most at once", 27, 0.2, short, 9 * time.Second}, 0.136},
+		{uploadsLoad{"many, late, ill for long", 57, 0.87, long, 30 * time.Second}, 0.095},
+		{uploadsLoad{"few, late, ill for long", 27, 0.87, long, 30 * time.Second}, 0.125},
 	} {
 		t.Run(test.load.name, func(t *testing.T) { test.load.check(t, test.maxFailed) })
 	}
@@ -272,7 +275,12 @@
 // With 17 uploads a second for 21 targets, the groups of a data centre don't know enough of
 // each other's trials.
 func TestSoundTargetsAreUsedWhileFewUploadsFail(t *testing.T) {
-	uploadsLoad{"", 17, 0.87}.check(t, 0.267)
+	uploadsLoad{"", 17, 0.87, 2700 * time.Millisecond, 9 * time.Second}.check(t, 0.267)
+}
+
+// Targets that are ill for long are tried again and again, at the expense of callers.
+func TestSoundTargetsAreUsedWhileUploadsFailForLong(t *testing.T) {
+	uploadsLoad{"", 27, 0.2, 10 * time.Second, 30 * time.Second}.check(t, 0.079)
 }
 
 func (load uploadsLoad) check(t *testing.T, maxFailed float64) {
