--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -279,11 +279,18 @@
 	return state.placer.MarkLeaving(target.ID, target.Incarnation)
 }
 
-// load returns the requests a second of the service in the VM's group.
-func (state *state) load(service string, now time.Duration) float64 {
+// degraded reports whether the service counts as degraded.
+func (state *state) degraded(service string, now time.Duration) bool {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	return state.placer.Load(service, now)
+	return state.placer.Degraded(service, now)
+}
+
+// report returns what the VMs outside the group are told of a failure.
+func (state *state) report(failure placer.Failure, now time.Duration) placer.Report {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.Report(failure, now)
 }
 
 func (state *state) recordFailure(service string, now time.Duration) {
