tracker: a test of answers of an ended era

TestAnswersOfAnEndedEraAreIgnoredWithBackoff: they neither count as fresh nor as an outage, and are asked for with backoff. It fails if such an error is taken for a failed call, as before (a table counts as unreachable).

--- a/gateway/internal/tracker/stale_test.go
+++ b/gateway/internal/tracker/stale_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -128,3 +129,76 @@
 		is.Equal(vm.Index().Version, uint64(70))
 	})
 }
+
+// endedStore is a laggingStore that can be made to answer in eras, and with answers of an ended
+// era.
+type endedStore struct {
+	laggingStore
+	era, answers atomic.Uint64
+	ended        atomic.Bool
+}
+
+func (store *endedStore) Era() uint64 { return store.era.Load() }
+
+func (store *endedStore) check(reading platform.Reading, err error) (platform.Reading, error) {
+	store.answers.Add(1)
+	if store.ended.Load() {
+		return platform.Reading{}, platform.ErrEraEnded
+	}
+	reading.Era = store.era.Load()
+	return reading, err
+}
+
+func (store *endedStore) Read(ctx context.Context, table, part string, onLongTransfer func()) (platform.Reading, error) {
+	return store.check(store.laggingStore.Read(ctx, table, part, onLongTransfer))
+}
+
+func (store *endedStore) Watch(
+	ctx context.Context, table string, after uint64, wait time.Duration, onLongTransfer func(),
+) (platform.Reading, error) {
+	if store.ended.Load() {
+		wait = 0
+	}
+	return store.check(store.laggingStore.Watch(ctx, table, after, wait, onLongTransfer))
+}
+
+// Answers of an ended era, as of another copy of the store, must not count as fresh nor as an
+// outage, and must not make the VM poll in a tight loop.
+func TestAnswersOfAnEndedEraAreIgnoredWithBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &endedStore{laggingStore: laggingStore{startTime: time.Now(), version: 50}}
+		store.era.Store(4)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		clock := func() time.Duration { return time.Since(store.startTime) }
+		vm := &tracker.Tracker{
+			Store: store, Group: &group{}, Clock: clock, MaxConfigurationStaleness: fleetMaxStaleness, MaxTargetStaleness: fleetMaxStaleness,
+			Log: logrus.NewEntry(log), OnConfiguration: func(*indexer.Index) {}, OnTargets: func([]placer.Target) {},
+		}
+		vm.Open()
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = vm.Run(ctx) })
+		defer running.Wait()
+		defer cancel()
+		time.Sleep(10 * time.Second)
+		is.Equal(vm.Index().Version, uint64(50))
+
+		store.ended.Store(true)
+		time.Sleep(2 * time.Second)
+		asOf, answers := vm.AsOf(), store.answers.Load()
+		time.Sleep(4 * time.Second)
+		store.era.Store(5) // the client learns of the new era, and one old answer is left
+		time.Sleep(2 * time.Second)
+		is.Equal(vm.AsOf(), asOf)
+		is.True(!vm.AnyTableUnreachable())
+		is.True(store.answers.Load()-answers < 60) // for two tables in 6 s
+
+		store.set(40, false) // versions were given out again
+		store.ended.Store(false)
+		time.Sleep(2 * time.Second)
+		is.True(vm.AsOf() > asOf)
+		is.Equal(vm.Index().Version, uint64(50)) // the configuration 40 of the copy is older
+	})
+}
