--- a/gateway/internal/tracker/faults_test.go
+++ b/gateway/internal/tracker/faults_test.go
@@ -40,6 +40,9 @@
 	// restoreUntil is until when the store has no other fault after a restore, so that all
 	// VMs without a fault are checked.
 	restoreUntil time.Time
+	// rewritePending is true until the operator has written again after a restore, at
+	// storeFaultUntil.
+	rewritePending bool
 	// routes is the number of routes of each of the versions.
 	routes []int
 	// claimsLostUntil is when the last loss of claims ended or will end.
@@ -58,6 +61,7 @@
 	const step = 50 * time.Millisecond
 	for end := time.Now().Add(faultRunTime); time.Now().Before(end); time.Sleep(step) {
 		faultRun.takeSnapshot()
+		faultRun.writeAgain()
 		switch faultRun.random.IntN(60) {
 		case 0, 1, 2:
 			faultRun.writeConfiguration()
@@ -121,12 +125,19 @@
 	faultRun.takeSnapshot()
 	faultRun.storeFaultUntil = time.Now().Add(rewrite)
 	faultRun.restoreUntil = time.Now().Add(restoreCheckTime)
-	faultRun.running.Go(func() {
-		time.Sleep(rewrite)
-		if newest := len(faultRun.versions) - 1; newest >= 0 {
-			faultRun.putConfiguration(faultRun.versions[newest], faultRun.routes[newest])
-		}
-	})
+	faultRun.rewritePending = true
+}
+
+// writeAgain writes the newest configuration again if it is time after a restore.
+func (faultRun *faultRun) writeAgain() {
+	if !faultRun.rewritePending || time.Now().Before(faultRun.storeFaultUntil) {
+		return
+	}
+	faultRun.rewritePending = false
+	faultRun.storeFaultUntil = time.Now()
+	if newest := len(faultRun.versions) - 1; newest >= 0 {
+		faultRun.putConfiguration(faultRun.versions[newest], faultRun.routes[newest])
+	}
 }
 
 // claimDelay is the time within which claims that are not lost have arrived.
@@ -282,7 +293,9 @@
 		runFleet(t, faultRunVMs, bytesPerSecond, func(fleet *fleet) {
 			faultRun := &faultRun{fleet: fleet, random: rand.New(rand.NewPCG(seed, 1)), bytesPerSecond: bytesPerSecond, restores: restores}
 			faultRun.run()
-			time.Sleep(10 * time.Second) // lets all faults end
+			time.Sleep(time.Second)
+			faultRun.writeAgain()
+			time.Sleep(9 * time.Second) // lets all faults end
 			faultRun.checkVMs()
 			if faultRun.refusals > 0 {
 				t.Logf("refused in %d checks of %d", faultRun.refusals, faultRunVMs*int(faultRunTime/(50*time.Millisecond)))
