verifier: a newer configuration doesn't hide one that the store has lost

A VM remembered only the newest configuration of its peers. If that was written after the restore, the older one that was lost was forgotten, and the VM counted its copy as the newest. It remembers the newest of each of the last eight eras.

--- a/core/verifier/withholder.go
+++ b/core/verifier/withholder.go
@@ -1,6 +1,10 @@
 package verifier
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Origin is a version of the configuration, and the era of the store in which a VM read it
 // first.
@@ -25,8 +29,8 @@
 	eraBefore    uint64
 	asOfBefore   time.Duration
 	startedInEra bool
-	// peer is the newest configuration in force on a peer.
-	peer Origin
+	// peers are the newest versions in force on peers, by the era in which they were read.
+	peers map[uint64]uint64
 	// required is the version that the store has lost, 0 if none is known, and asOf the limit
 	// of AsOf.
 	required uint64
@@ -52,28 +56,40 @@
 
 // RecordPeer records what a peer has in force.
 func (withholder *Withholder) RecordPeer(peer Origin) {
-	known := withholder.peer
-	if peer.Version > known.Version || peer.Version == known.Version && peer.Era < known.Era {
-		withholder.peer = peer
+	if withholder.peers == nil {
+		withholder.peers = make(map[uint64]uint64)
+	}
+	withholder.peers[peer.Era] = max(withholder.peers[peer.Era], peer.Version)
+	if len(withholder.peers) > maxEras {
+		delete(withholder.peers, slices.Min(slices.Collect(maps.Keys(withholder.peers))))
 	}
 	withholder.update()
 }
 
+// maxEras is the number of eras that are told apart.
+const maxEras = 8
+
 // update withholds the configuration if a peer has read a newer one in an era that has ended.
 // One that was read in the present era is on its way to this VM.
 func (withholder *Withholder) update() {
-	own, peer := withholder.own, withholder.peer
-	if own.Version == 0 || peer.Version <= max(own.Version, withholder.required) || peer.Era >= own.Era {
+	own := withholder.own
+	if own.Version == 0 {
 		return
 	}
-	asOf := withholder.asOfBefore
-	if withholder.startedInEra || peer.Era < withholder.eraBefore {
-		asOf = -unknownAge
-	}
-	if withholder.required == 0 || asOf < withholder.asOf {
-		withholder.asOf = asOf
+	for _, era := range slices.Sorted(maps.Keys(withholder.peers)) {
+		version := withholder.peers[era]
+		if version <= max(own.Version, withholder.required) || era >= own.Era {
+			continue
+		}
+		asOf := withholder.asOfBefore
+		if withholder.startedInEra || era < withholder.eraBefore {
+			asOf = -unknownAge
+		}
+		if withholder.required == 0 || asOf < withholder.asOf {
+			withholder.asOf = asOf
+		}
+		withholder.required = version
 	}
-	withholder.required = peer.Version
 }
 
 // unknownAge is the age of a configuration that was never known to be the newest.
--- a/core/verifier/withholder_test.go
+++ b/core/verifier/withholder_test.go
@@ -38,6 +38,13 @@
 	late.RecordPeer(verifier.Origin{Version: 12, Era: 2}) // was lost and has been written again
 	is.Equal(late.Required(), uint64(12))
 
+	var shadowed verifier.Withholder
+	shadowed.RecordReading(10, 1, 0)
+	shadowed.RecordPeer(verifier.Origin{Version: 11, Era: 1})
+	shadowed.RecordPeer(verifier.Origin{Version: 12, Era: 2}) // newer, but not lost
+	shadowed.RecordReading(10, 2, 7*time.Second)
+	is.Equal(shadowed.Required(), uint64(11))
+
 	ordinary.RecordReading(10, 2, 0)
 	ordinary.RecordPeer(verifier.Origin{Version: 11, Era: 2})
 	ordinary.RecordPeer(verifier.Origin{Version: 9, Era: 1})
