tracker: an answer of a new era that can't be applied is broken off

A long poll that was open through a restore may be answered with the changes after a version that was given out again. The VM received it to the end, threw it away and read the table: two transfers, one after the other. The call is broken off once the header names a newer era and the transfer is long.

--- a/gateway/internal/tracker/faults_test.go
+++ b/gateway/internal/tracker/faults_test.go
@@ -305,8 +305,9 @@
 }
 
 // restoreRunSeeds are the seeds of the runs in which the store is restored as well. With 1192 and
-// 1282, a newer configuration that was not lost hid one that was.
-var restoreRunSeeds = []uint64{1192, 1282, 0, 1, 2, 3, 4, 5, 6, 7}
+// 1282, a newer configuration that was not lost hid one that was; with 1124, the transfer of an
+// answer that could not be used took too long.
+var restoreRunSeeds = []uint64{1124, 1192, 1282, 0, 1, 2, 3, 4, 5, 6, 7}
 
 // The same holds if the store comes back from older copies at times, overlapping with all
 // other faults, and no VM believes the copy where another one knows better.
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -105,7 +105,7 @@
 		follower.mutex.Lock()
 		follower.poller.BeginEra(follower.store.Era()) // another call may have seen a new one
 		next := follower.poller.Next(follower.group.Rank(), follower.clock())
-		after := follower.poller.Version()
+		after, era := follower.poller.Version(), follower.poller.Era()
 		follower.mutex.Unlock()
 		switch next.Action {
 		case poller.Idle:
@@ -114,12 +114,29 @@
 			reading, err := follower.store.Read(ctx, follower.table, "", follower.recordLongRead)
 			follower.finishCall(ctx, reading, err, true)
 		case poller.Watch:
-			reading, err := follower.store.Watch(ctx, follower.table, after, next.Wait, follower.announceTransfer)
-			follower.finishCall(ctx, reading, err, false)
+			follower.watch(ctx, after, next.Wait, era)
 		}
 	}
 }
 
+// watch asks for the changes after a version of an era. A long answer that is of a newer era
+// is broken off, as it can't be applied.
+func (follower *follower) watch(ctx context.Context, after uint64, wait time.Duration, era uint64) {
+	call, breakOff := context.WithCancel(ctx)
+	defer breakOff()
+	reading, err := follower.store.Watch(call, follower.table, after, wait, func() {
+		if follower.store.Era() > era {
+			breakOff()
+			return
+		}
+		follower.announceTransfer()
+	})
+	if call.Err() != nil && ctx.Err() == nil {
+		return // the whole table is read next
+	}
+	follower.finishCall(ctx, reading, err, false)
+}
+
 func (follower *follower) idle(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -346,3 +346,16 @@
 		checkServing(t, late, 11, true)
 	})
 }
+
+// An answer with the changes of another era can't be used: a VM must not wait for the end of its
+// transfer, which takes 1.7 s, before it reads the table.
+func TestUselessTransferOfANewEraIsBrokenOff(t *testing.T) {
+	runFleet(t, 3, answerBytes(manyRoutes)*10/17, func(fleet *fleet) {
+		fleet.changeConfiguration(10, 1)
+		snapshot := fleet.store.Snapshot()
+		fleet.changeConfiguration(11, 1)
+		fleet.store.Restore(snapshot)
+		fleet.putConfiguration(12, 1)
+		fleet.changeConfiguration(13, manyRoutes)
+	})
+}
