soak: a target that ends before its server serves frees its address

Now the listener is closed as well.

TestTargetThatEndsAtOnceFreesItsAddress failed before with "bind: address already in use", on one processor.

--- a/soak/internal/runner/endpoint.go
+++ b/soak/internal/runner/endpoint.go
@@ -50,6 +50,7 @@
 	// startedAt is when the current target started.
 	startedAt time.Time
 	server    *http.Server
+	listener  net.Listener
 
 	// entryMutex is held while an entry is written or deleted.
 	entryMutex sync.Mutex
@@ -86,7 +87,7 @@
 		Record: endpoint.runner.addArrival,
 	}
 	server := &http.Server{Handler: target, ReadHeaderTimeout: time.Minute}
-	endpoint.target, endpoint.server, endpoint.startedAt = target, server, time.Now()
+	endpoint.target, endpoint.server, endpoint.listener, endpoint.startedAt = target, server, listener, time.Now()
 	endpoint.mutex.Unlock()
 	go func() { _ = server.Serve(listener) }() // ends with close
 	endpoint.writeEntry(target, false)
@@ -161,6 +162,7 @@
 func (endpoint *endpoint) close() {
 	endpoint.mutex.Lock()
 	defer endpoint.mutex.Unlock()
+	_ = endpoint.listener.Close() // the server may not know it yet
 	_ = endpoint.server.Close()
 }
 
