auditor: a starved VM that reads a request late breaks no deadline

Time in which a VM neither answered anyone nor sent anything to a target for 100 ms or more, from the sending of the request to its arrival, isn't counted any more; the bound of 0.5 s and every other case stay, and a VM that was at work meanwhile still breaks the promise ("remaining time not reduced by a VM at work").

--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -155,6 +155,7 @@
 			addArrival(record, 0, "t-3")
 		}},
 		{"remaining time too long", "deadlines", func(record *auditor.Record) { record.Arrivals[0].Remaining = 4 * time.Second }},
+		{"remaining time not reduced by a VM at work", "deadlines", func(record *auditor.Record) { readLate(record, 50*time.Millisecond) }},
 		{"no remaining time", "deadlines", func(record *auditor.Record) { record.Arrivals[0].Remaining = 0 }},
 		{"answers after the timeout", "timeouts", func(record *auditor.Record) {
 			for i := range 8 {
@@ -258,6 +259,20 @@
 	is.True(violatedPromises(record)["uncut"]) // the settle time has passed
 }
 
+// readLate makes a target get the whole time of the first call 700 ms after it was sent. The
+// VM answers another call at each of the intervals.
+func readLate(record *auditor.Record, interval time.Duration) {
+	call, arrival := &record.Calls[0], &record.Arrivals[0]
+	call.Ended = call.Sent.Add(850 * time.Millisecond)
+	arrival.Begun, arrival.Ended, arrival.Remaining = call.Sent.Add(700*time.Millisecond), call.Ended, call.Remaining
+	for i, next := calls, interval; next < 700*time.Millisecond; i, next = i+1, next+interval {
+		addRequest(record, i, "jobs", http.MethodPost)
+		other, run := &record.Calls[i], &record.Arrivals[i]
+		other.Sent, other.Ended, other.Idempotent = call.Sent, call.Sent.Add(next), false
+		run.Begun, run.Ended = call.Sent, other.Ended
+	}
+}
+
 // loseBehind makes the connection end at the answer to the first call, behind which the
 // third was sent. It returns both calls.
 func loseBehind(record *auditor.Record) (first, third *auditor.Call) {
@@ -285,6 +300,7 @@
 		name  string
 		apply func(*auditor.Record)
 	}{
+		{"a starved VM that read the request late", func(record *auditor.Record) { readLate(record, 700*time.Millisecond) }},
 		{"not passed on behind a closing answer", func(record *auditor.Record) {
 			loseBehind(record)
 			record.Arrivals = append(record.Arrivals[:2], record.Arrivals[3:]...)
--- a/soak/internal/auditor/requests.go
+++ b/soak/internal/auditor/requests.go
@@ -14,6 +14,8 @@
 	// sendSlack is the time after the send of a request in which the connection may end
 	// without an attempt, since the VM may not have read the request yet.
 	sendSlack = 200 * time.Millisecond
+	// A VM that shows no activity for idleGap is taken to be starved.
+	idleGap = 100 * time.Millisecond
 	// maxIsolatedCases is the number of single cases that are tolerated.
 	maxIsolatedCases = 3
 	// minCases is the number of late cases below which their share is not checked.
@@ -203,8 +205,10 @@
 }
 
 // deadlines checks that the remaining time sent to a target is set and exceeds the
-// time for which the caller still waits by at most timingSlack.
+// time for which the caller still waits by at most timingSlack. The time in which the VM
+// was seen doing nothing at all isn't held against it: it had not read the request.
 func (audit *audit) deadlines(promise string) {
+	activity := audit.activity()
 	for i := range audit.Arrivals {
 		arrival := &audit.Arrivals[i]
 		call := audit.calls[arrival.ID]
@@ -213,12 +217,52 @@
 		}
 		audit.report.Checked[promise]++
 		remaining := call.Remaining - arrival.Begun.Sub(call.Sent)
+		if arrival.Remaining > remaining+timingSlack {
+			remaining += idleTime(activity[call.VM], call.Sent, arrival.Begun)
+		}
 		if arrival.Remaining == 0 || arrival.Remaining > remaining+timingSlack {
 			audit.addViolation(promise, arrival.ID, "target %s got %s of remaining time, the caller waits for another %s", arrival.TargetID, arrival.Remaining, remaining)
 		}
 	}
 }
 
+// activity returns, for each VM, the times at which it sent a request to a target or answered
+// a caller, in order.
+func (audit *audit) activity() map[string][]time.Time {
+	activity := make(map[string][]time.Time)
+	for _, call := range audit.calls {
+		if call.Outcome == Complete {
+			activity[call.VM] = append(activity[call.VM], call.Ended)
+		}
+		for _, arrival := range audit.arrivals[call.ID] {
+			activity[call.VM] = append(activity[call.VM], arrival.Begun)
+		}
+	}
+	for _, times := range activity {
+		slices.SortFunc(times, time.Time.Compare)
+	}
+	return activity
+}
+
+// idleTime returns how much of a span lies in gaps of at least idleGap without activity.
+func idleTime(activity []time.Time, from, until time.Time) time.Duration {
+	idle := time.Duration(0)
+	first, _ := slices.BinarySearchFunc(activity, from, time.Time.Compare)
+	for _, at := range append(slices.Clone(activity[first:]), until) {
+		if at.After(until) {
+			at = until
+		}
+		if gap := at.Sub(from); gap >= idleGap {
+			idle += gap
+		}
+		if at.Equal(until) {
+			break
+		}
+		from = at
+	}
+	return idle
+}
+
 // timeouts checks that requests end at the timeout of their route. Up to a quarter
 // of the requests that reach their timeout may end late.
 func (audit *audit) timeouts(promise string) {
