messenger: a message that claims a huge array doesn't exhaust the memory

The decoder allocates the length that an array claims, whatever follows: 134 bytes from a holder of the fleet's key ended the process (out of memory). A first pass that stores nothing refuses lengths that the message doesn't have.

--- a/gateway/internal/messenger/fuzz_test.go
+++ b/gateway/internal/messenger/fuzz_test.go
@@ -47,8 +47,8 @@
 	f.Cleanup(func() { _ = messenger.connection.Close() })
 	_ = messenger.connection.SetWriteDeadline(time.Unix(1, 0)) // nothing leaves the test
 	f.Fuzz(func(_ *testing.T, plain []byte) {
-		var decoded message
-		if msgpack.Unmarshal(plain, &decoded) != nil {
+		decoded, err := decodeMessage(plain)
+		if err != nil {
 			return
 		}
 		messenger.receive(decoded)
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -413,11 +413,24 @@
 	if !sealer.addNonce(string(datagram[:nonceSize])) {
 		return message{}, errDoubled
 	}
+	decoded, err := decodeMessage(plain)
+	if err != nil {
+		return message{}, err
+	}
+	decoded.sealedWith = key
+	return decoded, nil
+}
+
+// decodeMessage decodes a message. It reads it once without storing anything before: the
+// decoder would allocate whatever length an array claims to have.
+func decodeMessage(plain []byte) (message, error) {
+	if err := msgpack.NewDecoder(bytes.NewReader(plain)).Skip(); err != nil {
+		return message{}, fmt.Errorf("check lengths in message: %w", err)
+	}
 	var decoded message
 	if err := msgpack.Unmarshal(plain, &decoded); err != nil {
 		return message{}, fmt.Errorf("decode message: %w", err)
 	}
-	decoded.sealedWith = key
 	return decoded, nil
 }
 
