--- a/gateway/internal/dispatcher/stop_test.go
+++ b/gateway/internal/dispatcher/stop_test.go
@@ -49,21 +49,26 @@
 	is.Equal(vm.read().Status, http.StatusServiceUnavailable)
 }
 
-// A booking that waits for earlier answers of its connection must not be sent when the stop
-// has too little time left.
-func TestBookingWhoseTurnComesLateInAStopIsNotSent(t *testing.T) {
-	is := is.New(t)
-	target := serve(t, answerWith(http.StatusOK, "done"))
-	vm := start(t, target)
+// bookBehind returns the answer to a booking whose turn comes after leave was called.
+func (vm *vm) bookBehind(leave func()) receiver.Reply {
 	booking := call(http.MethodPost, "/book/1", "key")
 	turn := make(chan struct{})
 	booking.Turn = turn
 	replies := make(chan receiver.Reply)
 	go func() { replies <- vm.Serve(context.Background(), booking) }()
 	time.Sleep(20 * time.Millisecond) // until it waits
-	vm.Leave(drainer.Policy{BalancerDrain: time.Hour})
+	leave()
 	close(turn)
-	reply := <-replies
+	return <-replies
+}
+
+// A booking that waits for earlier answers of its connection must not be sent when the stop
+// has too little time left.
+func TestBookingWhoseTurnComesLateInAStopIsNotSent(t *testing.T) {
+	is := is.New(t)
+	target := serve(t, answerWith(http.StatusOK, "done"))
+	vm := start(t, target)
+	reply := vm.bookBehind(func() { vm.Leave(drainer.Policy{BalancerDrain: time.Hour}) })
 	is.Equal(reply.Status, http.StatusServiceUnavailable)
 	is.Equal(string(reply.Body), `{"reason":"stopping"}`+"\n")
 	is.Equal(len(target.arrivals()), 0)
@@ -74,15 +79,8 @@
 	is := is.New(t)
 	target := serve(t, answerWith(http.StatusOK, "done"))
 	vm := start(t, target)
-	booking := call(http.MethodPost, "/book/1", "key")
-	turn := make(chan struct{})
-	booking.Turn = turn
-	replies := make(chan receiver.Reply)
-	go func() { replies <- vm.Serve(context.Background(), booking) }()
-	time.Sleep(20 * time.Millisecond)          // until it waits
-	vm.Leave(drainer.Policy{Grace: time.Hour}) // the balancer's drain time is over
-	close(turn)
-	is.Equal((<-replies).Status, http.StatusOK)
+	reply := vm.bookBehind(func() { vm.Leave(drainer.Policy{Grace: time.Hour}) }) // the balancer's drain time is over
+	is.Equal(reply.Status, http.StatusOK)
 }
 
 // A request that the VM gives up near the end of a stop gets an answer that says whether it may
