tracker: an earlier start of a target isn't believed after a restore

A target may start again under its ID. A copy from before that brought the entry of the earlier start back, and it was believed: requests went to the address of the dead start until the target wrote again, perhaps to another target there, and what was known of the later start was dropped.

TestEarlierStartOfATargetIsNotBelievedAfterARestore fails before (start 7, not 8).

--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -308,6 +308,30 @@
 	})
 }
 
+// The copy brings back an entry of a target from before it started again: requests must not go
+// to the address of the earlier start.
+func TestEarlierStartOfATargetIsNotBelievedAfterARestore(t *testing.T) {
+	is := is.New(t)
+	store, address := newStore(t, "a")
+	putEntry(store, "up", "ready", 7, 3)
+	putEntry(store, "gone", "ready", 7, 3)
+	snapshot := store.Snapshot()
+	vm := start(t, address, &group{})
+	waitUntil(t, "configuration and targets are read", func() bool { return vm.Complete() && vm.has("a", "up", "gone") })
+	putEntry(store, "up", "ready", 8, 1)
+	putEntry(store, "gone", "ready", 8, 1)
+	waitUntil(t, "the VM has the later starts", func() bool { return vm.incarnation("up") == 8 && vm.incarnation("gone") == 8 })
+	store.Delete(platform.TargetTable, "", "gone")
+	waitUntil(t, "the target has gone", func() bool { return !vm.knows("gone") })
+	store.Restore(snapshot)
+	putTarget(store, "marker", "ready")
+	waitUntil(t, "the VM has read the copy", func() bool { return vm.knows("marker") })
+	is.Equal(vm.incarnation("up"), int64(8))
+	is.True(!vm.knows("gone"))
+	putEntry(store, "up", "draining", 8, 2)
+	waitUntil(t, "a target that writes again is taken as it is", func() bool { return vm.leaving("up") })
+}
+
 // Within an era, an entry is taken as it is whatever its number of writes.
 func TestEntryWithFewerWritesIsTakenWithinAnEra(t *testing.T) {
 	store, address := newStore(t, "a")
@@ -359,3 +383,10 @@
 		fleet.changeConfiguration(13, manyRoutes)
 	})
 }
+
+// incarnation returns that of a target, 0 if the VM doesn't have it.
+func (vm *vm) incarnation(id string) int64 {
+	vm.mutex.Lock()
+	defer vm.mutex.Unlock()
+	return vm.targets[id].Incarnation
+}
--- a/gateway/internal/tracker/targets.go
+++ b/gateway/internal/tracker/targets.go
@@ -112,7 +112,8 @@
 	}
 	found := sighting{incarnation: target.Incarnation, sequence: sequence, era: era, version: row.Version}
 	if targets.outdated(target, found) {
-		if _, ok := targets.byID[row.Key]; !ok {
+		_, present := targets.byID[row.Key]
+		if !present || found.incarnation != targets.sightings[row.Key].incarnation {
 			targets.hold(target, found, held, now)
 		}
 		return false
@@ -131,11 +132,12 @@
 // that a target is there that is known to be leaving or gone.
 func (targets *targets) outdated(target placer.Target, found sighting) bool {
 	known, ok := targets.sightings[target.ID]
-	if !ok || known.era >= found.era || known.incarnation != found.incarnation {
+	if !ok || known.era >= found.era || known.incarnation < found.incarnation {
 		return false
 	}
 	current, present := targets.byID[target.ID]
 	switch {
+	case known.incarnation > found.incarnation: // an earlier start
 	case present && (!current.Leaving || target.Leaving):
 		return false // nothing is undone
 	case found.sequence > known.sequence && (present || found.version != known.version):
@@ -145,13 +147,14 @@
 	return true
 }
 
-// hold keeps the entry of a target that is known to be gone. If the store still has it after
-// holdTime, the target writes: the store doesn't tell of writes that change nothing but their
-// number.
+// hold keeps the entry of a target that is known to be gone or to have started again. If the
+// store still has it after holdTime, the target writes: the store doesn't tell of writes that
+// change nothing but their number.
 func (targets *targets) hold(target placer.Target, found sighting, held heldEntry, now time.Duration) {
-	known := targets.sightings[target.ID]
-	known.forgetAt = now + goneMemory
-	targets.sightings[target.ID] = known
+	if known := targets.sightings[target.ID]; known.forgetAt > 0 {
+		known.forgetAt = now + goneMemory
+		targets.sightings[target.ID] = known
+	}
 	if held.found != found {
 		held = heldEntry{target: target, found: found, until: now + holdTime}
 	}
