registrar: a row that can't be read doesn't block the rows of the others

A row of another writer under the name of a VM of the group was taken for missing, so that the transaction which writes the rows again after a restore failed each time, for all VMs of the group. Now it is left alone, but for the VM's own, which is replaced.

--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -199,6 +199,8 @@
 // contents are those of the table.
 type contents struct {
 	Members
+	// malformed are the names in rows of VMs that can't be read.
+	malformed   map[string]bool
 	mark        keeper.Mark
 	markVersion uint64
 	// storeTime is on the store's clock.
@@ -250,14 +252,14 @@
 	}
 	for _, other := range append([]Member{member}, group...) {
 		stored, exists := known[other.Name]
-		if exists && (other.Name != member.Name || stored == member) {
+		if exists && stored == member || (exists || contents.malformed[other.Name]) && other.Name != member.Name {
 			continue
 		}
 		write, err := memberWrite(other)
 		if err != nil {
 			return platform.Transaction{}, err
 		}
-		if exists {
+		if exists || contents.malformed[other.Name] {
 			transaction.Writes = append(transaction.Writes, write)
 			continue
 		}
@@ -271,7 +273,7 @@
 	if err != nil {
 		return contents{}, fmt.Errorf("read members: %w", err)
 	}
-	found := contents{Members: Members{Era: reading.Era}, storeTime: reading.StoreTime}
+	found := contents{Members: Members{Era: reading.Era}, malformed: make(map[string]bool), storeTime: reading.StoreTime}
 	for _, row := range reading.Rows {
 		name, isVM := strings.CutPrefix(row.Key, vmPrefix)
 		switch {
@@ -287,6 +289,7 @@
 			other := Member{Name: name}
 			if err := json.Unmarshal(row.Value, &other); err != nil {
 				registrar.Log.WithError(err).WithField("peer", name).Warn("member-malformed")
+				found.malformed[name] = true
 				continue
 			}
 			found.All = append(found.All, other)
--- a/gateway/internal/registrar/restore_test.go
+++ b/gateway/internal/registrar/restore_test.go
@@ -168,3 +168,22 @@
 	join(t, shared, vm(1)) // a restart in the same era doesn't wait again
 	is.Equal(store.Calls(), calls+1)
 }
+
+// A row of another writer that can't be read must not keep the VMs of its group from writing
+// theirs again.
+func TestMalformedRowsDoNotBlockTheOthers(t *testing.T) {
+	is := is.New(t)
+	store, shared := newRegistrar(t)
+	members := join(t, shared, vm(0))
+	store.Put("vms", "", "vm/vm-1", []byte("{"))
+	snapshot := store.Snapshot()
+	store.Restore(snapshot)
+	store.Delete("vms", "", "vm/vm-0")
+	found, err := shared.Verify(context.Background(), vm(0), members.Key, []registrar.Member{vm(1), vm(2)})
+	is.NoErr(err)
+	is.Equal(len(found.All), 2) // vm-0 and vm-2
+	is.Equal(string(store.Row("vms", "", "vm/vm-1")), "{")
+	_, err = shared.Verify(context.Background(), vm(1), members.Key, nil)
+	is.NoErr(err)
+	is.True(string(store.Row("vms", "", "vm/vm-1")) != "{") // the VM's own
+}
