messenger: a hello is answered to its sender only

Now the claims go to the sender, but for rows, which are handed out once.

TestHelloIsAnsweredToItsSenderOnly fails before (claims in the first message to another VM).

--- a/gateway/internal/messenger/eras_test.go
+++ b/gateway/internal/messenger/eras_test.go
@@ -65,3 +65,39 @@
 		heard = len(opened.Claims) == 1 && opened.Claims[0].InForce == 21
 	}
 }
+
+// A hello must not make its receiver write to its whole group: when all VMs of a group start,
+// each would send as many messages as there are pairs.
+func TestHelloIsAnsweredToItsSenderOnly(t *testing.T) {
+	is := is.New(t)
+	sockets := make([]net.PacketConn, 2)
+	for i := range sockets {
+		socket, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		is.NoErr(err)
+		t.Cleanup(func() { _ = socket.Close() })
+		is.NoErr(socket.SetReadDeadline(time.Now().Add(30 * time.Second))) // only keeps a failing test from hanging
+		sockets[i] = socket
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	messenger := &Messenger{
+		Self: Peer{Name: "self", DataCentre: "d", Address: "127.0.0.1:0"}, Key: make([]byte, keyBytes),
+		Clock: func() time.Duration { return 0 }, Log: logrus.NewEntry(log), StoreUnreachable: func() bool { return false },
+		Claims: func() []Claim { return []Claim{{Table: "t", InForce: 21, InForceEra: 1}} },
+	}
+	is.NoErr(messenger.Open())
+	t.Cleanup(func() { _ = messenger.connection.Close() })
+	messenger.addHeard(Peer{Name: "other", DataCentre: "d", Address: sockets[0].LocalAddr().String()})
+	messenger.receive(message{From: "joining", DataCentre: "d", Address: sockets[1].LocalAddr().String(), Hello: true})
+	messenger.SendToGroup(Event{Kind: AttemptStarted, Name: "t"})
+	opener, err := newSealer(0, messenger.Key)
+	is.NoErr(err)
+	for i, claims := range []int{0, 1} {
+		buffer := make([]byte, maxDatagram)
+		n, _, err := sockets[i].ReadFrom(buffer)
+		is.NoErr(err)
+		opened, err := opener.open(buffer[:n])
+		is.NoErr(err)
+		is.Equal(len(opened.Claims), claims) // of the first message
+	}
+}
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -23,6 +23,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -187,11 +188,7 @@
 	messenger.handleAsks(from.Address, message.Asks)
 	messenger.handleGrants(from.Name, message.Grants)
 	if message.Hello {
-		messenger.send(from.Address, messenger.newMessage(false, nil))
-		if messenger.InGroup(from.Name) {
-			// It must learn before it serves whether the store has lost a configuration.
-			messenger.SendHeartbeat()
-		}
+		messenger.answerHello(from)
 	}
 	for _, event := range message.Events {
 		messenger.OnEvent(from, event)
@@ -208,6 +205,22 @@
 	}
 }
 
+// answerHello answers a hello. A VM of the group gets the claims of this VM, as it must learn
+// before it serves whether the store has lost a configuration. Rows are handed out once, so
+// that they go to the whole group.
+func (messenger *Messenger) answerHello(from Peer) {
+	if messenger.Claims == nil || !messenger.InGroup(from.Name) {
+		messenger.send(from.Address, messenger.newMessage(false, nil))
+		return
+	}
+	message := messenger.newHeartbeat()
+	if slices.ContainsFunc(message.Claims, func(claim Claim) bool { return len(claim.Rows) > 0 }) {
+		messenger.sendHeartbeat(message)
+		return
+	}
+	messenger.send(from.Address, message)
+}
+
 // sendHeartbeats sends heartbeats and detects silent peers until the context ends.
 func (messenger *Messenger) sendHeartbeats(ctx context.Context) {
 	ticker := time.NewTicker(heartbeat)
@@ -225,7 +238,10 @@
 
 // SendHeartbeat sends the group a message without events, with the claims of this VM. The VM
 // that polls the store for the data centre sends its claims to the other groups as well.
-func (messenger *Messenger) SendHeartbeat() {
+func (messenger *Messenger) SendHeartbeat() { messenger.sendHeartbeat(messenger.newHeartbeat()) }
+
+// newHeartbeat returns a message with the claims of this VM.
+func (messenger *Messenger) newHeartbeat() message {
 	message := messenger.newMessage(false, nil)
 	if messenger.Claims != nil {
 		for _, claim := range messenger.Claims() {
@@ -233,6 +249,10 @@
 		}
 		message.StoreUnreachable, message.Era = messenger.StoreUnreachable(), messenger.restoredEra()
 	}
+	return message
+}
+
+func (messenger *Messenger) sendHeartbeat(message message) {
 	messenger.sendAll(messenger.groupAddresses(), message)
 	if len(message.Claims) > 0 && messenger.Rank() == 0 {
 		messenger.sendClaims(allGroups, message.Claims)
