--- a/core/drainer/drainer.go
+++ b/core/drainer/drainer.go
@@ -6,7 +6,10 @@
 //
 // # Usage
 //
-//	policy := drainer.Policy{BalancerDrain: 3 * time.Second, Grace: 6 * time.Second, ExitReserve: 400 * time.Millisecond, AnswerReserve: 200 * time.Millisecond}
+//	policy := drainer.Policy{
+//		BalancerDrain: 3 * time.Second, Grace: 6 * time.Second,
+//		ExitReserve: 250 * time.Millisecond, AnswerReserve: 150 * time.Millisecond,
+//	}
 //	if !policy.Admits(now-stopStarted, usualLatency) {
 //		// Refuse the request.
 //	}
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -221,8 +221,8 @@
 
 // erasPrefix and the name of a table are the table of an extra claim, which is sent along
 // with those of the message. It carries fields of the claim about that table: Era as Version,
-// InForce as After, and InForceEra as the Version of its only row, if it isn't 0. All versions refuse claims with more fields, but ignore and relay claims about tables that
-// they don't know.
+// InForce as After, and InForceEra as the Version of its only row, if it isn't 0. All versions
+// refuse claims with more fields, but ignore and relay claims about tables that they don't know.
 const erasPrefix = "//era/"
 
 // splitEras adds the extra claims.
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -3,8 +3,8 @@
 // group, and reports how old the configuration may be.
 //
 // The version of the configuration never falls, also if the store is restored from an older
-// copy. One of the same version with other contents replaces it only after a restore. If the newest configuration can't be
-// decoded or is invalid, the last good one stays in force.
+// copy. One of the same version with other contents replaces it only after a restore. If the
+// newest configuration can't be decoded or is invalid, the last good one stays in force.
 //
 // # Usage
 //
--- a/soak/internal/runner/store.go
+++ b/soak/internal/runner/store.go
@@ -141,8 +141,8 @@
 }
 
 // restoreStore restores the store from an older copy. Then the operator writes the newest
-// configuration again and targets their entries, mostly those that the copy lacks; entries of targets that are gone are
-// deleted after entryTimeout.
+// configuration again and targets their entries, mostly those that the copy lacks; entries of
+// targets that are gone are deleted after entryTimeout.
 func (runner *Runner) restoreStore(ctx context.Context, fault planner.Fault) {
 	random := rand.New(rand.NewPCG(runner.Plan.Seed, uint64(fault.At)))
 	age := minCopyAge + time.Duration(random.Int64N(int64(maxCopyAge-minCopyAge)))
