dispatcher: refusals for want of targets are whole values, two conditions read plainly

Read again as a newcomer: two reasons stood in constants, where the test of docs/OPERATIONS.md doesn't look for them; they are in refusals again. The loop over ready answers and the condition on failures needed a second reading. No behaviour changes; the tests of the dispatcher and of the pages pass.

--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -75,12 +75,14 @@
 // reportFailure records a request that was refused or failed, in this VM and its group, and in
 // the fleet if it was meant for a target. What the VM's stop ended is no failure.
 func (handler *handler) reportFailure(reply receiver.Reply) {
-	if reply.Abort || handler.reason == refusalStopping.reason || handler.reason == refusalGivenUp.reason || reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests {
+	failed := reply.Status >= http.StatusInternalServerError || reply.Status == http.StatusTooManyRequests
+	stopped := handler.reason == refusalStopping.reason || handler.reason == refusalGivenUp.reason
+	if reply.Abort || stopped || !failed {
 		return
 	}
 	handler.dispatcher.state.recordFailure(handler.job.service, handler.dispatcher.Clock())
 	handler.dispatcher.Messenger.SendToGroup(messenger.Event{Kind: messenger.RequestFailed, Service: handler.job.service})
-	if handler.attempts == 0 && handler.reason != noTarget || handler.reason == targetsQuiet {
+	if handler.attempts == 0 && handler.reason != refusalNoTarget.reason || handler.reason == refusalQuiet.reason {
 		return
 	}
 	failure, target := placer.Failure{Service: handler.job.service, Outcome: placer.Unknown}, ""
@@ -91,12 +93,12 @@
 	handler.dispatcher.report(failure, target)
 }
 
-const (
-	// noTarget is the reason of refusals because no target can take a request.
-	noTarget = "no-target"
-	// targetsQuiet is the reason of refusals because all targets are cooling down, which goes
-	// before the trials of idle targets.
-	targetsQuiet = "targets-quiet"
+var (
+	// refusalNoTarget is the answer if no target can take a request.
+	refusalNoTarget = refusal{status: http.StatusServiceUnavailable, reason: "no-target", retryAfter: targetsRetryAfter}
+	// refusalQuiet is the answer if all targets are cooling down, which goes before the trials
+	// of idle targets. Its retryAfter is the time until the first ends.
+	refusalQuiet = refusal{status: http.StatusServiceUnavailable, reason: "targets-quiet"}
 )
 
 // hedgeFraction is the fraction of the latency objective after which an idempotent request
@@ -237,7 +239,10 @@
 
 // lastAnswer returns the answer when the context has ended: that of an attempt if it is ready.
 func (handler *handler) lastAnswer(ctx context.Context) receiver.Reply {
-	for context.Cause(ctx) != context.Canceled {
+	if context.Cause(ctx) == context.Canceled {
+		return handler.expire(ctx) // the caller has disconnected
+	}
+	for {
 		select {
 		case attempt := <-handler.results:
 			handler.inFlight--
@@ -248,12 +253,10 @@
 			case assessor.IfLast:
 				handler.failure = attempt
 			}
-			continue
 		default:
+			return handler.expire(ctx)
 		}
-		break
 	}
-	return handler.expire(ctx)
 }
 
 // deliver returns the answer of the attempt.
@@ -373,11 +376,13 @@
 		return handler.refuse(refusal{status: http.StatusBadGateway, reason: handler.lastVerdict.Reason})
 	}
 	if wait, ok := handler.dispatcher.state.coolDownRetryAfter(handler.job.service, handler.dispatcher.Clock()); ok {
-		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: targetsQuiet, retryAfter: wait})
+		refusal := refusalQuiet
+		refusal.retryAfter = wait
+		return handler.refuse(refusal)
 	}
 	switch {
 	case handler.attempts == 0:
-		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: noTarget, retryAfter: targetsRetryAfter})
+		return handler.refuse(refusalNoTarget)
 	case handler.lastVerdict.Reason == assessor.Withheld:
 		return handler.refuse(refusalStale)
 	default:
