messenger: the key known to a VM is forgotten when it leaves

An entry stayed until the next change of the key, also when its VM had left, so that the map grew with replacements.

TestKeyOfAVMThatLeavesIsForgotten fails before (1 != 0).

--- a/gateway/internal/messenger/eras_test.go
+++ b/gateway/internal/messenger/eras_test.go
@@ -101,3 +101,21 @@
 		is.Equal(len(opened.Claims), claims) // of the first message
 	}
 }
+
+// What is known of the keys of VMs that have left must not pile up.
+func TestKeyOfAVMThatLeavesIsForgotten(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	messenger := &Messenger{
+		Self: Peer{Name: "self", DataCentre: "d", Address: "127.0.0.1:0"}, Key: make([]byte, keyBytes),
+		Clock: func() time.Duration { return 0 }, Log: logrus.NewEntry(log),
+	}
+	is.NoErr(messenger.Open())
+	t.Cleanup(func() { _ = messenger.connection.Close() })
+	messenger.addHeard(Peer{Name: "other", DataCentre: "d", Address: "127.0.0.1:9"})
+	messenger.ConfirmKey(2, append(make([]byte, keyBytes-1), 1))
+	is.Equal(len(messenger.behind), 1)
+	messenger.receive(message{From: "other", DataCentre: "d", Address: "127.0.0.1:9", Leaving: true})
+	is.Equal(len(messenger.behind), 0)
+}
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -86,11 +86,14 @@
 
 func (messenger *Messenger) remove(name string) {
 	messenger.mutex.Lock()
-	_, known := messenger.peers[name]
+	known := messenger.peers[name]
+	if known != nil {
+		delete(messenger.behind, known.address)
+	}
 	delete(messenger.peers, name)
 	messenger.regroup()
 	messenger.mutex.Unlock()
-	if !known {
+	if known == nil {
 		return
 	}
 	messenger.Log.WithField("peer", name).Info("peer-left")
