--- a/gateway/internal/tracker/targets.go
+++ b/gateway/internal/tracker/targets.go
@@ -143,7 +143,10 @@
 	case found.sequence > known.sequence && (present || found.version != known.version):
 		return false // the target has written again
 	}
-	targets.log.WithFields(logrus.Fields{"target": target.ID, "leaving": present, "entry-version": found.version}).Info("target-entry-outdated")
+	targets.log.WithFields(logrus.Fields{
+		"target": target.ID, "leaving": present && current.Leaving, "gone": !present, "entry-version": found.version, "incarnation": found.incarnation,
+		"sequence": found.sequence, "known-incarnation": known.incarnation, "known-sequence": known.sequence,
+	}).Info("target-entry-outdated")
 	return true
 }
 
