fingerprinter, dispatcher: lines of lost attempts show which request comes again

The lines name a request by its caller's ID, which is new with each of the caller's attempts. Attempts whose connection ended after the request was written and before an answer now have the field fingerprint: an HMAC of method, host, target, caller and body under the fleet's key.

Ruled out: a plain hash (anybody could test guesses of a body against the log), a key of each VM (lines of several VMs could not be compared).

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -44,6 +44,8 @@
 	verdict  assessor.Verdict
 	dialed   atomic.Bool
 	started  time.Time
+	// lost is true if the connection ended after the request was written and before an answer.
+	lost bool
 	// suspicionBefore and suspicionAfter are the target's suspicion right before and
 	// right after the outcome was recorded.
 	suspicionBefore, suspicionAfter float64
@@ -142,6 +144,7 @@
 	var exchange *exchanger.Error
 	if errors.As(err, &exchange) {
 		failure.Written, failure.Fresh = exchange.Written, exchange.FreshConnection
+		attempt.lost = exchange.Written && !exchange.Answered && ctx.Err() == nil
 	}
 	return failure
 }
@@ -282,6 +285,11 @@
 		"duration": latency.Round(time.Millisecond), "may-have-run": verdict.MayHaveRun,
 		"suspicion-before": attempt.suspicionBefore, "suspicion-after": attempt.suspicionAfter,
 	}
+	if attempt.lost {
+		if fingerprint, ok := dispatcher.fingerprint(attempt.job); ok {
+			fields["fingerprint"] = fingerprint
+		}
+	}
 	dispatcher.Log.WithFields(fields).Info("attempt-ended")
 }
 
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -74,7 +74,10 @@
 	// Started is closed once the configuration and targets are loaded and the VM has
 	// found its group. Nil means that this is so already.
 	Started <-chan struct{}
-	Log     *logrus.Entry
+	// FleetKey, if set, returns the key that all VMs of the fleet have, nil while it isn't known.
+	// Fingerprints of requests are keyed with it.
+	FleetKey func() []byte
+	Log      *logrus.Entry
 
 	state   state
 	latency latencies
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// key returns the fleet's key, nil before the VM has joined.
+func (messages *messages) key() []byte {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		return messenger.CurrentKey()
+	}
+	return nil
+}
+
 func (messages *messages) leave() {
 	if messenger := messages.messenger.Load(); messenger != nil {
 		messenger.Leave()
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -114,7 +114,7 @@
 		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{},
 		Locality: placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions:  settings.Regions, Clock: timer.Now, Log: starter.Log,
-		Policy: policyOf(settings), Started: starter.started,
+		Policy: policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
 		MaxAnswerBytes: int64(answerMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
 	}
 	starter.dispatcher.Open()
