dispatcher: tests of a request that crashes the targets that run it

They fail on this code: the request reaches a target each time that it comes, from any VM of the group (12 targets of 12, idempotent or not).

--- /dev/null
+++ b/gateway/internal/dispatcher/crash_test.go
@@ -0,0 +1,227 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/throttler"
+	"godwitramp.example/gateway/internal/messenger"
+	"godwitramp.example/gateway/internal/receiver"
+)
+
+// fragileTargets are targets that crash when they run a request with "crash" in its path.
+type fragileTargets struct {
+	mutex sync.Mutex
+	// open are the connections of each target that is up or has been.
+	open map[string][]net.Conn
+	down map[string]bool
+	// crashes counts the targets that have crashed, and ran the requests that were run.
+	crashes, ran int
+	// resets makes every request end with a reset of its own connection only.
+	resets bool
+	// hold, if set, keeps requests running until it is closed.
+	hold chan struct{}
+}
+
+var errRefused = errors.New("connection refused")
+
+func (fragileTargets *fragileTargets) dial(_ context.Context, _, address string) (net.Conn, error) {
+	fragileTargets.mutex.Lock()
+	defer fragileTargets.mutex.Unlock()
+	if fragileTargets.down[address] {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	fragileTargets.open[address] = append(fragileTargets.open[address], far)
+	go fragileTargets.serve(address, far)
+	return near, nil
+}
+
+func (fragileTargets *fragileTargets) serve(address string, connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !fragileTargets.run(address, request) {
+			return
+		}
+		_, err = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("X-Attempt-Id"))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// run runs a request. It returns false if that ends the connection.
+func (fragileTargets *fragileTargets) run(address string, request *http.Request) bool {
+	fragileTargets.mutex.Lock()
+	fragileTargets.ran++
+	hold := fragileTargets.hold
+	fragileTargets.mutex.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	fragileTargets.mutex.Lock()
+	defer fragileTargets.mutex.Unlock()
+	if fragileTargets.resets {
+		return false
+	}
+	if !strings.Contains(request.URL.Path, "crash") {
+		return true
+	}
+	fragileTargets.crashes++
+	fragileTargets.down[address] = true
+	for _, connection := range fragileTargets.open[address] {
+		_ = connection.Close()
+	}
+	return false
+}
+
+// killUsed ends every target that has open connections, and returns how many those are.
+func (fragileTargets *fragileTargets) killUsed() int {
+	fragileTargets.mutex.Lock()
+	defer fragileTargets.mutex.Unlock()
+	for address, connections := range fragileTargets.open {
+		fragileTargets.down[address] = true
+		for _, connection := range connections {
+			_ = connection.Close()
+		}
+	}
+	return len(fragileTargets.open)
+}
+
+func (fragileTargets *fragileTargets) counts() (crashes, ran int) {
+	fragileTargets.mutex.Lock()
+	defer fragileTargets.mutex.Unlock()
+	return fragileTargets.crashes, fragileTargets.ran
+}
+
+// hub passes the events of a VM on to the other VMs of its group.
+type hub struct {
+	self int
+	vms  *[]*vm
+}
+
+func (hub hub) SendToGroup(events ...messenger.Event) {
+	for i, other := range *hub.vms {
+		for _, event := range events {
+			if i != hub.self {
+				other.HandleEvent(event, true)
+			}
+		}
+	}
+}
+
+// SendToFleet reaches nobody, as all VMs belong to one group.
+func (hub) SendToFleet(...messenger.Event) {}
+
+// AskForTokens reaches no other group.
+func (hub) AskForTokens(throttler.Scope, string, float64, int) int { return 0 }
+
+// startFragile returns VMs of one group in front of the targets.
+func startFragile(t *testing.T, vms, targets int) ([]*vm, *fragileTargets) {
+	fragile := &fragileTargets{open: make(map[string][]net.Conn), down: make(map[string]bool)}
+	servers := make([]*targetServer, targets)
+	for i := range servers {
+		servers[i] = &targetServer{address: fmt.Sprint("target:", i)}
+	}
+	var started []*vm
+	for i := range vms {
+		vm := start(t, servers...)
+		vm.Exchanger.Dial = fragile.dial
+		vm.Messenger = hub{self: i, vms: &started}
+		vm.FleetKey = func() []byte { return []byte("key of the fleet") }
+		started = append(started, vm)
+	}
+	return started, fragile
+}
+
+func (vm *vm) send(method, target string) receiver.Reply {
+	return vm.Serve(context.Background(), call(method, target, "key"))
+}
+
+func TestRequestThatCrashesTargetsIsSentAgainAndAgain(t *testing.T) {
+	for _, kind := range []struct{ method, path string }{{http.MethodGet, "/read/"}, {http.MethodPost, "/book/"}} {
+		t.Run(kind.method, func(t *testing.T) {
+			is := is.New(t)
+			vms, targets := startFragile(t, 3, 12)
+			for i := range 12 {
+				vm := vms[i%len(vms)]
+				before, _ := targets.counts()
+				reply := vm.send(kind.method, kind.path+"crash")
+				is.True(reply.Status >= http.StatusInternalServerError)
+				if before >= 3 {
+					is.Equal(reply.Status, http.StatusServiceUnavailable)
+					is.True(reply.Header.Get("Retry-After") != "")
+				}
+				is.Equal(vm.send(kind.method, fmt.Sprint(kind.path, i)).Status, http.StatusOK)
+			}
+			crashes, _ := targets.counts()
+			is.Equal(crashes, 3)
+		})
+	}
+}
+
+func TestResetsOfConnectionsCountAsCrashes(t *testing.T) {
+	is := is.New(t)
+	vms, targets := startFragile(t, 1, 12)
+	targets.resets = true
+	for range 6 {
+		_, before := targets.counts()
+		vms[0].send(http.MethodPost, "/book/1")
+		_, after := targets.counts()
+		is.Equal(after, before+1)
+	}
+}
+
+func TestCrashingRequestOfOneCallerBlocksOthers(t *testing.T) {
+	is := is.New(t)
+	vms, targets := startFragile(t, 1, 12)
+	changed := configuration(2, "key")
+	other := changed.Organisations[0]
+	other.Name, other.Keys = "others", []string{"other"}
+	changed.Organisations = append(changed.Organisations, other)
+	vms[0].configure(changed)
+	for range 4 {
+		vms[0].send(http.MethodGet, "/read/crash")
+	}
+	before, _ := targets.counts()
+	is.Equal(before, 3)
+	vms[0].Serve(context.Background(), call(http.MethodPost, "/read/crash", "key")) // another method
+	vms[0].Serve(context.Background(), call(http.MethodGet, "/read/crash", "other"))
+	after, _ := targets.counts()
+	is.True(after >= before+2)
+}
+
+// All targets of a service may die at once while callers ask for the same.
+func TestPopularRequestIsBlockedAfterManyTargetsDiedAtOnce(t *testing.T) {
+	is := is.New(t)
+	vms, targets := startFragile(t, 2, 12)
+	targets.hold = make(chan struct{})
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Go(func() { vms[i%2].send(http.MethodPost, "/book/popular") })
+	}
+	for running := 0; running < 16; _, running = targets.counts() {
+		time.Sleep(time.Millisecond)
+	}
+	died := targets.killUsed()
+	is.True(died >= 4)
+	group.Wait()
+	close(targets.hold)
+	is.Equal(vms[0].send(http.MethodPost, "/book/popular").Status, http.StatusOK)
+	is.Equal(vms[1].send(http.MethodPost, "/book/popular").Status, http.StatusOK)
+}
