--- a/gateway/internal/dispatcher/crash_test.go
+++ b/gateway/internal/dispatcher/crash_test.go
@@ -103,6 +103,13 @@
 	return len(fragileTargets.open)
 }
 
+// restart starts the targets that are down.
+func (fragileTargets *fragileTargets) restart() {
+	fragileTargets.mutex.Lock()
+	defer fragileTargets.mutex.Unlock()
+	clear(fragileTargets.down)
+}
+
 func (fragileTargets *fragileTargets) counts() (crashes, ran int) {
 	fragileTargets.mutex.Lock()
 	defer fragileTargets.mutex.Unlock()
@@ -222,6 +229,7 @@
 	is.True(died >= 4)
 	group.Wait()
 	close(targets.hold)
+	targets.restart()
 	is.Equal(vms[0].send(http.MethodPost, "/book/popular").Status, http.StatusOK)
 	is.Equal(vms[1].send(http.MethodPost, "/book/popular").Status, http.StatusOK)
 }
