quarantiner: which requests crash their targets

Decides without a network which requests are blocked: three targets crashed one after the other without a good answer between; crashes at once count as two at most; crashes where a blocked request took part count no more against others. Blocks last 2 minutes, twice as long after each further crash, an hour at most. Not used yet.

--- /dev/null
+++ b/core/quarantiner/quarantiner.go
@@ -0,0 +1,318 @@
+// Package quarantiner finds requests that crash the targets that run them, and blocks them.
+//
+// A target that crashes takes all its requests with it, so that most requests of a crash are
+// innocent. The cause takes part in each crash and is never answered; others are answered
+// sooner or later, which clears them. A request is blocked once it has crashed three targets
+// one after the other without an answer. Crashes that happen at once count little more than
+// one, since a failure of power or of a switch ends many targets, and a request that many
+// callers send at the same time is on all of them. Where a blocked request took part, a crash
+// no longer counts against others.
+//
+// All VMs of a fleet tell each other of crashes and answers, and decide alike.
+//
+// # Usage
+//
+//	quarantiner := &quarantiner.Quarantiner{}
+//	changes := quarantiner.RecordCrash(run, now)
+//	if until, blocked := quarantiner.BlockedUntil(fingerprint, now); blocked {
+//		// Refuse the request.
+//	}
+//	cleared := quarantiner.RecordAnswer(fingerprint, now) // tell the other VMs if true
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"godwitramp.example/core/fingerprinter"
+)
+
+const (
+	// crashesToBlock is the number of targets that a request crashes before it is blocked.
+	crashesToBlock = 3
+	// overlapWeight is the weight of a crash whose run overlaps an earlier one, and
+	// maxOverlapWeight the most that runs that overlap count in all.
+	overlapWeight    = 0.5
+	maxOverlapWeight = 2
+	// clockSlack is the error of times that VMs tell each other: the way of a message.
+	clockSlack = 50 * time.Millisecond
+	// firstBlock is the duration of the first block. It doubles with each block that follows a
+	// crash after the one before, up to maxBlock.
+	firstBlock = 2 * time.Minute
+	maxBlock   = time.Hour
+	// memory is how long a crash counts.
+	memory = 10 * time.Minute
+	// maxRequests limits the requests that are remembered, and maxRuns the runs of each.
+	maxRequests = 1024
+	maxRuns     = 8
+)
+
+// Instance is one start of a target.
+type Instance struct {
+	Target      string
+	Incarnation int64
+}
+
+// Run is a run of a request that ended with a crash of its target. Times are on the monotonic
+// clock of this VM.
+type Run struct {
+	Request    fingerprinter.Fingerprint
+	At         Instance
+	Start, End time.Duration
+}
+
+// Block is a request that must not be sent.
+type Block struct {
+	Request fingerprinter.Fingerprint
+	// CrashedAt is the time of its last known crash.
+	CrashedAt time.Duration
+	Until     time.Duration
+	// Count is the number of blocks so far without an answer between them.
+	Count int
+}
+
+// Change is a request that has become blocked, or that isn't blocked any more because another
+// one explains its crashes.
+type Change struct {
+	Block
+	// Blocked is false if the block has ended.
+	Blocked bool
+	// Crashes is the number of crashes that are known of the request.
+	Crashes int
+}
+
+// Quarantiner holds what a VM knows of crashes. Its zero value is ready to use. It isn't safe
+// for concurrent use.
+type Quarantiner struct {
+	requests map[fingerprinter.Fingerprint]*request
+}
+
+// request is what is known of a request.
+type request struct {
+	// runs are those since the last answer, the latest maxRuns by their ends.
+	runs []Run
+	// answeredAt is the time of the last answer. It is only set if answered is true.
+	answeredAt time.Duration
+	answered   bool
+	block      Block
+}
+
+// RecordCrash adds a run that ended with a crash, found by this VM or another. It returns the
+// requests whose state has changed.
+func (quarantiner *Quarantiner) RecordCrash(run Run, now time.Duration) []Change {
+	known := quarantiner.add(run.Request, now)
+	if known.answered && run.End <= known.answeredAt {
+		return nil
+	}
+	if slices.ContainsFunc(known.runs, func(other Run) bool { return other.At == run.At }) {
+		return nil
+	}
+	known.runs = append(known.runs, run)
+	slices.SortStableFunc(known.runs, func(a, b Run) int { return cmp.Compare(a.End, b.End) })
+	known.runs = known.runs[max(0, len(known.runs)-maxRuns):]
+	return quarantiner.judge(now)
+}
+
+// RecordAnswer records that a request was answered well, at this VM or another. It returns false
+// if no crash of it was known, which is the usual case.
+func (quarantiner *Quarantiner) RecordAnswer(fingerprint fingerprinter.Fingerprint, now time.Duration) bool {
+	known := quarantiner.requests[fingerprint]
+	if known == nil {
+		return false
+	}
+	suspected := len(known.runs) > 0 || known.block.Until > now
+	known.answered, known.answeredAt = true, max(now, known.answeredAt)
+	known.runs, known.block = nil, Block{}
+	return suspected
+}
+
+// Import adds a block of another VM. It returns true if the request has been answered since,
+// which the other VM can't know.
+func (quarantiner *Quarantiner) Import(block Block, now time.Duration) bool {
+	known := quarantiner.add(block.Request, now)
+	if known.answered && block.CrashedAt <= known.answeredAt {
+		return true
+	}
+	if known.block.Until <= now && weigh(known.fresh(now), nil) >= crashesToBlock {
+		return false // this VM knows the crashes, and that another request explains them
+	}
+	block.Until = min(block.Until, now+maxBlock)
+	if block.Until > known.block.Until {
+		known.block = block
+	}
+	return false
+}
+
+// BlockedUntil returns the end of the block of a request, or false if it isn't blocked.
+func (quarantiner *Quarantiner) BlockedUntil(fingerprint fingerprinter.Fingerprint, now time.Duration) (time.Duration, bool) {
+	known := quarantiner.requests[fingerprint]
+	if known == nil || known.block.Until <= now {
+		return 0, false
+	}
+	return known.block.Until, true
+}
+
+// Blocks returns all blocks, the latest crash first.
+func (quarantiner *Quarantiner) Blocks(now time.Duration) []Block {
+	var blocks []Block
+	for _, known := range quarantiner.requests {
+		if known.block.Until > now {
+			blocks = append(blocks, known.block)
+		}
+	}
+	slices.SortFunc(blocks, func(a, b Block) int {
+		return cmp.Or(cmp.Compare(b.CrashedAt, a.CrashedAt), slices.Compare(a.Request[:], b.Request[:]))
+	})
+	return blocks
+}
+
+// Empty reports whether nothing is known of any request, so that fingerprints need not be
+// computed.
+func (quarantiner *Quarantiner) Empty() bool { return quarantiner.Len() == 0 }
+
+// Len returns the number of requests of which something is known.
+func (quarantiner *Quarantiner) Len() int { return len(quarantiner.requests) }
+
+// add returns what is known of a request. If there is no room, it drops the request that is least
+// worth knowing: one that isn't blocked, with the oldest crash.
+func (quarantiner *Quarantiner) add(fingerprint fingerprinter.Fingerprint, now time.Duration) *request {
+	if known := quarantiner.requests[fingerprint]; known != nil {
+		return known
+	}
+	if quarantiner.requests == nil {
+		quarantiner.requests = make(map[fingerprinter.Fingerprint]*request)
+	}
+	maps.DeleteFunc(quarantiner.requests, func(_ fingerprinter.Fingerprint, known *request) bool {
+		return known.lastAt() < now-memory && known.block.Until < now-memory
+	})
+	if len(quarantiner.requests) >= maxRequests {
+		delete(quarantiner.requests, quarantiner.leastKnown(now))
+	}
+	known := &request{}
+	quarantiner.requests[fingerprint] = known
+	return known
+}
+
+func (quarantiner *Quarantiner) leastKnown(now time.Duration) fingerprinter.Fingerprint {
+	var least fingerprinter.Fingerprint
+	var chosen *request
+	for fingerprint, known := range quarantiner.requests {
+		blocked, other := known.block.Until > now, chosen != nil && chosen.block.Until > now
+		if chosen == nil || other && !blocked || blocked == other && known.lastAt() < chosen.lastAt() {
+			least, chosen = fingerprint, known
+		}
+	}
+	return least
+}
+
+// lastAt returns the time of the last crash or answer.
+func (request *request) lastAt() time.Duration {
+	last := max(request.answeredAt, request.block.CrashedAt)
+	if len(request.runs) > 0 {
+		last = max(last, request.runs[len(request.runs)-1].End)
+	}
+	return last
+}
+
+// needed is the weight of crashes that blocks the request: one more if it was blocked before.
+func (request *request) needed() float64 {
+	if request.block.Count > 0 {
+		return 1
+	}
+	return crashesToBlock
+}
+
+// fresh returns the runs that count.
+func (request *request) fresh(now time.Duration) []Run {
+	old := 0
+	for old < len(request.runs) && request.runs[old].End < now-memory {
+		old++
+	}
+	return request.runs[old:]
+}
+
+// weigh returns how much the crashes of runs count in all, without those at the instances that
+// other requests explain. A run counts fully if it began after the one before had ended, and ended
+// noticeably later.
+func weigh(runs []Run, explained map[Instance]bool) float64 {
+	total, group := 0.0, 0.0
+	var end time.Duration
+	for _, run := range runs {
+		switch {
+		case explained[run.At]:
+			continue
+		case group == 0 || run.Start >= end-clockSlack && run.End >= end+clockSlack:
+			total += group
+			group, end = 1, run.End
+		default:
+			group = min(maxOverlapWeight, group+overlapWeight)
+		}
+	}
+	return total + group
+}
+
+// judge blocks the requests with the most crashes first, and counts the crashes of these no
+// longer against others.
+func (quarantiner *Quarantiner) judge(now time.Duration) []Change {
+	type candidate struct {
+		*request
+		runs   []Run
+		weight float64
+	}
+	var candidates []candidate
+	for _, known := range quarantiner.requests {
+		runs := known.fresh(now)
+		if weight := weigh(runs, nil); weight >= known.needed() {
+			candidates = append(candidates, candidate{known, runs, weight})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	var changes []Change
+	explained := make(map[Instance]bool)
+	for len(candidates) > 0 {
+		equals := 1
+		for equals < len(candidates) && candidates[equals].weight == candidates[0].weight {
+			equals++
+		}
+		blocked := make(map[Instance]bool)
+		for _, candidate := range candidates[:equals] {
+			guilty := weigh(candidate.runs, explained) >= candidate.needed()
+			if candidate.setBlocked(guilty, candidate.runs, now) {
+				changes = append(changes, Change{Block: candidate.block, Blocked: guilty, Crashes: len(candidate.runs)})
+			}
+			if guilty {
+				for _, run := range candidate.runs {
+					blocked[run.At] = true
+				}
+			}
+		}
+		maps.Copy(explained, blocked)
+		candidates = candidates[equals:]
+	}
+	return changes
+}
+
+// setBlocked blocks the request, or ends its block, and reports whether that is a change. A block
+// that has lapsed isn't renewed without a further crash.
+func (request *request) setBlocked(guilty bool, runs []Run, now time.Duration) bool {
+	last := runs[len(runs)-1]
+	wasBlocked := request.block.Until > now
+	switch {
+	case !guilty:
+		request.block.Count = 0
+		if wasBlocked {
+			request.block.Until = now
+		}
+		return wasBlocked
+	case last.End <= request.block.CrashedAt && request.block.Count > 0:
+		return false
+	case !wasBlocked:
+		request.block.Count++
+	}
+	duration := min(maxBlock, firstBlock<<min(max(0, request.block.Count-1), 10))
+	request.block.Request, request.block.CrashedAt = last.Request, last.End
+	request.block.Until = max(request.block.Until, last.End+duration)
+	return !wasBlocked && request.block.Until > now
+}
