dispatcher, messenger: requests that crash targets are blocked on all VMs

Seen by callers: while a request came that crashes each target that runs it, two of three other requests of its service failed; 26 to 35 targets ended. Cause: nothing knew a request again, each VM sent it as often as it came, and up to two times each.

An attempt whose connection ends before an answer, and whose target can't be dialed right after, tells the fleet the request's fingerprint, target and times (RequestCrashed); a good answer to a request of which a crash is known clears it everywhere. A blocked request is answered 503, not run, with Retry-After until the end of the block. Blocks are repeated with heartbeats and to VMs that start. A request is given up after two crashes of its own. Setting [targets] block is new.

Ruled out: counting lost connections as crashes (TestResetsOfConnectionsCountAsCrashes), a 401 or 400 (the caller did nothing that the configuration forbids).

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -38,10 +38,10 @@
 	maxOverlapWeight = 2
 	// clockSlack is the error of times that VMs tell each other: the way of a message.
 	clockSlack = 50 * time.Millisecond
-	// firstBlock is the duration of the first block. It doubles with each block that follows a
-	// crash after the one before, up to maxBlock.
-	firstBlock = 2 * time.Minute
-	maxBlock   = time.Hour
+	// defaultBlockTime applies if BlockTime is zero.
+	defaultBlockTime = 2 * time.Minute
+	// maxBlockTime limits the duration of a block.
+	maxBlockTime = time.Hour
 	// memory is how long a crash counts.
 	memory = 10 * time.Minute
 	// maxRequests limits the requests that are remembered, and maxRuns the runs of each.
@@ -86,6 +86,11 @@
 // Quarantiner holds what a VM knows of crashes. Its zero value is ready to use. It isn't safe
 // for concurrent use.
 type Quarantiner struct {
+	// BlockTime is the duration of the first block of a request. It doubles with each block that
+	// follows a crash after the one before, up to an hour. Zero counts as two minutes. It may
+	// change between calls.
+	BlockTime time.Duration
+
 	requests map[fingerprinter.Fingerprint]*request
 }
 
@@ -138,7 +143,7 @@
 	if known.block.Until <= now && weigh(known.fresh(now), nil) >= crashesToBlock {
 		return false // this VM knows the crashes, and that another request explains them
 	}
-	block.Until = min(block.Until, now+maxBlock)
+	block.Until = min(block.Until, now+max(maxBlockTime, quarantiner.BlockTime))
 	if block.Until > known.block.Until {
 		known.block = block
 	}
@@ -279,7 +284,7 @@
 		blocked := make(map[Instance]bool)
 		for _, candidate := range candidates[:equals] {
 			guilty := weigh(candidate.runs, explained) >= candidate.needed()
-			if candidate.setBlocked(guilty, candidate.runs, now) {
+			if candidate.setBlocked(guilty, candidate.runs, quarantiner.BlockTime, now) {
 				changes = append(changes, Change{Block: candidate.block, Blocked: guilty, Crashes: len(candidate.runs)})
 			}
 			if guilty {
@@ -296,7 +301,7 @@
 
 // setBlocked blocks the request, or ends its block, and reports whether that is a change. A block
 // that has lapsed isn't renewed without a further crash.
-func (request *request) setBlocked(guilty bool, runs []Run, now time.Duration) bool {
+func (request *request) setBlocked(guilty bool, runs []Run, blockTime, now time.Duration) bool {
 	last := runs[len(runs)-1]
 	wasBlocked := request.block.Until > now
 	switch {
@@ -311,7 +316,8 @@
 	case !wasBlocked:
 		request.block.Count++
 	}
-	duration := min(maxBlock, firstBlock<<min(max(0, request.block.Count-1), 10))
+	blockTime = cmp.Or(blockTime, defaultBlockTime)
+	duration := max(blockTime, min(maxBlockTime, blockTime<<min(max(0, request.block.Count-1), 10)))
 	request.block.Request, request.block.CrashedAt = last.Request, last.End
 	request.block.Until = max(request.block.Until, last.End+duration)
 	return !wasBlocked && request.block.Until > now
--- a/gateway/internal/dispatcher/admit.go
+++ b/gateway/internal/dispatcher/admit.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"godwitramp.example/core/drainer"
-	"godwitramp.example/core/fingerprinter"
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/platform"
@@ -27,25 +26,6 @@
 	limit time.Duration
 }
 
-// fingerprint returns the fingerprint of the job's request, or false while the VM doesn't know
-// the fleet's key.
-func (dispatcher *Dispatcher) fingerprint(job *job) (fingerprinter.Fingerprint, bool) {
-	if dispatcher.FleetKey == nil {
-		return fingerprinter.Fingerprint{}, false
-	}
-	key := dispatcher.FleetKey()
-	if len(key) == 0 {
-		return fingerprinter.Fingerprint{}, false
-	}
-	request := fingerprinter.Request{
-		Method: job.call.Request.Method, Host: hostOf(job.call.Request.Host), Target: job.call.Target, Body: job.call.Body,
-	}
-	if job.organisation != nil {
-		request.Caller = job.organisation.Name
-	}
-	return fingerprinter.New(key).Sum(request), true
-}
-
 // otherVMRetryAfter is the Retry-After of refusals that another VM may not give, for
 // instance because its configuration is current.
 const otherVMRetryAfter = 100 * time.Millisecond
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -44,8 +44,9 @@
 	verdict  assessor.Verdict
 	dialed   atomic.Bool
 	started  time.Time
-	// lost is true if the connection ended after the request was written and before an answer.
-	lost bool
+	// lost is true if the connection ended after the request was written and before an answer, and
+	// crashed if the target couldn't be reached right after that.
+	lost, crashed bool
 	// suspicionBefore and suspicionAfter are the target's suspicion right before and
 	// right after the outcome was recorded.
 	suspicionBefore, suspicionAfter float64
@@ -60,7 +61,9 @@
 	} else {
 		attempt.read(ctx, answer)
 	}
-	attempt.recordOutcome(time.Since(attempt.started))
+	latency := time.Since(attempt.started)
+	attempt.detectCrash(ctx)
+	attempt.recordOutcome(latency)
 }
 
 // abandon ends an attempt whose code has panicked. The request may have run.
@@ -272,6 +275,7 @@
 	switch verdict.Outcome {
 	case placer.Good:
 		dispatcher.latency.observe(attempt.job.service, latency)
+		dispatcher.recordAnswer(attempt.job)
 	case placer.Failed:
 		if attempt.job.route.Idempotent { // for others the end of the request follows
 			dispatcher.report(attempt.failure(), attempt.target.ID)
@@ -289,6 +293,7 @@
 		if fingerprint, ok := dispatcher.fingerprint(attempt.job); ok {
 			fields["fingerprint"] = fingerprint
 		}
+		fields["target-crashed"] = attempt.crashed
 	}
 	dispatcher.Log.WithFields(fields).Info("attempt-ended")
 }
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 	"godwitramp.example/core/drainer"
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/quarantiner"
 	"godwitramp.example/core/rationer"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
@@ -96,7 +97,7 @@
 		placer: &placer.Placer{Locality: dispatcher.Locality, Regions: dispatcher.Regions, Floor: dispatcher.Policy.TargetFloor},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		policy: dispatcher.Policy, groupShare: 1 / float64(max(1, len(dispatcher.Regions))), reachableFraction: unjoinedFraction,
-		answers: rationer.Rationer{Limit: dispatcher.MaxAnswerBytes},
+		answers: rationer.Rationer{Limit: dispatcher.MaxAnswerBytes}, quarantine: quarantiner.Quarantiner{BlockTime: dispatcher.Policy.BlockTime},
 	}
 }
 
@@ -139,6 +140,10 @@
 // HandleEvent applies an event of another VM. fromGroup is true if that VM belongs to this
 // VM's group.
 func (dispatcher *Dispatcher) HandleEvent(event messenger.Event, fromGroup bool) {
+	if isQuarantineEvent(event) {
+		dispatcher.handleQuarantineEvent(event)
+		return
+	}
 	dispatcher.state.handleEvent(event, fromGroup, dispatcher.Clock())
 }
 
--- a/gateway/internal/dispatcher/meter.go
+++ b/gateway/internal/dispatcher/meter.go
@@ -34,6 +34,12 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_target_words_total{word=%q}`, signal)).Inc()
 }
 
+// countCrash counts a crash of a target under a request.
+func countCrash() { metrics.GetOrCreateCounter("gateway_target_crashes_total").Inc() }
+
+// countBlock counts a request that has become blocked.
+func countBlock() { metrics.GetOrCreateCounter("gateway_requests_blocked_total").Inc() }
+
 // countAsks counts the groups that were asked for tokens.
 func countAsks(asked int) { metrics.GetOrCreateCounter("gateway_token_asks_total").Add(asked) }
 
--- /dev/null
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -0,0 +1,211 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/fingerprinter"
+	"godwitramp.example/core/quarantiner"
+	"godwitramp.example/gateway/internal/messenger"
+)
+
+const (
+	// probeTimeout is how long a target is dialed to find out whether it has crashed.
+	probeTimeout = 300 * time.Millisecond
+	// maxReminders limits the blocks that a VM repeats to others, those with the latest crashes.
+	maxReminders = 32
+	// blockedReason is the reason of refusals because the request crashes targets.
+	blockedReason = "request-blocked"
+)
+
+// fingerprint returns the fingerprint of the job's request, or false while the VM doesn't know
+// the fleet's key.
+func (dispatcher *Dispatcher) fingerprint(job *job) (fingerprinter.Fingerprint, bool) {
+	if dispatcher.FleetKey == nil {
+		return fingerprinter.Fingerprint{}, false
+	}
+	key := dispatcher.FleetKey()
+	if len(key) == 0 {
+		return fingerprinter.Fingerprint{}, false
+	}
+	request := fingerprinter.Request{
+		Method: job.call.Request.Method, Host: hostOf(job.call.Request.Host), Target: job.call.Target, Body: job.call.Body,
+	}
+	if job.organisation != nil {
+		request.Caller = job.organisation.Name
+	}
+	return fingerprinter.New(key).Sum(request), true
+}
+
+// refuseBlocked returns a refusal for a request that is blocked, and nil for others.
+func (dispatcher *Dispatcher) refuseBlocked(job *job) *refusal {
+	state := &dispatcher.state
+	if !state.knowsCrashes() {
+		return nil
+	}
+	fingerprint, ok := dispatcher.fingerprint(job)
+	if !ok {
+		return nil
+	}
+	wait, blocked := state.blocked(fingerprint, dispatcher.Clock())
+	if !blocked {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: blockedReason, retryAfter: wait}
+}
+
+// detectCrash finds out whether the target has crashed while it ran the request. A connection
+// that ends without an answer may also have been reset, or closed while it was idle. A target
+// that leaves closes its connections in the end, and is no longer usable.
+func (attempt *attempt) detectCrash(ctx context.Context) {
+	dispatcher := attempt.dispatcher
+	if !attempt.lost || !dispatcher.state.usable(attempt.target, dispatcher.Clock()) {
+		return
+	}
+	end := dispatcher.Clock()
+	start := end - time.Since(attempt.started)
+	if dispatcher.Exchanger.Reachable(ctx, attempt.target.Address, probeTimeout) || ctx.Err() != nil {
+		return
+	}
+	attempt.crashed = true
+	countCrash()
+	fingerprint, ok := dispatcher.fingerprint(attempt.job)
+	if !ok {
+		return
+	}
+	now := dispatcher.Clock()
+	dispatcher.recordCrash(quarantiner.Run{
+		Request: fingerprint, At: quarantiner.Instance{Target: attempt.target.ID, Incarnation: attempt.target.Incarnation}, Start: start, End: end,
+	})
+	dispatcher.sendToAll(messenger.Event{
+		Kind: messenger.RequestCrashed, Name: attempt.target.ID, Incarnation: attempt.target.Incarnation,
+		Fingerprint: string(fingerprint[:]), StartedAgo: now - start, EndedAgo: now - end,
+	})
+}
+
+func (dispatcher *Dispatcher) sendToAll(event messenger.Event) {
+	dispatcher.Messenger.SendToGroup(event)
+	dispatcher.Messenger.SendToFleet(event)
+}
+
+// recordCrash records a crash and logs which requests are blocked because of it, or no longer.
+func (dispatcher *Dispatcher) recordCrash(run quarantiner.Run) {
+	for _, change := range dispatcher.state.recordCrash(run, dispatcher.Clock()) {
+		log := dispatcher.Log.WithFields(logrus.Fields{
+			"fingerprint": change.Request, "crashes": change.Crashes, "blocks": change.Count, "target": run.At.Target,
+			"block-time": change.Until - dispatcher.Clock(),
+		})
+		if change.Blocked {
+			countBlock()
+			log.Warn("request-blocked")
+		} else {
+			log.Info("request-unblocked")
+		}
+	}
+}
+
+// recordAnswer records that a request was answered well. Usually no crash of it is known.
+func (dispatcher *Dispatcher) recordAnswer(job *job) {
+	if !dispatcher.state.knowsCrashes() {
+		return
+	}
+	if fingerprint, ok := dispatcher.fingerprint(job); ok && dispatcher.state.clear(fingerprint, dispatcher.Clock()) {
+		dispatcher.Log.WithFields(logrus.Fields{"request": job.metadata.ID, "fingerprint": fingerprint}).Info("request-cleared")
+		dispatcher.sendToAll(messenger.Event{Kind: messenger.RequestCleared, Fingerprint: string(fingerprint[:])})
+	}
+}
+
+// Reminders returns an event for each request that is blocked.
+func (dispatcher *Dispatcher) Reminders() []messenger.Event {
+	now := dispatcher.Clock()
+	var events []messenger.Event
+	for _, block := range dispatcher.state.blocks(now) {
+		if len(events) == maxReminders {
+			break
+		}
+		events = append(events, messenger.Event{
+			Kind: messenger.RequestBlocked, Fingerprint: string(block.Request[:]),
+			EndedAgo: now - block.CrashedAt, Remaining: block.Until - now, Blocks: block.Count,
+		})
+	}
+	return events
+}
+
+func isQuarantineEvent(event messenger.Event) bool {
+	switch event.Kind {
+	case messenger.RequestCrashed, messenger.RequestCleared, messenger.RequestBlocked:
+		return true
+	default:
+		return false
+	}
+}
+
+// handleQuarantineEvent applies what another VM knows of crashes. It tells the fleet again that a
+// request was answered if the other VM has missed that.
+func (dispatcher *Dispatcher) handleQuarantineEvent(event messenger.Event) {
+	fingerprint, ok := fingerprinter.Parse(event.Fingerprint)
+	if !ok {
+		dispatcher.Log.WithField("kind", event.Kind).Warn("fingerprint-malformed")
+		return
+	}
+	now := dispatcher.Clock()
+	switch event.Kind {
+	case messenger.RequestCrashed:
+		dispatcher.recordCrash(quarantiner.Run{
+			Request: fingerprint, At: quarantiner.Instance{Target: event.Name, Incarnation: event.Incarnation},
+			Start: now - max(0, event.StartedAgo), End: now - max(0, event.EndedAgo),
+		})
+	case messenger.RequestCleared:
+		dispatcher.state.clear(fingerprint, now)
+	case messenger.RequestBlocked:
+		block := quarantiner.Block{
+			Request: fingerprint, CrashedAt: now - max(0, event.EndedAgo), Until: now + max(0, event.Remaining), Count: max(1, event.Blocks),
+		}
+		if dispatcher.state.importBlock(block, now) {
+			dispatcher.sendToAll(messenger.Event{Kind: messenger.RequestCleared, Fingerprint: event.Fingerprint})
+		}
+	}
+}
+
+// knowsCrashes reports whether a crash of any request is known, so that fingerprints matter.
+func (state *state) knowsCrashes() bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return !state.quarantine.Empty()
+}
+
+// blocked returns how much longer a request is blocked, or false if it isn't.
+func (state *state) blocked(fingerprint fingerprinter.Fingerprint, now time.Duration) (time.Duration, bool) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	until, blocked := state.quarantine.BlockedUntil(fingerprint, now)
+	return until - now, blocked && state.policy.BlockTime > 0
+}
+
+func (state *state) recordCrash(run quarantiner.Run, now time.Duration) []quarantiner.Change {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.quarantine.RecordCrash(run, now)
+}
+
+// clear records that a request was answered well, and reports whether crashes of it were known.
+func (state *state) clear(fingerprint fingerprinter.Fingerprint, now time.Duration) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.quarantine.RecordAnswer(fingerprint, now)
+}
+
+func (state *state) importBlock(block quarantiner.Block, now time.Duration) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.quarantine.Import(block, now)
+}
+
+func (state *state) blocks(now time.Duration) []quarantiner.Block {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.quarantine.Blocks(now)
+}
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -67,6 +67,8 @@
 	// answer is forwarded if no other attempt succeeds.
 	failure     *attempt
 	lastVerdict assessor.Verdict
+	// crashes is the number of attempts during which the target crashed.
+	crashes int
 	// last is the attempt that ended last.
 	last   *attempt
 	reason string
@@ -77,7 +79,7 @@
 func (handler *handler) reportFailure(reply receiver.Reply) {
 	failed := reply.Status >= http.StatusInternalServerError || reply.Status == http.StatusTooManyRequests
 	stopped := handler.reason == refusalStopping.reason || handler.reason == refusalGivenUp.reason
-	if reply.Abort || stopped || !failed {
+	if reply.Abort || stopped || !failed || handler.reason == blockedReason {
 		return
 	}
 	handler.dispatcher.state.recordFailure(handler.job.service, handler.dispatcher.Clock())
@@ -120,6 +122,9 @@
 	if !handler.dispatcher.askStop(handler.job, drainer.Policy.Fits) { // it may have waited for its turn
 		return handler.refuse(refusalStopping)
 	}
+	if refusal := handler.dispatcher.refuseBlocked(handler.job); refusal != nil {
+		return handler.refuse(*refusal)
+	}
 	if refusal := handler.charge(ctx); refusal != nil {
 		return handler.refuse(*refusal)
 	}
@@ -175,6 +180,9 @@
 		return false
 	}
 	dispatcher := handler.dispatcher
+	if dispatcher.refuseBlocked(handler.job) != nil { // it may have waited, or has just crashed a target
+		return false
+	}
 	info := handler.pickInfo()
 	handler.degraded = handler.degraded || dispatcher.state.degraded(info.Service, info.Now)
 	target, ok := dispatcher.state.pick(info, handler.reached > 0)
@@ -290,6 +298,9 @@
 		handler.markUnreachable(attempt.target.ID)
 	}
 	handler.mayHaveRun = handler.mayHaveRun || verdict.MayHaveRun
+	if attempt.crashed {
+		handler.crashes++
+	}
 	if verdict.Deliver == assessor.Always {
 		reply := handler.deliver(attempt)
 		return &reply
@@ -320,9 +331,13 @@
 	if verdict.Outcome == placer.FailedLate {
 		handler.failedLate++
 	}
-	return handler.failedLate < maxFailedLate
+	return handler.failedLate < maxFailedLate && handler.crashes < maxCrashes
 }
 
+// maxCrashes is the number of targets that may crash under a request before it is given up: it is
+// likely to be the cause.
+const maxCrashes = 2
+
 // maxFailedLate is the number of late failures after which a request isn't retried: one
 // that failed twice after the targets did the work is likely to fail on every target.
 const maxFailedLate = 2
@@ -378,6 +393,9 @@
 	case handler.mayHaveRun:
 		return handler.refuse(refusal{status: http.StatusBadGateway, reason: handler.lastVerdict.Reason})
 	}
+	if refusal := handler.dispatcher.refuseBlocked(handler.job); refusal != nil {
+		return handler.refuse(*refusal)
+	}
 	if refusal := handler.dispatcher.state.wait(handler.job.service, handler.dispatcher.Clock()); refusal != nil {
 		return handler.refuse(*refusal)
 	}
@@ -418,6 +436,11 @@
 	if handler.degraded {
 		fields["service-degraded"] = true
 	}
+	if handler.reason == blockedReason {
+		if fingerprint, ok := dispatcher.fingerprint(job); ok {
+			fields["fingerprint"] = fingerprint
+		}
+	}
 	if handler.last != nil {
 		if limit, ok := dispatcher.state.limitOf(handler.last.target.ID); ok {
 			fields["target-limit"] = limit
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -9,6 +9,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/quarantiner"
 	"godwitramp.example/core/rationer"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
@@ -37,6 +38,8 @@
 	joined bool
 	// answers limits the memory for answer bodies in transfer.
 	answers rationer.Rationer
+	// quarantine knows the requests that crash targets.
+	quarantine quarantiner.Quarantiner
 }
 
 func (state *state) beginTransfer() {
@@ -73,6 +76,8 @@
 	RetryWindow time.Duration
 	// TargetFloor is the share of a service's sound targets that must be in use, from 0 to 1.
 	TargetFloor float64
+	// BlockTime is how long a request that crashes targets is blocked first. Zero means never.
+	BlockTime time.Duration
 	// Configuration limits what may be done with a stale configuration.
 	Configuration verifier.Policy
 }
@@ -82,6 +87,7 @@
 	defer state.mutex.Unlock()
 	state.policy = policy
 	state.placer.Floor = policy.TargetFloor
+	state.quarantine.BlockTime = policy.BlockTime
 	for _, budget := range state.budgets {
 		budget.Ratio = policy.RetryRatio
 	}
--- a/gateway/internal/loader/loader.go
+++ b/gateway/internal/loader/loader.go
@@ -68,6 +68,9 @@
 
 	// TargetFloor is the share of a service's sound targets that must be in use, from 0 to 1.
 	TargetFloor float64
+
+	// BlockTime is how long a request that crashes targets is blocked first. Zero means never.
+	BlockTime time.Duration
 }
 
 const (
@@ -141,6 +144,9 @@
 	{Section: "targets", Name: "floor", Default: "0.7", Allowed: allowedShare,
 		Doc: "Share of a service's sound targets that must be in use.",
 		Set: setTargetFloor},
+	{Section: "targets", Name: "block", Default: "120s", Allowed: allowedDuration + "; 0s never blocks",
+		Doc: "How long a request that has crashed three targets is blocked first.",
+		Set: setBlockTime},
 }
 
 // Load parses the text of a settings file. It returns all problems found, not just the
@@ -173,6 +179,15 @@
 	return nil
 }
 
+func setBlockTime(settings *Settings, value string) error {
+	block, err := platform.ParseDuration(value)
+	if err != nil {
+		return fmt.Errorf("is not a duration")
+	}
+	settings.BlockTime = block
+	return nil
+}
+
 func text(field func(*Settings) *string) setter {
 	return func(settings *Settings, value string) error {
 		*field(settings) = value
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -50,21 +50,27 @@
 	TargetLimited
 	// TargetUnlimited: a target that has named a limit names none any more.
 	TargetUnlimited
+	// RequestCrashed: a request ran at a target that crashed meanwhile.
+	RequestCrashed
+	// RequestCleared: a request that ran at targets that crashed was answered well.
+	RequestCleared
+	// RequestBlocked: a request is blocked, as it crashes the targets that run it.
+	RequestBlocked
 )
 
 // Event is something that a VM reports to others.
 type Event struct {
 	Kind Kind
 	// Name is the organisation for Admitted and Deposited, the target for the other kinds,
-	// and empty for RequestFailed and FleetFailure.
+	// and empty for RequestFailed, FleetFailure, RequestCleared and RequestBlocked.
 	Name string
 	// Service is set for AttemptStarted, RetryStarted, AttemptDone, RequestFailed and
 	// FleetFailure.
 	Service string
 	// Outcome is set for AttemptDone and AttemptOutcome.
 	Outcome placer.Outcome
-	// Incarnation is the target's incarnation for TargetLeaving, TargetLimited and
-	// TargetUnlimited.
+	// Incarnation is the target's incarnation for TargetLeaving, TargetLimited, TargetUnlimited
+	// and RequestCrashed.
 	Incarnation int64
 	// Tokens is set for Admitted and Deposited. Zero is one token for Admitted.
 	Tokens float64
@@ -72,6 +78,16 @@
 	Load float64
 	// Limit is the limit for TargetLimited.
 	Limit float64
+	// Fingerprint is the fingerprint of the request, as bytes, for RequestCrashed, RequestCleared
+	// and RequestBlocked.
+	Fingerprint string
+	// StartedAgo is how long before the message the run began, for RequestCrashed. EndedAgo is how
+	// long before it the last crash was, for RequestCrashed and RequestBlocked.
+	StartedAgo, EndedAgo time.Duration
+	// Remaining is how much longer the request is blocked, and Blocks how often it has been, for
+	// RequestBlocked.
+	Remaining time.Duration
+	Blocks    int
 }
 
 // message is the content of one datagram. Messages and events are encoded as arrays: the
@@ -159,6 +175,10 @@
 func (event *Event) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	used := firstEventFields
 	switch {
+	case event.Remaining != 0:
+		used += 8
+	case event.Fingerprint != "":
+		used += 6
 	case event.Limit != 0:
 		used += 3
 	case event.Load != 0:
@@ -175,7 +195,10 @@
 }
 
 func (event *Event) fields() []any {
-	return []any{&event.Kind, &event.Name, &event.Service, &event.Outcome, &event.Incarnation, &event.Tokens, &event.Load, &event.Limit}
+	return []any{
+		&event.Kind, &event.Name, &event.Service, &event.Outcome, &event.Incarnation, &event.Tokens, &event.Load, &event.Limit,
+		&event.Fingerprint, &event.StartedAgo, &event.EndedAgo, &event.Remaining, &event.Blocks,
+	}
 }
 
 func encodeFields(encoder *msgpack.Encoder, fields []any) error {
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -21,6 +21,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -66,6 +67,9 @@
 	// carry. OnClaim, if set, handles a claim of another VM of the data centre.
 	Claims  func() []Claim
 	OnClaim func(claim Claim)
+	// Reminders, if set, returns events that the VM repeats until they lapse, as single ones may be
+	// lost, and VMs that start have heard none.
+	Reminders func() []Event
 	// StoreUnreachable reports whether the store does not answer this VM. It must be set
 	// if Claims is.
 	StoreUnreachable func() bool
@@ -209,7 +213,14 @@
 // before it serves whether the store has lost a configuration. Rows are handed out once, so
 // that they go to the whole group.
 func (messenger *Messenger) answerHello(from Peer) {
-	if messenger.Claims == nil || !messenger.InGroup(from.Name) {
+	if !messenger.InGroup(from.Name) {
+		messenger.send(from.Address, messenger.newMessage(false, nil))
+		return
+	}
+	if events := messenger.reminders(); len(events) > 0 {
+		messenger.send(from.Address, messenger.newMessage(false, events))
+	}
+	if messenger.Claims == nil {
 		messenger.send(from.Address, messenger.newMessage(false, nil))
 		return
 	}
@@ -232,10 +243,34 @@
 		case <-ticker.C:
 		}
 		messenger.SendHeartbeat()
+		messenger.remind()
 		messenger.detectSilence()
 	}
 }
 
+// remind repeats the reminders in the group. The VM that polls the store for the data centre also
+// repeats them in the rest of the fleet, in a part of its heartbeats.
+func (messenger *Messenger) remind() {
+	events := messenger.reminders()
+	if len(events) == 0 {
+		return
+	}
+	messenger.SendToGroup(events...)
+	if messenger.Rank() == 0 && rand.IntN(fleetReminder) == 0 {
+		messenger.SendToFleet(events...)
+	}
+}
+
+// fleetReminder is the mean number of heartbeats between reminders of the fleet.
+const fleetReminder = 6
+
+func (messenger *Messenger) reminders() []Event {
+	if messenger.Reminders == nil {
+		return nil
+	}
+	return messenger.Reminders()
+}
+
 // SendHeartbeat sends the group a message without events, with the claims of this VM. The VM
 // that polls the store for the data centre sends its claims to the other groups as well.
 func (messenger *Messenger) SendHeartbeat() { messenger.sendHeartbeat(messenger.newHeartbeat()) }
--- a/gateway/internal/messenger/messenger_test.go
+++ b/gateway/internal/messenger/messenger_test.go
@@ -433,3 +433,16 @@
 		other.SendToGroup(event)
 	}, func() bool { return vm.count(event) > 0 })
 }
+
+// A VM that starts, in this data centre or another, must hear what the others know to be blocked.
+func TestVMThatStartsMissesWhatIsBlocked(t *testing.T) {
+	event := messenger.Event{Kind: messenger.RequestBlocked, Fingerprint: "print", Remaining: time.Minute, Blocks: 1}
+	first := prepare(t, "vm-00", "a", 1)
+	first.Reminders = func() []messenger.Event { return []messenger.Event{event} }
+	first.run(t)
+	near, far := start(t, "vm-01", "a", 1), start(t, "vm-02", "b", 1)
+	near.AddPeers([]messenger.Peer{first.Self})
+	waitUntil(t, "the VM of the group hears it when it says hello", func() {}, func() bool { return near.count(event) > 0 })
+	first.AddPeers([]messenger.Peer{far.Self})
+	waitUntil(t, "the VM of another data centre is reminded", func() {}, func() bool { return far.count(event) > 0 })
+}
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -30,6 +30,7 @@
 		Self: messenger.Peer{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages},
 		Key:  members.Key, KeyEra: members.Era, StoreEra: starter.store.Era, Clock: timer.Now, Log: starter.Log,
 		OnEvent: starter.handleEvent, Claims: starter.claims, OnClaim: starter.handleClaim, StoreUnreachable: starter.tracker.AnyTableUnreachable,
+		Reminders:     starter.dispatcher.Reminders,
 		OnGroupChange: starter.updateShare, Regions: settings.Regions,
 		OnAsk: starter.dispatcher.Lend, OnTokens: starter.dispatcher.HandleTokens,
 	}
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -185,6 +185,18 @@
 	return exchanger.dial(ctx, call.Address)
 }
 
+// Reachable reports whether a connection to the address can be opened within the timeout.
+func (exchanger *Exchanger) Reachable(ctx context.Context, address string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	connection, err := exchanger.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
+
 // putUnused returns a reused connection to which nothing was written to the
 // pool, and closes a new one.
 func (exchanger *Exchanger) putUnused(connection *connection) {
