starter, registrar: blocked requests outlive a loss of all VMs

After a loss of all VMs at once nobody knew any more which requests crash targets: each would have crashed three more, and only three sends are allowed in all. A VM that finds a block writes all that it knows to one row of the table vms, which VMs read anyway as they join: one call a block, none otherwise.

Ruled out: rows of their own table (a call at each start of a VM), a row a block (old ones would have to be deleted).

TestRequestIsSentAgainAfterAllVMsAreGone fails without the row's import (the VM that starts sends the request).

--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -78,7 +78,10 @@
 	// FleetKey, if set, returns the key that all VMs of the fleet have, nil while it isn't known.
 	// Fingerprints of requests are keyed with it.
 	FleetKey func() []byte
-	Log      *logrus.Entry
+	// OnBlocksChange, if set, is called when this VM finds that a request must be blocked, or that a
+	// blocked one need not be. It must not block.
+	OnBlocksChange func()
+	Log            *logrus.Entry
 
 	state   state
 	latency latencies
--- a/gateway/internal/dispatcher/quarantine.go
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -15,8 +15,8 @@
 const (
 	// probeTimeout is how long a target is dialed to find out whether it has crashed.
 	probeTimeout = 300 * time.Millisecond
-	// maxReminders limits the blocks that a VM repeats to others, those with the latest crashes.
-	maxReminders = 32
+	// maxBlocks limits the blocks that a VM repeats to others and writes to the store.
+	maxBlocks = 32
 	// blockedReason is the reason of refusals because the request crashes targets.
 	blockedReason = "request-blocked"
 )
@@ -77,9 +77,12 @@
 		return
 	}
 	now := dispatcher.Clock()
-	dispatcher.recordCrash(quarantiner.Run{
+	changed := dispatcher.recordCrash(quarantiner.Run{
 		Request: fingerprint, At: quarantiner.Instance{Target: attempt.target.ID, Incarnation: attempt.target.Incarnation}, Start: start, End: end,
 	})
+	if changed {
+		dispatcher.blocksChanged()
+	}
 	dispatcher.sendToAll(messenger.Event{
 		Kind: messenger.RequestCrashed, Name: attempt.target.ID, Incarnation: attempt.target.Incarnation,
 		Fingerprint: string(fingerprint[:]), StartedAgo: now - start, EndedAgo: now - end,
@@ -91,9 +94,17 @@
 	dispatcher.Messenger.SendToFleet(event)
 }
 
-// recordCrash records a crash and logs which requests are blocked because of it, or no longer.
-func (dispatcher *Dispatcher) recordCrash(run quarantiner.Run) {
-	for _, change := range dispatcher.state.recordCrash(run, dispatcher.Clock()) {
+func (dispatcher *Dispatcher) blocksChanged() {
+	if dispatcher.OnBlocksChange != nil {
+		dispatcher.OnBlocksChange()
+	}
+}
+
+// recordCrash records a crash and logs which requests are blocked because of it, or no longer. It
+// reports whether there are any.
+func (dispatcher *Dispatcher) recordCrash(run quarantiner.Run) bool {
+	changes := dispatcher.state.recordCrash(run, dispatcher.Clock())
+	for _, change := range changes {
 		log := dispatcher.Log.WithFields(logrus.Fields{
 			"fingerprint": change.Request, "crashes": change.Crashes, "blocks": change.Count, "target": run.At.Target,
 			"block-time": change.Until - dispatcher.Clock(),
@@ -105,6 +116,7 @@
 			log.Info("request-unblocked")
 		}
 	}
+	return len(changes) > 0
 }
 
 // recordAnswer records that a request was answered well. Usually no crash of it is known.
@@ -112,20 +124,36 @@
 	if !dispatcher.state.knowsCrashes() {
 		return
 	}
-	if fingerprint, ok := dispatcher.fingerprint(job); ok && dispatcher.state.clear(fingerprint, dispatcher.Clock()) {
+	fingerprint, ok := dispatcher.fingerprint(job)
+	if !ok {
+		return
+	}
+	_, blocked := dispatcher.state.blocked(fingerprint, dispatcher.Clock())
+	if dispatcher.state.clear(fingerprint, dispatcher.Clock()) {
+		if blocked {
+			dispatcher.blocksChanged()
+		}
 		dispatcher.Log.WithFields(logrus.Fields{"request": job.metadata.ID, "fingerprint": fingerprint}).Info("request-cleared")
 		dispatcher.sendToAll(messenger.Event{Kind: messenger.RequestCleared, Fingerprint: string(fingerprint[:])})
 	}
 }
 
+// Blocks returns the requests that are blocked, those with the latest crashes.
+func (dispatcher *Dispatcher) Blocks() []quarantiner.Block {
+	blocks := dispatcher.state.blocks(dispatcher.Clock())
+	return blocks[:min(len(blocks), maxBlocks)]
+}
+
+// ImportBlock adds a request that another VM has blocked.
+func (dispatcher *Dispatcher) ImportBlock(block quarantiner.Block) {
+	dispatcher.state.importBlock(block, dispatcher.Clock())
+}
+
 // Reminders returns an event for each request that is blocked.
 func (dispatcher *Dispatcher) Reminders() []messenger.Event {
 	now := dispatcher.Clock()
 	var events []messenger.Event
-	for _, block := range dispatcher.state.blocks(now) {
-		if len(events) == maxReminders {
-			break
-		}
+	for _, block := range dispatcher.Blocks() {
 		events = append(events, messenger.Event{
 			Kind: messenger.RequestBlocked, Fingerprint: string(block.Request[:]),
 			EndedAgo: now - block.CrashedAt, Remaining: block.Until - now, Blocks: block.Count,
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -38,6 +38,7 @@
 		starter.Log.WithError(err).Error("messages-unavailable")
 		return
 	}
+	starter.importBlocks(members.Blocks)
 	starter.messages.set(messenger)
 	starter.Log.WithField("peers", len(peers)).Info("joined")
 	messenger.AddPeers(peers)
@@ -46,6 +47,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { starter.keepMembership(ctx, registrar, messenger, members.Era) })
+	group.Go(func() { starter.writeBlocks(ctx, registrar) })
 	_ = messenger.Run(ctx)
 }
 
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -63,6 +63,8 @@
 	// and the targets.
 	started  chan struct{}
 	receiver *receiver.Receiver
+	// blocksChanged has a value while the store's blocks may differ from the dispatcher's.
+	blocksChanged chan struct{}
 }
 
 // Run serves until the context ends and then performs a planned stop: it reports that it
@@ -106,6 +108,7 @@
 	starter.store = &platform.Store{Address: settings.Store, Clock: timer.Now}
 	starter.messages = &messages{}
 	starter.started = make(chan struct{})
+	starter.blocksChanged = make(chan struct{}, 1)
 	starter.tracker = &tracker.Tracker{
 		Store: starter.store, Group: starter.messages, Clock: timer.Now, Log: starter.Log,
 		MaxConfigurationStaleness: settings.Propagation, MaxTargetStaleness: settings.Leaving,
@@ -115,6 +118,7 @@
 		Locality: placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions:  settings.Regions, Clock: timer.Now, Log: starter.Log,
 		Policy: policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
+		OnBlocksChange: starter.requestBlocksWrite,
 		MaxAnswerBytes: int64(answerMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
 	}
 	starter.dispatcher.Open()
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -109,7 +109,7 @@
 		Callers: freeAddress(), Readiness: freeAddress(), Operators: freeAddress(), Messages: freeAddress(), Store: fleet.address,
 		MemoryMB: 256, Descriptors: 1000, Propagation: 2 * time.Second, Leaving: 2 * time.Second,
 		Withdrawal: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
-		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
+		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20, BlockTime: time.Minute,
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
