starter: test of a VM that reaches no target

It fails on this code: all of 10 requests at the VM are refused, whether its connections to targets fail or hang, while the VM beside it serves.

--- /dev/null
+++ b/gateway/internal/starter/partition_test.go
@@ -0,0 +1,100 @@
+package starter_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// cut is how a VM's paths to all targets are cut.
+type cut int
+
+const (
+	none cut = iota
+	// refused connections fail at once, silent ones hang.
+	refused
+	silent
+)
+
+// paths opens a VM's connections to targets.
+type paths struct {
+	mutex sync.Mutex
+	cut   cut
+	open  []net.Conn
+	dials int
+}
+
+var errCut = errors.New("no path to the target")
+
+func (paths *paths) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	paths.mutex.Lock()
+	paths.dials++
+	cut := paths.cut
+	paths.mutex.Unlock()
+	switch cut {
+	case refused:
+		return nil, errCut
+	case silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.open = append(paths.open, connection)
+	return connection, nil
+}
+
+// set cuts or restores the paths. Open connections are reset by a cut.
+func (paths *paths) set(cut cut) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	paths.cut, paths.dials = cut, 0
+	if cut != none {
+		for _, connection := range paths.open {
+			_ = connection.Close()
+		}
+	}
+}
+
+func (paths *paths) dialed() int {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	return paths.dials
+}
+
+func TestVMThatReachesNoTargetRefusesRequests(t *testing.T) {
+	for name, cut := range map[string]cut{"refused": refused, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fleet := start(t, 2)
+			cutOff := fleet.vms[0]
+			fleet.waitUntil("the VMs know each other", func() bool { return cutOff.starter.Share().VMs == 2 })
+			is.Equal(cutOff.status(t, "key"), http.StatusOK)
+			cutOff.paths.set(cut)
+			for range 3 { // while it finds out
+				cutOff.status(t, "key")
+			}
+			for range 10 {
+				startedAt := time.Now()
+				is.Equal(cutOff.status(t, "key"), http.StatusOK)
+				is.True(time.Since(startedAt) < time.Second)
+			}
+			is.Equal(cutOff.status(t, "other"), http.StatusUnauthorized)
+			cutOff.paths.set(none)
+			fleet.waitUntil("the VM serves by itself again", func() bool {
+				before := cutOff.paths.dialed()
+				return cutOff.status(t, "key") == http.StatusOK && cutOff.paths.dialed() > before
+			})
+		})
+	}
+}
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -41,6 +41,8 @@
 	stop     context.CancelFunc
 	stopped  chan struct{}
 	logged   *logged
+	// paths are the VM's paths to targets.
+	paths *paths
 }
 
 // start runs a fleet of VMs and waits until they are ready.
@@ -117,8 +119,10 @@
 	log.AddHook(logged)
 	starter := &starter.Starter{Settings: settings, Log: logrus.NewEntry(log)}
 	starter.Open()
+	paths := &paths{}
+	starter.SetDial(paths.dial)
 	ctx, cancel := context.WithCancel(context.Background())
-	vm := &vm{starter: starter, settings: settings, stop: cancel, stopped: make(chan struct{}), logged: logged}
+	vm := &vm{starter: starter, settings: settings, stop: cancel, stopped: make(chan struct{}), logged: logged, paths: paths}
 	go func() {
 		defer close(vm.stopped)
 		if err := starter.Run(ctx); err != nil {
