--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -108,6 +108,26 @@
 	return placer.Unknown
 }
 
+// ClassifyForwarded returns the verdict on the answer of another VM to which a request was passed on:
+// one that a target gave, or one of its own. It has ended the connection without an answer to its
+// caller if aborted is true.
+func ClassifyForwarded(status int, fromTarget, aborted bool) Verdict {
+	verdict := Verdict{Outcome: placer.Unknown, MayHaveRun: true}
+	switch {
+	case aborted:
+		verdict.Reason = "peer-lost"
+	case fromTarget && status >= http.StatusInternalServerError:
+		verdict.Reason, verdict.Deliver = "target-failed", IfLast
+	case fromTarget:
+		verdict.Reason, verdict.Deliver = "answered", Always
+	case status < http.StatusInternalServerError || status == http.StatusServiceUnavailable:
+		verdict.Reason, verdict.MayHaveRun = "peer-refused", false
+	default:
+		verdict.Reason = "peer-failed"
+	}
+	return verdict
+}
+
 // impliesNotRun reports whether callers take the status as a promise that the request
 // did not and will not run.
 func impliesNotRun(status int) bool {
@@ -139,6 +159,8 @@
 	AmpleTime bool
 	// Withheld is true if the attempt was stopped before it was sent.
 	Withheld bool
+	// Unacked is true if the target acknowledged nothing on the connection for too long.
+	Unacked bool
 }
 
 // ClassifyFailure returns the verdict on an attempt without an answer.
@@ -150,6 +172,8 @@
 		return Verdict{Outcome: placer.Unknown, MayHaveRun: failure.Written, Reason: "cancelled"}
 	case !failure.Dialed:
 		return Verdict{Outcome: placer.Unreachable, Reason: "unreachable"}
+	case failure.Unacked && !failure.TimedOut:
+		return Verdict{Outcome: placer.Unreachable, MayHaveRun: failure.Written, Reason: "unacknowledged"}
 	case failure.TimedOut:
 		return Verdict{Outcome: outcomeOfTimeout(failure.AmpleTime), MayHaveRun: failure.Written, Reason: "timed-out"}
 	case !failure.Fresh:
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -185,6 +185,21 @@
 	return cost + target.rampUpCost(info.Now)
 }
 
+// Random returns a random target of the service that isn't leaving, and the number of those. It
+// returns false if there is none.
+func (placer *Placer) Random(service string, random *rand.Rand) (Target, int, bool) {
+	var targets []Target
+	for _, target := range placer.byService[service] {
+		if !target.isLeaving() {
+			targets = append(targets, target.Target)
+		}
+	}
+	if len(targets) == 0 {
+		return Target{}, 0, false
+	}
+	return targets[random.IntN(len(targets))], len(targets), true
+}
+
 // Usable reports whether a picked target may still receive the request.
 func (placer *Placer) Usable(picked Target, now time.Duration) bool {
 	known := placer.byID[picked.ID]
--- a/gateway/internal/dispatcher/admit.go
+++ b/gateway/internal/dispatcher/admit.go
@@ -22,6 +22,8 @@
 	metadata     platform.Request
 	// deadline is when the caller's or the route's timeout ends, whichever is earlier.
 	deadline time.Time
+	// targets is the number of targets that it may be sent to.
+	targets int
 	// limit is the time from the receipt of the request to its deadline.
 	limit time.Duration
 }
@@ -55,6 +57,10 @@
 		}
 		return nil, refusal
 	}
+	job.targets = job.route.Attempts
+	if call.Targets > 0 {
+		job.targets = min(job.targets, call.Targets)
+	}
 	job.setDeadline()
 	if !dispatcher.askStop(job, drainer.Policy.Admits) {
 		return nil, &refusalStopping
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -36,8 +37,14 @@
 type attempt struct {
 	dispatcher *Dispatcher
 	job        *job
-	target     placer.Target
-	number     int
+	// target is that of the attempt, unless it is passed on to the VM with the address peer.
+	target placer.Target
+	peer   string
+	// targets is the number of targets to which that VM may send the request.
+	targets int
+	number  int
+	// forwarded is the answer of that VM.
+	forwarded receiver.Reply
 
 	response *http.Response
 	body     []byte
@@ -63,6 +70,9 @@
 	}
 	latency := time.Since(attempt.started)
 	attempt.detectCrash(ctx)
+	if attempt.verdict.Outcome == placer.Unreachable {
+		attempt.dispatcher.recordUnreachable(attempt.target)
+	}
 	attempt.recordOutcome(latency)
 }
 
@@ -70,15 +80,22 @@
 func (attempt *attempt) abandon() {
 	attempt.response = nil
 	attempt.verdict = assessor.Verdict{Outcome: placer.Unknown, MayHaveRun: true, Reason: "panicked"}
-	attempt.recordOutcome(time.Since(attempt.started))
+	if attempt.peer == "" {
+		attempt.recordOutcome(time.Since(attempt.started))
+	}
 }
 
 func (attempt *attempt) call() exchanger.Call {
 	request := attempt.request()
 	call := exchanger.Call{
 		Address: attempt.target.Address, Request: request,
-		Connected: func(bool) { attempt.dialed.Store(true) },
-		Matches:   func(response *http.Response) bool { return attempt.matches(response) },
+		Connected: func(fresh bool) {
+			attempt.dialed.Store(true)
+			if fresh {
+				attempt.dispatcher.recordConnected(attempt.job.service)
+			}
+		},
+		Matches: func(response *http.Response) bool { return attempt.matches(response) },
 		BeforeWrite: func() error {
 			if !attempt.dispatcher.maySend(attempt.job) || !attempt.dispatcher.state.usable(attempt.target, attempt.dispatcher.Clock()) {
 				return errWithheld
@@ -142,12 +159,14 @@
 	failure := assessor.Failure{
 		Written: true, Dialed: attempt.dialed.Load(),
 		Cancelled: errors.Is(ctx.Err(), context.Canceled), TimedOut: errors.Is(ctx.Err(), context.DeadlineExceeded),
-		Withheld: errors.Is(err, errWithheld), AmpleTime: attempt.ampleTime(),
+		Withheld: errors.Is(err, errWithheld), AmpleTime: attempt.ampleTime(), Unacked: errors.Is(err, syscall.ETIMEDOUT),
 	}
 	var exchange *exchanger.Error
 	if errors.As(err, &exchange) {
 		failure.Written, failure.Fresh = exchange.Written, exchange.FreshConnection
-		attempt.lost = exchange.Written && !exchange.Answered && ctx.Err() == nil
+		// A connection that this VM's side has ended, as nothing was acknowledged, says nothing about a
+		// crash.
+		attempt.lost = exchange.Written && !exchange.Answered && ctx.Err() == nil && !failure.Unacked
 	}
 	return failure
 }
@@ -320,8 +339,11 @@
 
 // reply returns the target's answer without hop-by-hop headers and those of the platform.
 func (attempt *attempt) reply() receiver.Reply {
+	if attempt.peer != "" {
+		return attempt.forwarded
+	}
 	header := attempt.response.Header
 	exchanger.RemoveHopByHop(header)
 	platform.CleanReply(header)
-	return receiver.Reply{Status: attempt.response.StatusCode, Header: header, Body: attempt.body}
+	return receiver.Reply{Status: attempt.response.StatusCode, Header: header, Body: attempt.body, FromTarget: true}
 }
--- /dev/null
+++ b/gateway/internal/dispatcher/delegate.go
@@ -0,0 +1,189 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/assessor"
+	"godwitramp.example/core/placer"
+	"godwitramp.example/shell/exchanger"
+)
+
+// delegate passes the request on to another VM if this one can't reach the targets. It returns
+// false if the next attempt should be made here, and as the second value whether one was started.
+// Requests that another VM has passed on stay here.
+func (handler *handler) delegate(ctx context.Context) (delegated, started bool) {
+	dispatcher, job := handler.dispatcher, handler.job
+	if dispatcher.Forwarder == nil || job.call.From != "" || !dispatcher.state.delegates(job.service, dispatcher.Clock()) {
+		return false, false
+	}
+	dispatcher.probe(job.service)
+	peer, ok := dispatcher.choosePeer(handler.peers)
+	if !ok {
+		return false, false
+	}
+	left := job.targets - len(handler.tried) - handler.forwarded
+	if left <= 0 {
+		return true, false
+	}
+	if job.route.Idempotent && left > 1 {
+		left-- // for another attempt, if this one gets lost on the way
+	}
+	if handler.reached > 0 && !dispatcher.state.withdrawRetry(job.service, dispatcher.Clock()) {
+		return true, false
+	}
+	handler.attempts++
+	handler.reached++
+	handler.inFlight++
+	handler.forwarded += left
+	handler.peers = append(handler.peers, peer)
+	attempt := &attempt{dispatcher: dispatcher, job: job, peer: peer, targets: left, number: handler.attempts}
+	handler.run(attempt, func() { attempt.forward(ctx) })
+	return true, true
+}
+
+// choosePeer returns the address of a VM to pass a request on to that was sent to the tried ones in
+// vain.
+func (dispatcher *Dispatcher) choosePeer(tried []string) (string, bool) {
+	candidates := dispatcher.Candidates()
+	state := &dispatcher.state
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.paths.Choose(candidates, tried, dispatcher.Clock(), state.random)
+}
+
+// forward passes the request on and classifies the answer of the other VM.
+func (attempt *attempt) forward(ctx context.Context) {
+	dispatcher := attempt.dispatcher
+	attempt.started = time.Now()
+	if dispatcher.maySend(attempt.job) {
+		reply, err := dispatcher.Forwarder.Forward(ctx, attempt.peer, attempt.job.call, attempt.targets, time.Until(attempt.job.deadline))
+		attempt.forwarded = reply
+		if err != nil {
+			attempt.verdict = classifyForwardFailure(ctx, err)
+		} else {
+			attempt.verdict = assessor.ClassifyForwarded(reply.Status, reply.FromTarget, reply.Abort)
+		}
+	} else {
+		attempt.verdict = assessor.Verdict{Outcome: placer.Unknown, Reason: assessor.Withheld}
+	}
+	latency := time.Since(attempt.started)
+	countAttempt(attempt.verdict, latency)
+	dispatcher.state.recordForwarded(attempt.job.service, attempt.peer, attempt.verdict, dispatcher.Clock())
+	dispatcher.Log.WithFields(logrus.Fields{
+		"request": attempt.job.metadata.ID, "attempt": attempt.number, "peer": attempt.peer, "service": attempt.job.service,
+		"reason": attempt.verdict.Reason, "status": attempt.forwarded.Status, "duration": latency.Round(time.Millisecond),
+		"may-have-run": attempt.verdict.MayHaveRun,
+	}).Info("attempt-forwarded")
+}
+
+// classifyForwardFailure returns the verdict on a request that another VM did not answer.
+func classifyForwardFailure(ctx context.Context, err error) assessor.Verdict {
+	written := true
+	var exchange *exchanger.Error
+	if errors.As(err, &exchange) {
+		written = exchange.Written
+	}
+	verdict := assessor.Verdict{Outcome: placer.Unknown, MayHaveRun: written}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		verdict.Reason = "timed-out"
+	case ctx.Err() != nil:
+		verdict.Reason = "cancelled"
+	case written:
+		verdict.Reason = "peer-lost"
+	default:
+		verdict.Reason = "peer-unreachable"
+	}
+	return verdict
+}
+
+// probe tries to open a connection to some target of an isolated service, if it is time for that.
+func (dispatcher *Dispatcher) probe(service string) {
+	target, due := dispatcher.state.probeDue(service, dispatcher.Clock())
+	if !due {
+		return
+	}
+	go func() {
+		if dispatcher.Exchanger.Reachable(context.Background(), target.Address, probeTimeout) {
+			dispatcher.recordConnected(service)
+		} else {
+			dispatcher.recordUnreachable(target)
+		}
+	}()
+}
+
+// recordConnected records that a connection to a target of the service was opened.
+func (dispatcher *Dispatcher) recordConnected(service string) {
+	if dispatcher.state.recordConnected(service) {
+		dispatcher.Log.WithField("service", service).Info("service-reachable")
+	}
+}
+
+// recordUnreachable records that a target could not be reached.
+func (dispatcher *Dispatcher) recordUnreachable(target placer.Target) {
+	if unreachable, isolated := dispatcher.state.recordUnreachable(target, dispatcher.Clock()); isolated {
+		countIsolation()
+		dispatcher.Log.WithFields(logrus.Fields{"service": target.Service, "target": target.ID, "unreachable": unreachable}).Warn("service-isolated")
+	}
+}
+
+func (state *state) delegates(service string, now time.Duration) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.paths.Delegates(service, now)
+}
+
+func (state *state) recordUnserved(service string, now time.Duration) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.paths.RecordUnserved(service, now)
+}
+
+// recordForwarded records whether another VM could serve a request.
+func (state *state) recordForwarded(service, peer string, verdict assessor.Verdict, now time.Duration) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	switch {
+	case verdict.Deliver != assessor.Never:
+		state.paths.RecordServed(service, peer, now)
+	case slices.Contains([]string{"peer-refused", "peer-lost", "peer-unreachable"}, verdict.Reason):
+		state.paths.RecordRefusal(peer, now)
+	}
+}
+
+// withdrawRetry takes a retry out of the budget of a service. It returns false if there is none left.
+func (state *state) withdrawRetry(service string, now time.Duration) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	budget := state.budgets[service]
+	return budget == nil || budget.Withdraw(now)
+}
+
+// probeDue returns a target of an isolated service to be probed, or false.
+func (state *state) probeDue(service string, now time.Duration) (placer.Target, bool) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	target, _, ok := state.placer.Random(service, state.random)
+	return target, ok && state.paths.ProbeDue(service, now)
+}
+
+func (state *state) recordConnected(service string) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.paths.RecordConnected(service)
+}
+
+// recordUnreachable records that a target could not be reached. It returns the number of those that
+// can't, and whether the service counts as isolated from now on.
+func (state *state) recordUnreachable(target placer.Target, now time.Duration) (int, bool) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	_, targets, _ := state.placer.Random(target.Service, state.random)
+	isolated := state.paths.RecordUnreachable(target.Service, target.ID, targets, now)
+	return state.paths.Unreachable(target.Service), isolated
+}
--- /dev/null
+++ b/gateway/internal/dispatcher/delegate_test.go
@@ -0,0 +1,180 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/delegator"
+	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/shell/exchanger"
+)
+
+// peers is a Forwarder whose VMs answer with a function each.
+type peers struct {
+	mutex sync.Mutex
+	// answer is called for each request with the number of requests before it.
+	answer func(before int) (receiver.Reply, error)
+	asked  []string
+	// targets are the numbers of targets that each request was allowed.
+	targets []int
+}
+
+func (peers *peers) Forward(_ context.Context, address string, _ *receiver.Call, targets int, _ time.Duration) (receiver.Reply, error) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	before := len(peers.asked)
+	peers.asked, peers.targets = append(peers.asked, address), append(peers.targets, targets)
+	return peers.answer(before)
+}
+
+// counts returns the numbers of requests and of targets that they were allowed in all.
+func (peers *peers) counts() (asked, targets int) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	for _, allowed := range peers.targets {
+		targets += allowed
+	}
+	return len(peers.asked), targets
+}
+
+var (
+	errRefusedByPeer = &exchanger.Error{Err: errors.New("connection refused")}
+	errLostByPeer    = &exchanger.Error{Written: true, Err: errors.New("connection reset")}
+)
+
+// startIsolated returns a VM that can't reach its targets, and has found that out.
+func startIsolated(t *testing.T, answer func(before int) (receiver.Reply, error)) (*vm, *peers) {
+	t.Helper()
+	vm := start(t, &targetServer{address: "target:1"}, &targetServer{address: "target:2"}, &targetServer{address: "target:3"})
+	vm.Exchanger.Dial = func(context.Context, string, string) (net.Conn, error) { return nil, errRefused }
+	vm.send(http.MethodGet, "/read/1")
+	peers := &peers{answer: answer}
+	vm.Forwarder = peers
+	vm.Candidates = func() []delegator.Candidate {
+		var candidates []delegator.Candidate
+		for i := range 5 {
+			candidates = append(candidates, delegator.Candidate{Address: fmt.Sprint("peer:", i)})
+		}
+		return candidates
+	}
+	return vm, peers
+}
+
+func TestBookingIsPassedOnTwiceAfterALostAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer func(before int) (receiver.Reply, error)
+		// booking and read are the statuses that callers get, and twice is true if a booking may be passed
+		// on again.
+		booking, read int
+		twice         bool
+	}{
+		{"lost", func(before int) (receiver.Reply, error) {
+			if before == 0 {
+				return receiver.Reply{}, errLostByPeer
+			}
+			return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil
+		}, http.StatusBadGateway, http.StatusOK, false},
+		{"unreachable", func(before int) (receiver.Reply, error) {
+			if before == 0 {
+				return receiver.Reply{}, errRefusedByPeer
+			}
+			return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil
+		}, http.StatusOK, http.StatusOK, true},
+		{"refused", func(before int) (receiver.Reply, error) {
+			if before == 0 {
+				return receiver.Reply{Status: http.StatusServiceUnavailable}, nil
+			}
+			return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil
+		}, http.StatusOK, http.StatusOK, true},
+		{"failed", func(before int) (receiver.Reply, error) {
+			if before == 0 {
+				return receiver.Reply{Status: http.StatusBadGateway}, nil
+			}
+			return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil
+		}, http.StatusBadGateway, http.StatusOK, false},
+		{"cut", func(before int) (receiver.Reply, error) {
+			if before == 0 {
+				return receiver.Reply{Abort: true}, nil
+			}
+			return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil
+		}, http.StatusBadGateway, http.StatusOK, false},
+		{"failed by the target", func(int) (receiver.Reply, error) {
+			return receiver.Reply{Status: http.StatusInternalServerError, FromTarget: true}, nil
+		}, http.StatusInternalServerError, http.StatusInternalServerError, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			vm, peers := startIsolated(t, test.answer)
+			is.Equal(vm.book().Status, test.booking)
+			asked, _ := peers.counts()
+			is.Equal(asked, map[bool]int{false: 1, true: 2}[test.twice])
+			vm, peers = startIsolated(t, test.answer)
+			is.Equal(vm.read().Status, test.read)
+			asked, targets := peers.counts()
+			is.Equal(asked, 2)
+			is.True(targets <= 2 || test.twice) // of one route: two targets
+		})
+	}
+}
+
+func TestRequestIsPassedOnMoreThanOnce(t *testing.T) {
+	is := is.New(t)
+	vm, peers := startIsolated(t, func(int) (receiver.Reply, error) { return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil })
+	forwarded := call(http.MethodGet, "/read/1", "key")
+	forwarded.From, forwarded.Targets = "vm-1", 1
+	is.Equal(vm.Serve(context.Background(), forwarded).Status, http.StatusServiceUnavailable)
+	asked, _ := peers.counts()
+	is.Equal(asked, 0)
+}
+
+// The VM that passes a request on has charged its organisation; the one that serves it must check the
+// key by its own configuration.
+func TestForwardedRequestIsChargedTwice(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, answerWith(http.StatusOK, "")))
+	status := func(key, from string) int {
+		request := call(http.MethodGet, "/read/1", key)
+		request.From = from
+		return vm.Serve(context.Background(), request).Status
+	}
+	for status("key", "") == http.StatusOK { // until the rate is used up
+	}
+	is.Equal(status("key", ""), http.StatusTooManyRequests)
+	for range 20 {
+		is.Equal(status("key", "vm-1"), http.StatusOK)
+	}
+	is.Equal(status("withdrawn", "vm-1"), http.StatusUnauthorized)
+}
+
+// Where another VM knows a newer configuration, or an older one, its 401 or 404 is not the caller's
+// answer.
+func TestRefusalOfAnotherVMReachesTheCaller(t *testing.T) {
+	for _, status := range []int{http.StatusUnauthorized, http.StatusNotFound, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		is := is.New(t)
+		vm, _ := startIsolated(t, func(int) (receiver.Reply, error) { return receiver.Reply{Status: status}, nil })
+		reply := vm.book()
+		is.Equal(reply.Status, http.StatusServiceUnavailable)
+		is.True(reply.Header.Get("Retry-After") != "")
+	}
+}
+
+// Neither the targets nor the retries of the service may pay for a VM that can't reach them.
+func TestIsolatedVMSpendsTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	vm, _ := startIsolated(t, func(int) (receiver.Reply, error) { return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil })
+	policy := vm.Policy
+	policy.RetryExtra, policy.RetryRatio = 0, 0
+	vm.SetPolicy(policy)
+	for range 50 {
+		is.Equal(vm.read().Status, http.StatusOK)
+	}
+}
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -24,6 +24,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"godwitramp.example/core/delegator"
 	"godwitramp.example/core/drainer"
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
@@ -32,6 +33,7 @@
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
+	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/shell/exchanger"
 )
 
@@ -58,6 +60,12 @@
 	AskForTokens(scope throttler.Scope, organisation string, tokens float64, lenders int) int
 }
 
+// Forwarder passes a request on to the VM at an address, which may send it to so many targets. An
+// error is an *exchanger.Error.
+type Forwarder interface {
+	Forward(ctx context.Context, address string, call *receiver.Call, targets int, remaining time.Duration) (receiver.Reply, error)
+}
+
 // Dispatcher serves requests. Fields are set before Open.
 type Dispatcher struct {
 	Tracker   Tracker
@@ -78,6 +86,9 @@
 	// FleetKey, if set, returns the key that all VMs of the fleet have, nil while it isn't known.
 	// Fingerprints of requests are keyed with it.
 	FleetKey func() []byte
+	// Forwarder, if set, passes requests on to other VMs, which Candidates returns.
+	Forwarder  Forwarder
+	Candidates func() []delegator.Candidate
 	// OnBlocksChange, if set, is called when this VM finds that a request must be blocked, or that a
 	// blocked one need not be. It must not block.
 	OnBlocksChange func()
--- a/gateway/internal/dispatcher/meter.go
+++ b/gateway/internal/dispatcher/meter.go
@@ -40,6 +40,9 @@
 // countBlock counts a request that has become blocked.
 func countBlock() { metrics.GetOrCreateCounter("gateway_requests_blocked_total").Inc() }
 
+// countIsolation counts a service whose targets this VM can't reach any more.
+func countIsolation() { metrics.GetOrCreateCounter("gateway_isolations_total").Inc() }
+
 // countAsks counts the groups that were asked for tokens.
 func countAsks(asked int) { metrics.GetOrCreateCounter("gateway_token_asks_total").Add(asked) }
 
--- a/gateway/internal/dispatcher/quarantine.go
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/fingerprinter"
+	"godwitramp.example/core/placer"
 	"godwitramp.example/core/quarantiner"
 	"godwitramp.example/gateway/internal/messenger"
 )
@@ -71,6 +72,8 @@
 		return
 	}
 	attempt.crashed = true
+	// It may also be this VM's path that is cut. In neither case the target fails requests.
+	attempt.verdict.Outcome = placer.Unreachable
 	countCrash()
 	fingerprint, ok := dispatcher.fingerprint(attempt.job)
 	if !ok {
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -29,7 +29,7 @@
 		dispatcher.logRefusal(call, refused)
 		return refused.reply()
 	}
-	handler := &handler{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.route.Attempts+maxExtraAttempts)}
+	handler := &handler{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.targets+maxExtraAttempts)}
 	reply := handler.serve(ctx)
 	handler.reportFailure(reply)
 	countAnswer(handler.reason, reply.Status, time.Since(call.Received))
@@ -69,6 +69,12 @@
 	lastVerdict assessor.Verdict
 	// crashes is the number of attempts during which the target crashed.
 	crashes int
+	// peers are the addresses of the VMs that the request was passed on to, and via is the one whose
+	// answer was delivered.
+	peers []string
+	via   string
+	// forwarded is the number of targets to which these VMs may have sent the request.
+	forwarded int
 	// last is the attempt that ended last.
 	last   *attempt
 	reason string
@@ -82,6 +88,9 @@
 	if reply.Abort || stopped || !failed || handler.reason == blockedReason {
 		return
 	}
+	if len(handler.peers) > 0 && handler.mayHaveRun {
+		return // the VM that it was passed on to reports it
+	}
 	handler.dispatcher.state.recordFailure(handler.job.service, handler.dispatcher.Clock())
 	handler.dispatcher.Messenger.SendToGroup(messenger.Event{Kind: messenger.RequestFailed, Service: handler.job.service})
 	if handler.attempts == 0 && handler.reason != refusalNoTarget.reason || handler.reason == refusalQuiet.reason || handler.reason == refusalLimited.reason {
@@ -141,7 +150,7 @@
 // is soon enough. The token is spent even if the caller disconnects during the wait.
 func (handler *handler) charge(ctx context.Context) *refusal {
 	organisation := handler.job.organisation
-	if organisation == nil {
+	if organisation == nil || handler.job.call.From != "" { // else charged by the VM that has passed it on
 		return nil
 	}
 	dispatcher := handler.dispatcher
@@ -176,13 +185,16 @@
 
 // startAttempt starts one attempt. It returns false if none is allowed or possible.
 func (handler *handler) startAttempt(ctx context.Context) bool {
-	if ctx.Err() != nil || handler.attempts >= handler.job.route.Attempts+maxExtraAttempts {
+	if ctx.Err() != nil || handler.attempts >= handler.job.targets+maxExtraAttempts {
 		return false
 	}
 	dispatcher := handler.dispatcher
 	if dispatcher.refuseBlocked(handler.job) != nil { // it may have waited, or has just crashed a target
 		return false
 	}
+	if delegated, started := handler.delegate(ctx); delegated {
+		return started
+	}
 	info := handler.pickInfo()
 	handler.degraded = handler.degraded || dispatcher.state.degraded(info.Service, info.Now)
 	target, ok := dispatcher.state.pick(info, handler.reached > 0)
@@ -201,14 +213,19 @@
 		handler.tried = append(handler.tried, target.ID)
 	}
 	attempt := &attempt{dispatcher: dispatcher, job: handler.job, target: target, number: handler.attempts}
+	handler.run(attempt, func() { attempt.send(ctx) })
+	return true
+}
+
+// run runs an attempt in the background.
+func (handler *handler) run(attempt *attempt, send func()) {
 	go func() {
-		log := dispatcher.Log.WithField("request", handler.job.metadata.ID)
-		if recoverer.Do(log, func() { attempt.send(ctx) }) {
+		log := handler.dispatcher.Log.WithField("request", handler.job.metadata.ID)
+		if recoverer.Do(log, send) {
 			attempt.abandon()
 		}
 		handler.results <- attempt
 	}()
-	return true
 }
 
 // maxExtraAttempts limits the attempts beyond the number of targets that the route allows:
@@ -219,9 +236,9 @@
 // while the route allows more targets, and then to the best of those already tried.
 func (handler *handler) pickInfo() placer.PickInfo {
 	info := placer.PickInfo{Service: handler.job.service, Now: handler.dispatcher.Clock()}
-	if len(handler.tried) < handler.job.route.Attempts {
+	if left := handler.job.targets - len(handler.tried) - handler.forwarded; left > 0 {
 		info.Tried = append(slices.Clone(handler.tried), handler.unreachable...)
-		info.Retryable = handler.job.route.Idempotent && len(handler.tried)+1 < handler.job.route.Attempts
+		info.Retryable = handler.job.route.Idempotent && left > 1
 	} else {
 		info.Tried, info.RetryTried = handler.tried, true
 	}
@@ -272,7 +289,7 @@
 
 // deliver returns the answer of the attempt.
 func (handler *handler) deliver(attempt *attempt) receiver.Reply {
-	handler.reason, handler.delivered = attempt.verdict.Reason, attempt
+	handler.reason, handler.delivered, handler.via = attempt.verdict.Reason, attempt, attempt.peer
 	return attempt.reply()
 }
 
@@ -294,7 +311,11 @@
 func (handler *handler) handleResult(ctx context.Context, attempt *attempt) *receiver.Reply {
 	verdict := attempt.verdict
 	handler.lastVerdict, handler.last = verdict, attempt
-	if verdict.Outcome == placer.Unreachable {
+	switch {
+	case attempt.peer != "" && !verdict.MayHaveRun:
+		handler.reached--
+		handler.forwarded -= attempt.targets
+	case verdict.Outcome == placer.Unreachable && !verdict.MayHaveRun:
 		handler.markUnreachable(attempt.target.ID)
 	}
 	handler.mayHaveRun = handler.mayHaveRun || verdict.MayHaveRun
@@ -359,8 +380,7 @@
 		return receiver.Reply{Abort: true}
 	}
 	if handler.failure != nil {
-		handler.reason = handler.failure.verdict.Reason
-		return handler.failure.reply()
+		return handler.deliver(handler.failure)
 	}
 	givenUp := givenUp(ctx)
 	switch {
@@ -388,11 +408,13 @@
 func (handler *handler) giveUp() receiver.Reply {
 	switch {
 	case handler.failure != nil:
-		handler.reason = handler.failure.verdict.Reason
-		return handler.failure.reply()
+		return handler.deliver(handler.failure)
 	case handler.mayHaveRun:
 		return handler.refuse(refusal{status: http.StatusBadGateway, reason: handler.lastVerdict.Reason})
 	}
+	if len(handler.peers) > 0 {
+		handler.dispatcher.state.recordUnserved(handler.job.service, handler.dispatcher.Clock())
+	}
 	if refusal := handler.dispatcher.refuseBlocked(handler.job); refusal != nil {
 		return handler.refuse(*refusal)
 	}
@@ -427,7 +449,7 @@
 	if job.call.Ahead > 0 {
 		fields["ahead"] = job.call.Ahead
 	}
-	if handler.delivered != nil {
+	if handler.delivered != nil && handler.via == "" {
 		fields["suspicion-before"], fields["suspicion-after"] = handler.delivered.suspicionBefore, handler.delivered.suspicionAfter
 	}
 	if wait := handler.rateWait.Round(time.Millisecond); wait > 0 {
@@ -449,6 +471,12 @@
 	if len(handler.lenders) > 0 {
 		fields["lenders"] = handler.lenders
 	}
+	if len(handler.peers) > 0 {
+		fields["peers"], fields["via"] = handler.peers, handler.via
+	}
+	if job.call.From != "" {
+		fields["from"] = job.call.From
+	}
 	if job.organisation != nil {
 		fields["organisation"] = job.organisation.Name
 	}
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"godwitramp.example/core/delegator"
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/quarantiner"
@@ -40,6 +41,8 @@
 	answers rationer.Rationer
 	// quarantine knows the requests that crash targets.
 	quarantine quarantiner.Quarantiner
+	// paths knows which targets this VM can't reach, and which VMs may help.
+	paths delegator.Delegator
 }
 
 func (state *state) beginTransfer() {
--- /dev/null
+++ b/gateway/internal/forwarder/forwarder.go
@@ -0,0 +1,343 @@
+// Package forwarder passes requests on to other VMs of the fleet, and serves those that others pass
+// on.
+//
+// VMs authenticate each other by the fleet's key, over TLS. A request is passed on whole, with the
+// caller's key, and checked again by the VM that serves it, whose configuration may differ. If the
+// VM that has passed it on ends the connection, the request is given up at its target too.
+//
+// # Usage
+//
+//	forwarder := &forwarder.Forwarder{Name: name, Address: address, Key: key, Handler: dispatcher, Log: log}
+//	go forwarder.Run(ctx)
+//	reply, err := forwarder.Forward(ctx, peerAddress, call, remaining)
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"godwitramp.example/core/rationer"
+	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/platform"
+	"godwitramp.example/shell/certifier"
+	"godwitramp.example/shell/exchanger"
+)
+
+const (
+	path = "/forward"
+	// dialTimeout bounds the connection to another VM, including the exchange of certificates.
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout ends a connection to a VM that acknowledges nothing.
+	unackedTimeout = time.Second
+	// maxMessageBytes limits one request or answer.
+	maxMessageBytes   = 48 << 20
+	readHeaderTimeout = 2 * time.Second
+	idleTimeout       = 40 * time.Second // longer than that of the exchanger
+)
+
+// Forwarder exchanges requests with other VMs. Fields are set before Run.
+type Forwarder struct {
+	// Name is the name of this VM.
+	Name string
+	// Address is the IP address and TCP port on which the VM accepts requests of other VMs.
+	Address string
+	// Key returns the fleet's key, nil while it isn't known.
+	Key func() []byte
+	// Handler serves the requests of other VMs.
+	Handler receiver.Handler
+	// MaxBytes limits the total size of the requests and answers in memory. Zero means no limit.
+	MaxBytes int64
+	Log      *logrus.Entry
+
+	inFlight atomic.Int64
+	dials    exchanger.Exchanger
+
+	mutex    sync.Mutex
+	rationer rationer.Rationer
+	// config is the TLS configuration for configKey.
+	config    *tls.Config
+	configKey []byte
+	// running are the functions that give up the requests of other VMs that are in progress.
+	running map[int64]context.CancelCauseFunc
+	next    int64
+}
+
+// request is a request that is passed on.
+type request struct {
+	From, Method, Target, Host string
+	Header                     http.Header
+	Body                       []byte
+	// Remaining is how much longer the VM that has passed it on waits.
+	Remaining time.Duration
+	// Targets is the number of targets that it may be sent to.
+	Targets int
+}
+
+// reply is the answer to a request.
+type reply struct {
+	Status     int
+	Header     http.Header
+	Body       []byte
+	Abort      bool
+	FromTarget bool
+}
+
+// Run serves requests of other VMs until the context ends.
+func (forwarder *Forwarder) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", forwarder.Address)
+	if err != nil {
+		return fmt.Errorf("listen for requests of other VMs: %w", err)
+	}
+	forwarder.mutex.Lock()
+	forwarder.rationer.Limit = forwarder.MaxBytes
+	forwarder.mutex.Unlock()
+	router := echo.New()
+	router.POST(path, forwarder.handle)
+	errorLog := forwarder.Log.WriterLevel(logrus.DebugLevel)
+	defer func() { _ = errorLog.Close() }()
+	server := &http.Server{
+		Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: stdlog.New(errorLog, "", 0),
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { _ = forwarder.dials.Run(ctx) })
+	config := &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return forwarder.tlsConfig() },
+	}
+	if err := server.Serve(tls.NewListener(listener, config)); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve requests of other VMs: %w", err)
+	}
+	return nil
+}
+
+var errNoKey = errors.New("the fleet's key is not known")
+
+// tlsConfig returns the TLS configuration for the fleet's present key.
+func (forwarder *Forwarder) tlsConfig() (*tls.Config, error) {
+	key := forwarder.Key()
+	if len(key) == 0 {
+		return nil, errNoKey
+	}
+	forwarder.mutex.Lock()
+	defer forwarder.mutex.Unlock()
+	if forwarder.config == nil || !bytes.Equal(key, forwarder.configKey) {
+		config, err := certifier.FromKey(key)
+		if err != nil {
+			return nil, fmt.Errorf("prepare TLS between VMs: %w", err)
+		}
+		forwarder.config, forwarder.configKey = config, bytes.Clone(key)
+	}
+	return forwarder.config, nil
+}
+
+// Open prepares the forwarder. Call it before all other methods.
+func (forwarder *Forwarder) Open() {
+	dialer := &net.Dialer{Control: exchanger.UnackedTimeout(unackedTimeout).Control}
+	forwarder.dials.DialTimeout = dialTimeout
+	forwarder.dials.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		config, err := forwarder.tlsConfig()
+		if err != nil {
+			return nil, err
+		}
+		raw, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, fmt.Errorf("connect to VM: %w", err)
+		}
+		connection := tls.Client(raw, config)
+		if err := connection.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, fmt.Errorf("authenticate VM: %w", err)
+		}
+		return connection, nil
+	}
+}
+
+// Forward passes a request on to the VM at an address, which may send it to so many targets, and
+// returns its answer. An error is an *exchanger.Error; the request may have run if that says that
+// something was written.
+func (forwarder *Forwarder) Forward(
+	ctx context.Context, address string, call *receiver.Call, targets int, remaining time.Duration,
+) (receiver.Reply, error) {
+	message := request{
+		From: forwarder.Name, Method: call.Request.Method, Target: call.Target, Host: call.Request.Host, Header: call.Request.Header,
+		Body: call.Body, Remaining: remaining, Targets: targets,
+	}
+	encoded, err := msgpack.Marshal(&message)
+	if err != nil {
+		return receiver.Reply{}, &exchanger.Error{Err: fmt.Errorf("encode request: %w", err)}
+	}
+	httpRequest := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Path: path}, Host: address, Header: http.Header{"User-Agent": {""}},
+		ContentLength: int64(len(encoded)), Body: io.NopCloser(bytes.NewReader(encoded)),
+	}
+	answer, err := forwarder.dials.Do(ctx, exchanger.Call{Address: address, Request: httpRequest})
+	if err != nil {
+		return receiver.Reply{}, err
+	}
+	defer answer.Close()
+	body, held, err := forwarder.read(answer.Response.Body)
+	defer forwarder.end(held)
+	var received reply
+	if err == nil && answer.Response.StatusCode != http.StatusOK {
+		err = fmt.Errorf("VM answered %d", answer.Response.StatusCode)
+	}
+	if err == nil {
+		err = msgpack.Unmarshal(body, &received)
+	}
+	if err != nil {
+		return receiver.Reply{}, &exchanger.Error{
+			Written: true, FreshConnection: answer.FreshConnection, Answered: true, Malformed: true, Err: fmt.Errorf("read answer of VM: %w", err),
+		}
+	}
+	return receiver.Reply{
+		Status: received.Status, Header: received.Header, Body: received.Body, Abort: received.Abort, FromTarget: received.FromTarget,
+	}, nil
+}
+
+// handle serves a request of another VM.
+func (forwarder *Forwarder) handle(context echo.Context) error {
+	body, held, err := forwarder.read(context.Request().Body)
+	defer forwarder.end(held)
+	if errors.Is(err, errTooLarge) {
+		return forwarder.answer(context, forwarder.Handler.Refuse(http.StatusServiceUnavailable, "bodies-too-large"))
+	}
+	if err != nil {
+		return err
+	}
+	var received request
+	if err := msgpack.Unmarshal(body, &received); err != nil {
+		forwarder.Log.WithError(err).Warn("forwarded-request-malformed")
+		return context.NoContent(http.StatusBadRequest)
+	}
+	call, err := received.call()
+	if err != nil {
+		forwarder.Log.WithError(err).WithField("from", received.From).Warn("forwarded-request-malformed")
+		return context.NoContent(http.StatusBadRequest)
+	}
+	ctx, done := forwarder.begin(context.Request().Context())
+	defer done()
+	return forwarder.answer(context, forwarder.Handler.Serve(ctx, call))
+}
+
+// call returns the request as if it had come from a caller.
+func (request *request) call() (*receiver.Call, error) {
+	target, err := url.ParseRequestURI(request.Target)
+	if err != nil {
+		return nil, fmt.Errorf("read target: %w", err)
+	}
+	header := request.Header
+	if header == nil {
+		header = make(http.Header)
+	}
+	platform.SetRemaining(header, request.Remaining)
+	turn := make(chan struct{})
+	close(turn)
+	now := time.Now()
+	return &receiver.Call{
+		Request: &http.Request{Method: request.Method, URL: target, Host: request.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1},
+		Target:  request.Target, Body: request.Body, Received: now, Accepted: now, Turn: turn, From: request.From, Targets: max(1, request.Targets),
+	}, nil
+}
+
+func (forwarder *Forwarder) answer(context echo.Context, answer receiver.Reply) error {
+	encoded, err := msgpack.Marshal(&reply{
+		Status: answer.Status, Header: answer.Header, Body: answer.Body, Abort: answer.Abort, FromTarget: answer.FromTarget,
+	})
+	if err != nil {
+		return fmt.Errorf("encode answer: %w", err)
+	}
+	return context.Blob(http.StatusOK, "application/msgpack", encoded)
+}
+
+// begin counts a request of another VM. The context that it returns ends with the given one, and
+// by GiveUp.
+func (forwarder *Forwarder) begin(parent context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(parent)
+	forwarder.inFlight.Add(1)
+	forwarder.mutex.Lock()
+	defer forwarder.mutex.Unlock()
+	if forwarder.running == nil {
+		forwarder.running = make(map[int64]context.CancelCauseFunc)
+	}
+	id := forwarder.next
+	forwarder.next++
+	forwarder.running[id] = cancel
+	return ctx, func() {
+		forwarder.mutex.Lock()
+		delete(forwarder.running, id)
+		forwarder.mutex.Unlock()
+		cancel(nil)
+		forwarder.inFlight.Add(-1)
+	}
+}
+
+// InFlight returns the number of requests of other VMs in progress.
+func (forwarder *Forwarder) InFlight() int { return int(forwarder.inFlight.Load()) }
+
+// GiveUp ends the contexts of the requests of other VMs with the cause receiver.ErrGivenUp.
+func (forwarder *Forwarder) GiveUp() {
+	forwarder.mutex.Lock()
+	defer forwarder.mutex.Unlock()
+	for _, cancel := range forwarder.running {
+		cancel(receiver.ErrGivenUp)
+	}
+}
+
+var errTooLarge = errors.New("requests and answers of other VMs exceed their share of the memory")
+
+// read reads a message, and returns how many bytes of it were counted. The caller must call end.
+func (forwarder *Forwarder) read(source io.Reader) (data []byte, held int64, err error) {
+	forwarder.mutex.Lock()
+	forwarder.rationer.Begin()
+	forwarder.mutex.Unlock()
+	counted := &countedReader{forwarder: forwarder, source: io.LimitReader(source, maxMessageBytes)}
+	data, err = io.ReadAll(counted)
+	if err != nil {
+		err = fmt.Errorf("read message: %w", err)
+	}
+	return data, counted.held, err
+}
+
+func (forwarder *Forwarder) end(held int64) {
+	forwarder.mutex.Lock()
+	defer forwarder.mutex.Unlock()
+	forwarder.rationer.End(held)
+}
+
+// countedReader counts what it reads towards the memory limit.
+type countedReader struct {
+	forwarder *Forwarder
+	source    io.Reader
+	held      int64
+}
+
+// Read reads from the source. It returns errTooLarge once the message exceeds its share.
+func (countedReader *countedReader) Read(buffer []byte) (int, error) {
+	n, err := countedReader.source.Read(buffer)
+	forwarder := countedReader.forwarder
+	forwarder.mutex.Lock()
+	defer forwarder.mutex.Unlock()
+	if !forwarder.rationer.Grow(countedReader.held, int64(n)) {
+		err = errTooLarge
+	}
+	countedReader.held += int64(n)
+	return n, err
+}
--- a/gateway/internal/loader/loader.go
+++ b/gateway/internal/loader/loader.go
@@ -33,7 +33,8 @@
 	Callers   string
 	Readiness string
 	Operators string
-	// Messages is the UDP address on which the VM receives messages of its peers.
+	// Messages is the address on which the VM receives messages of its peers (UDP) and requests that
+	// they pass on (TCP).
 	Messages string
 
 	// Store is the address of the platform's store.
@@ -107,7 +108,7 @@
 		Set: address(func(s *Settings) *string { return &s.Readiness })},
 	{Section: "listen", Name: "operators", Required: true, Allowed: allowedAddress, Doc: "Address for metrics and health.",
 		Set: address(func(s *Settings) *string { return &s.Operators })},
-	{Section: "listen", Name: "messages", Required: true, Allowed: allowedAddress, Doc: "UDP address for the other VMs.",
+	{Section: "listen", Name: "messages", Required: true, Allowed: allowedAddress, Doc: "UDP and TCP address for the other VMs.",
 		Set: address(func(s *Settings) *string { return &s.Messages })},
 	{Section: "store", Name: "address", Required: true, Allowed: allowedAddress, Doc: "Address of the platform's store.",
 		Set: address(func(s *Settings) *string { return &s.Store })},
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"godwitramp.example/core/delegator"
 	"godwitramp.example/core/spreader"
 )
 
@@ -229,6 +230,36 @@
 	return slices.ContainsFunc(messenger.group, func(peer *peer) bool { return peer.Name == name })
 }
 
+// The numbers of candidates from the VM's own data centre and from each other one.
+const (
+	nearCandidates = 8
+	farCandidates  = 2
+)
+
+// Candidates returns some random VMs to which requests may be passed on, without those of the group
+// that are silent.
+func (messenger *Messenger) Candidates() []delegator.Candidate {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	var candidates []delegator.Candidate
+	for _, peer := range messenger.peers { // in random order
+		if len(candidates) < nearCandidates && !peer.silent {
+			candidates = append(candidates, delegator.Candidate{Address: peer.address.String(), Distance: delegator.SameDataCentre})
+		}
+	}
+	own := messenger.Regions[messenger.Self.DataCentre]
+	for dataCentre, contacts := range messenger.contacts {
+		distance := delegator.OtherRegion
+		if messenger.Regions[dataCentre] == own {
+			distance = delegator.SameRegion
+		}
+		for _, i := range rand.Perm(len(contacts))[:min(farCandidates, len(contacts))] {
+			candidates = append(candidates, delegator.Candidate{Address: contacts[i].String(), Distance: distance})
+		}
+	}
+	return candidates
+}
+
 func (messenger *Messenger) groupAddresses() []netip.AddrPort {
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -47,6 +47,11 @@
 	// Turn is closed when every earlier request of the connection has been
 	// answered.
 	Turn <-chan struct{}
+	// From is the name of the VM that has passed the request on, empty if it came from a caller.
+	From string
+	// Targets, unless zero, limits the targets that the request may be sent to further than its route
+	// does.
+	Targets int
 }
 
 // Reply is the answer to a Call.
@@ -58,6 +63,8 @@
 	Close bool
 	// Abort ends the connection without an answer.
 	Abort bool
+	// FromTarget is true if the answer is that of a target.
+	FromTarget bool
 }
 
 // ErrGivenUp is the cause of the end of a call's context after GiveUp.
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"godwitramp.example/core/delegator"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/gateway/internal/messenger"
 )
@@ -74,6 +75,14 @@
 	}
 }
 
+// Candidates returns VMs to which requests may be passed on, none before the VM has joined.
+func (messages *messages) Candidates() []delegator.Candidate {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		return messenger.Candidates()
+	}
+	return nil
+}
+
 // key returns the fleet's key, nil before the VM has joined.
 func (messages *messages) key() []byte {
 	if messenger := messages.messenger.Load(); messenger != nil {
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -25,6 +25,7 @@
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/dispatcher"
+	"godwitramp.example/gateway/internal/forwarder"
 	"godwitramp.example/gateway/internal/loader"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/gateway/internal/tracker"
@@ -44,6 +45,12 @@
 	bodyMemoryShare = 0.25
 	// answerMemoryShare is the share of the memory for answers that are still arriving.
 	answerMemoryShare = 0.15
+	// forwardMemoryShare is the share of the memory for requests and answers of other VMs.
+	forwardMemoryShare = 0.1
+	// targetDialTimeout bounds the time for a connection to a target, and targetUnackedTimeout that for
+	// an acknowledgement of what was sent on it.
+	targetDialTimeout    = 400 * time.Millisecond
+	targetUnackedTimeout = 1500 * time.Millisecond
 	// heapMemoryShare is the share of the memory that is set as the soft memory limit of
 	// Go's runtime.
 	heapMemoryShare = 0.7
@@ -63,6 +70,8 @@
 	// and the targets.
 	started  chan struct{}
 	receiver *receiver.Receiver
+	// forwarder passes requests on to other VMs.
+	forwarder *forwarder.Forwarder
 	// blocksChanged has a value while the store's blocks may differ from the dispatcher's.
 	blocksChanged chan struct{}
 }
@@ -90,6 +99,11 @@
 	group.Go(func() { _ = starter.tracker.Run(background) })
 	group.Go(func() { starter.join(background) })
 	group.Go(func() { _ = starter.dispatcher.Exchanger.Run(background) })
+	group.Go(func() {
+		if err := starter.forwarder.Run(background); err != nil {
+			starter.Log.WithError(err).Error("forwarding-unavailable")
+		}
+	})
 	failed := make(chan error, 1)
 	group.Go(func() { failed <- starter.receiver.Run(background, callers) })
 	starter.Log.WithFields(logrus.Fields{"callers": settings.Callers, "store": settings.Store}).Info("started")
@@ -114,14 +128,21 @@
 		MaxConfigurationStaleness: settings.Propagation, MaxTargetStaleness: settings.Leaving,
 	}
 	starter.dispatcher = &dispatcher.Dispatcher{
-		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{},
-		Locality: placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
-		Regions:  settings.Regions, Clock: timer.Now, Log: starter.Log,
+		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{DialTimeout: targetDialTimeout, UnackedTimeout: targetUnackedTimeout},
+		Candidates: starter.messages.Candidates,
+		Locality:   placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
+		Regions:    settings.Regions, Clock: timer.Now, Log: starter.Log,
 		Policy: policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
 		OnBlocksChange: starter.requestBlocksWrite,
 		MaxAnswerBytes: int64(answerMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
 	}
 	starter.dispatcher.Open()
+	starter.forwarder = &forwarder.Forwarder{
+		Name: settings.Name, Address: settings.Messages, Key: starter.messages.key, Handler: starter.dispatcher, Log: starter.Log,
+		MaxBytes: int64(forwardMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
+	}
+	starter.forwarder.Open()
+	starter.dispatcher.Forwarder = starter.forwarder
 	var once sync.Once
 	checkStarted := func() {
 		if starter.messages.joined() && starter.tracker.Complete() {
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -31,7 +31,9 @@
 	address        string
 	upstream       string
 	targetRequests atomic.Int32
-	vms            []*vm
+	// disconnected counts the requests whose connection ended before the answer.
+	disconnected atomic.Int32
+	vms          []*vm
 }
 
 // vm is one running VM.
@@ -69,6 +71,7 @@
 	fleet.targetRequests.Add(1)
 	if strings.HasSuffix(request.URL.Path, "/hangs") {
 		<-request.Context().Done()
+		fleet.disconnected.Add(1)
 		return
 	}
 	if strings.HasSuffix(request.URL.Path, "/slow") {
--- a/gateway/internal/starter/stop.go
+++ b/gateway/internal/starter/stop.go
@@ -30,17 +30,18 @@
 	defer giveUp.Stop()
 	for time.Since(stopTime) < policy.Limit() {
 		starter.receiver.CloseIdle()
-		if starter.receiver.OpenConnections() == 0 {
+		if starter.receiver.OpenConnections() == 0 && starter.forwarder.InFlight() == 0 {
 			break
 		}
 		time.Sleep(stopPollInterval)
 	}
 	starter.messages.leave()
-	starter.Log.WithField("unfinished", starter.receiver.InFlight()).Info("stopped")
+	starter.Log.WithField("unfinished", starter.receiver.InFlight()+starter.forwarder.InFlight()).Info("stopped")
 }
 
 // giveUp answers the requests in progress instead of their targets.
 func (starter *Starter) giveUp() {
-	starter.Log.WithField("running", starter.receiver.InFlight()).Warn("requests-given-up")
+	starter.Log.WithField("running", starter.receiver.InFlight()+starter.forwarder.InFlight()).Warn("requests-given-up")
 	starter.receiver.GiveUp()
+	starter.forwarder.GiveUp()
 }
--- a/shell/certifier/certifier.go
+++ b/shell/certifier/certifier.go
@@ -5,16 +5,21 @@
 // # Usage
 //
 //	config, err := certifier.Load(certifier.Files{Authority: "ca.pem", Certificate: "vm.pem", Key: "vm.key"})
+//	config, err = certifier.FromKey(key) // for VMs that share a secret key
 package certifier
 
 import (
 	"crypto/ecdsa"
+	"crypto/ed25519"
 	"crypto/elliptic"
+	"crypto/hkdf"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"math/big"
 	"net"
@@ -58,6 +63,39 @@
 	}
 }
 
+// certificateKey separates this use of a shared key from all others.
+const certificateKey = "certificates of VMs"
+
+var errForeignCertificate = errors.New("the certificate does not belong to the shared key")
+
+// FromKey returns a TLS configuration for clients and servers that have a secret key in common. Each
+// side rejects a peer that doesn't have it. Names and dates of certificates don't count.
+func FromKey(key []byte) (*tls.Config, error) {
+	seed, err := hkdf.Key(sha256.New, key, nil, certificateKey, ed25519.SeedSize)
+	if err != nil {
+		return nil, fmt.Errorf("derive key of certificates: %w", err)
+	}
+	privateKey := ed25519.NewKeyFromSeed(seed)
+	publicKey := privateKey.Public().(ed25519.PublicKey)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(certificateLifetime)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, publicKey, privateKey)
+	if err != nil {
+		return nil, fmt.Errorf("sign certificate: %w", err)
+	}
+	return &tls.Config{
+		Certificates:       []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: privateKey}},
+		ClientAuth:         tls.RequireAnyClientCert,
+		InsecureSkipVerify: true, // VerifyConnection compares the key
+		VerifyConnection: func(state tls.ConnectionState) error {
+			if len(state.PeerCertificates) == 0 || !publicKey.Equal(state.PeerCertificates[0].PublicKey) {
+				return errForeignCertificate
+			}
+			return nil
+		},
+		MinVersion: tls.VersionTLS13,
+	}, nil
+}
+
 // Authority is a certificate authority. It is not safe for concurrent use.
 type Authority struct {
 	certificate *x509.Certificate
--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -47,7 +47,11 @@
 	connection := &connection{Conn: raw, address: address, fresh: true, readBudget: unlimited}
 	connection.reader = bufio.NewReaderSize(connection, bufferBytes)
 	connection.writer = bufio.NewWriterSize(connection, bufferBytes)
-	if syscallConn, ok := raw.(syscall.Conn); ok {
+	socket := raw
+	if layered, ok := raw.(interface{ NetConn() net.Conn }); ok { // TLS
+		socket = layered.NetConn()
+	}
+	if syscallConn, ok := socket.(syscall.Conn); ok {
 		connection.raw, _ = syscallConn.SyscallConn() // fails only if closed, and then every later call fails too
 	}
 	return connection
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -50,6 +50,9 @@
 	DialTimeout       time.Duration
 	IdleTimeout       time.Duration
 	MaxIdlePerAddress int
+	// UnackedTimeout, unless zero, ends connections whose peer acknowledges nothing for so long after
+	// data was sent. It applies if Dial is nil.
+	UnackedTimeout time.Duration
 
 	mutex  sync.Mutex
 	idle   idleConnections
--- a/shell/exchanger/pool.go
+++ b/shell/exchanger/pool.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // idleConnections maps an address to its idle connections, ordered by last use
@@ -112,12 +116,31 @@
 	clear(exchanger.idle)
 }
 
+// UnackedTimeout is how long the peer of a connection may acknowledge nothing after data was sent.
+// Zero leaves the system's default.
+type UnackedTimeout time.Duration
+
+// Control sets the timeout of a new socket. It is meant for net.Dialer.
+func (timeout UnackedTimeout) Control(_, _ string, raw syscall.RawConn) error {
+	if timeout == 0 {
+		return nil
+	}
+	var failure error
+	err := raw.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(time.Duration(timeout).Milliseconds()))
+	})
+	if err = errors.Join(err, failure); err != nil {
+		return fmt.Errorf("set time for acknowledgements: %w", err)
+	}
+	return nil
+}
+
 func (exchanger *Exchanger) dial(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchanger.dialTimeout())
 	defer cancel()
 	dial := exchanger.Dial
 	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+		dial = (&net.Dialer{Control: UnackedTimeout(exchanger.UnackedTimeout).Control}).DialContext
 	}
 	raw, err := dial(ctx, "tcp", address)
 	if err != nil {
