delegator, dispatcher: a VM that reaches few targets neither keeps nor takes requests

The isolation now ends with connections to two targets in a row; a request of another VM is refused after one failed dial, and at once by a VM that is isolated itself.

Ruled out: more dials for requests of others (the other VM asks the next one within milliseconds).

TestIsolationNeedsSeveralTargets and TestVMThatReachesNoTargetKeepsRequestsOfOthers (three dials a request before).

--- a/core/delegator/delegator.go
+++ b/core/delegator/delegator.go
@@ -3,8 +3,8 @@
 //
 // A VM counts as isolated from a service once it has failed to reach several of its targets and
 // has opened no connection to any since. From then on its requests go to another VM at once, the
-// nearest first, as each own try would cost the request time. One connection is tried now and
-// then, without a request, and ends the isolation if it can be opened. Whether the targets are
+// nearest first, as each own try would cost the request time. A connection is tried now and then,
+// without a request, and the isolation ends once several in a row can be opened. Whether the targets are
 // down for all or only the VM is cut off need not be known: another VM that can't reach them
 // either says so, and isn't asked for a moment. If none of several can serve a request, the
 // service's requests stay here for a while.
@@ -29,9 +29,10 @@
 )
 
 const (
-	// minUnreachable is the number of targets that can't be reached from which a service counts as
-	// isolated, or all of its targets if it has fewer.
-	minUnreachable = 2
+	// minDecisive is the number of targets that can't be reached, one after the other, from which a
+	// service counts as isolated, or that can be reached from which it doesn't. Of services with fewer
+	// targets all decide.
+	minDecisive = 2
 	// evidenceTime is how long a failed connection counts.
 	evidenceTime = 5 * time.Second
 	// probeInterval is the time between probes of a service.
@@ -86,7 +87,10 @@
 	// opened, by the IDs of the targets.
 	failedAt map[string]time.Duration
 	isolated bool
-	probedAt time.Duration
+	// connected are the targets to which connections were opened one after the other during the
+	// isolation.
+	connected map[string]bool
+	probedAt  time.Duration
 	// pausedUntil is the end of the last pause, and pauses counts those in a row.
 	pausedUntil time.Duration
 	pauses      int
@@ -105,6 +109,7 @@
 	}
 	known.failedAt[target] = now
 	if known.isolated {
+		clear(known.connected)
 		return false
 	}
 	for id, failedAt := range known.failedAt {
@@ -112,20 +117,33 @@
 			delete(known.failedAt, id)
 		}
 	}
-	known.isolated = len(known.failedAt) >= min(minUnreachable, max(1, targets))
+	known.isolated = len(known.failedAt) >= decisive(targets)
 	known.probedAt = now
 	return known.isolated
 }
 
-// RecordConnected records that a connection to a target of a service was opened. It returns true
-// if the VM doesn't count as isolated any more.
-func (delegator *Delegator) RecordConnected(service string) bool {
+// decisive returns how many of the targets of a service decide whether the VM is isolated from it.
+func decisive(targets int) int { return min(minDecisive, max(1, targets)) }
+
+// RecordConnected records that a connection to a target of a service with the given number of
+// targets was opened. It returns true if the VM doesn't count as isolated any more.
+func (delegator *Delegator) RecordConnected(service, target string, targets int) bool {
 	known := delegator.services[service]
-	if known == nil {
+	switch {
+	case known == nil:
+		return false
+	case !known.isolated:
+		delete(delegator.services, service)
 		return false
+	case known.connected == nil:
+		known.connected = make(map[string]bool)
+	}
+	known.connected[target] = true
+	if len(known.connected) < decisive(targets) {
+		return false // a few targets may be in reach while others aren't
 	}
 	delete(delegator.services, service)
-	return known.isolated
+	return true
 }
 
 // Isolated reports whether the VM can't reach the targets of a service.
--- a/core/delegator/delegator_test.go
+++ b/core/delegator/delegator_test.go
@@ -21,9 +21,14 @@
 	is.True(d.Isolated("s"))
 	is.True(!d.Isolated("other"))
 	is.Equal(d.Unreachable("s"), 2)
-	is.True(d.RecordConnected("s"))
+	is.True(!d.RecordConnected("s", "c", 12))
+	is.True(!d.RecordConnected("s", "c", 12)) // the same target
+	d.RecordUnreachable("s", "d", 12, 3*time.Second)
+	is.True(!d.RecordConnected("s", "e", 12)) // one of few that are in reach
+	is.True(d.Isolated("s"))
+	is.True(d.RecordConnected("s", "c", 12))
 	is.True(!d.Isolated("s"))
-	is.True(!d.RecordConnected("s"))
+	is.True(!d.RecordConnected("s", "c", 12))
 }
 
 func TestFailuresLongAgoDoNotIsolate(t *testing.T) {
@@ -38,6 +43,7 @@
 	is := is.New(t)
 	d := &delegator.Delegator{}
 	is.True(d.RecordUnreachable("s", "a", 1, 0))
+	is.True(d.RecordConnected("s", "a", 1))
 }
 
 func TestProbesAreRare(t *testing.T) {
--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -185,19 +185,16 @@
 	return cost + target.rampUpCost(info.Now)
 }
 
-// Random returns a random target of the service that isn't leaving, and the number of those. It
-// returns false if there is none.
-func (placer *Placer) Random(service string, random *rand.Rand) (Target, int, bool) {
-	var targets []Target
-	for _, target := range placer.byService[service] {
-		if !target.isLeaving() {
-			targets = append(targets, target.Target)
-		}
-	}
+// Targets returns the number of targets of the service.
+func (placer *Placer) Targets(service string) int { return len(placer.byService[service]) }
+
+// Random returns a random target of the service, or false if there is none.
+func (placer *Placer) Random(service string, random *rand.Rand) (Target, bool) {
+	targets := placer.byService[service]
 	if len(targets) == 0 {
-		return Target{}, 0, false
+		return Target{}, false
 	}
-	return targets[random.IntN(len(targets))], len(targets), true
+	return targets[random.IntN(len(targets))].Target, true
 }
 
 // Usable reports whether a picked target may still receive the request.
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -92,7 +92,7 @@
 		Connected: func(fresh bool) {
 			attempt.dialed.Store(true)
 			if fresh {
-				attempt.dispatcher.recordConnected(attempt.job.service)
+				attempt.dispatcher.recordConnected(attempt.target)
 			}
 		},
 		Matches: func(response *http.Response) bool { return attempt.matches(response) },
--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -46,6 +47,18 @@
 	return true, true
 }
 
+// refusalIsolated is the answer to a request of another VM if this one can't reach the targets either.
+var refusalIsolated = refusal{status: http.StatusServiceUnavailable, reason: "isolated", retryAfter: otherVMRetryAfter}
+
+// cannotHelp reports whether the request was passed on by another VM, but this one can't reach the
+// targets either. The other VM finds a better one sooner than this one finds a target.
+func (handler *handler) cannotHelp() bool {
+	if handler.job.call.From == "" {
+		return false
+	}
+	return len(handler.unreachable) > 0 || handler.dispatcher.state.isolated(handler.job.service)
+}
+
 // choosePeer returns the address of a VM to pass a request on to that was sent to the tried ones in
 // vain.
 func (dispatcher *Dispatcher) choosePeer(tried []string) (string, bool) {
@@ -110,17 +123,17 @@
 	}
 	go func() {
 		if dispatcher.Exchanger.Reachable(context.Background(), target.Address, probeTimeout) {
-			dispatcher.recordConnected(service)
+			dispatcher.recordConnected(target)
 		} else {
 			dispatcher.recordUnreachable(target)
 		}
 	}()
 }
 
-// recordConnected records that a connection to a target of the service was opened.
-func (dispatcher *Dispatcher) recordConnected(service string) {
-	if dispatcher.state.recordConnected(service) {
-		dispatcher.Log.WithField("service", service).Info("service-reachable")
+// recordConnected records that a connection to a target was opened.
+func (dispatcher *Dispatcher) recordConnected(target placer.Target) {
+	if dispatcher.state.recordConnected(target) {
+		dispatcher.Log.WithFields(logrus.Fields{"service": target.Service, "target": target.ID}).Info("service-reachable")
 	}
 }
 
@@ -132,6 +145,12 @@
 	}
 }
 
+func (state *state) isolated(service string) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.paths.Isolated(service)
+}
+
 func (state *state) delegates(service string, now time.Duration) bool {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
@@ -168,14 +187,16 @@
 func (state *state) probeDue(service string, now time.Duration) (placer.Target, bool) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	target, _, ok := state.placer.Random(service, state.random)
+	target, ok := state.placer.Random(service, state.random)
 	return target, ok && state.paths.ProbeDue(service, now)
 }
 
-func (state *state) recordConnected(service string) bool {
+// recordConnected records that a connection to a target was opened, and reports whether the service
+// doesn't count as isolated any more.
+func (state *state) recordConnected(target placer.Target) bool {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	return state.paths.RecordConnected(service)
+	return state.paths.RecordConnected(target.Service, target.ID, state.placer.Targets(target.Service))
 }
 
 // recordUnreachable records that a target could not be reached. It returns the number of those that
@@ -183,7 +204,6 @@
 func (state *state) recordUnreachable(target placer.Target, now time.Duration) (int, bool) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	_, targets, _ := state.placer.Random(target.Service, state.random)
-	isolated := state.paths.RecordUnreachable(target.Service, target.ID, targets, now)
+	isolated := state.paths.RecordUnreachable(target.Service, target.ID, state.placer.Targets(target.Service), now)
 	return state.paths.Unreachable(target.Service), isolated
 }
--- a/gateway/internal/dispatcher/delegate_test.go
+++ b/gateway/internal/dispatcher/delegate_test.go
@@ -178,3 +178,24 @@
 		is.Equal(vm.read().Status, http.StatusOK)
 	}
 }
+
+// A VM that can't help must say so at once, not after a dial for each of its targets.
+func TestVMThatReachesNoTargetKeepsRequestsOfOthers(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, &targetServer{address: "target:1"}, &targetServer{address: "target:2"}, &targetServer{address: "target:3"})
+	dials := 0
+	vm.Exchanger.Dial = func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		return nil, errRefused
+	}
+	for i, want := range []int{1, 2, 2, 2} {
+		request := call(http.MethodPost, "/book/1", "key")
+		request.From, request.Targets = "vm-1", 1
+		reply := vm.Serve(context.Background(), request)
+		is.Equal(reply.Status, http.StatusServiceUnavailable)
+		is.Equal(string(reply.Body), "{\"reason\":\"isolated\"}\n")
+		if dials != want {
+			t.Errorf("%d dials after request %d, want %d", dials, i+1, want)
+		}
+	}
+}
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -192,6 +192,9 @@
 	if dispatcher.refuseBlocked(handler.job) != nil { // it may have waited, or has just crashed a target
 		return false
 	}
+	if handler.cannotHelp() {
+		return false
+	}
 	if delegated, started := handler.delegate(ctx); delegated {
 		return started
 	}
@@ -422,6 +425,8 @@
 		return handler.refuse(*refusal)
 	}
 	switch {
+	case handler.cannotHelp():
+		return handler.refuse(refusalIsolated)
 	case handler.attempts == 0:
 		return handler.refuse(refusalNoTarget)
 	case handler.lastVerdict.Reason == assessor.Withheld:
