--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -151,6 +151,7 @@
 		{"announcement forwarded to the caller", "leaving-told", func(record *auditor.Record) { record.Calls[0].Answer.Leaving = true }},
 		{"cool-down ignored", "quiet", func(record *auditor.Record) { record.Arrivals[0].Quiet = 7 * time.Second }},
 		{"limit ignored", "limits", func(record *auditor.Record) { exceedLimit(record, 40, 0) }},
+		{"request that crashes targets sent on", "crashing-requests", func(record *auditor.Record) { crashTargets(record, 10, time.Second) }},
 		{"attempt at a third target", "attempts", func(record *auditor.Record) {
 			addArrival(record, 0, "t-2")
 			addArrival(record, 0, "t-3")
@@ -379,6 +380,29 @@
 	}
 }
 
+// crashTargets adds a request that comes again after each gap and crashes a target each time.
+func crashTargets(record *auditor.Record, times int, gap time.Duration) {
+	for i := range times {
+		addRequest(record, 1000+i, "lists", http.MethodGet)
+		call, arrival := &record.Calls[len(record.Calls)-1], &record.Arrivals[len(record.Arrivals)-1]
+		call.Path = "/lists/crash-0"
+		call.Sent = at(20*time.Second + time.Duration(i)*gap)
+		call.Ended = call.Sent.Add(110 * time.Millisecond)
+		arrival.Path, arrival.Crashed, arrival.Broken, arrival.TargetID = call.Path, true, true, fmt.Sprint("t-crashed-", i)
+		arrival.Begun, arrival.Ended = call.Sent.Add(5*time.Millisecond), call.Sent.Add(65*time.Millisecond)
+		setLocalAnswer(call, http.StatusBadGateway)
+	}
+}
+
+// Three sends later than three seconds after the third crash are allowed, and any number before.
+func TestSendsSoonAfterTheThirdCrashAreAllowed(t *testing.T) {
+	is := is.New(t)
+	record := validRecord()
+	crashTargets(&record, 30, 100*time.Millisecond)
+	is.Equal(record.Audit().Violations, nil)
+	is.Equal(record.Audit().Checked["crashing-requests"], 30)
+}
+
 // Requests within a limit, at VMs that weren't told, or at targets that named none are allowed.
 func TestRequestsWithinALimitAreAllowed(t *testing.T) {
 	is := is.New(t)
--- a/soak/internal/auditor/record.go
+++ b/soak/internal/auditor/record.go
@@ -177,6 +177,7 @@
 	{"leaving-told", (*audit).announcedLeaving},
 	{"quiet", (*audit).coolDowns},
 	{"limits", (*audit).namedLimits},
+	{"crashing-requests", (*audit).crashingRequests},
 	{"rates", (*audit).rates},
 	{"retry-budget", (*audit).retryBudget},
 }
--- a/soak/internal/planner/planner.go
+++ b/soak/internal/planner/planner.go
@@ -54,6 +54,7 @@
 	TargetLeaves    Kind = "target-leaves"
 	TargetCrashes   Kind = "target-crash"
 	AddressReused   Kind = "target-address-reused"
+	CrashingRequest Kind = "request-crashes-targets"
 	LinkSlow        Kind = "link-slow"
 	LinkResets      Kind = "link-resets"
 	LinkOneWay      Kind = "link-one-way"
@@ -156,6 +157,7 @@
 	}
 	faults = append(faults, plan.restores()...)
 	faults = append(faults, plan.limits()...)
+	faults = append(faults, plan.crashes()...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -186,12 +188,13 @@
 	}
 }
 
-// firstRestoreSeed is the first seed under which the store is restored from older copies, and
-// firstLimitSeed the first of those under which targets name limits instead. Lower seeds have no
-// such faults.
+// firstRestoreSeed is the first seed under which the store is restored from older copies,
+// firstLimitSeed the first of those under which targets name limits instead, and firstCrashSeed of
+// those under which requests crash targets. Lower seeds have no such faults.
 const (
 	firstRestoreSeed = 1000
 	firstLimitSeed   = 2000
+	firstCrashSeed   = 3000
 )
 
 // Restores reports whether the plan restores the store.
@@ -208,7 +211,7 @@
 // limits returns the times in which targets name limits. They are drawn apart from all other
 // faults.
 func (plan Plan) limits() []Fault {
-	if plan.Seed < firstLimitSeed {
+	if plan.Seed < firstLimitSeed || plan.Seed >= firstCrashSeed {
 		return nil
 	}
 	random := rand.New(rand.NewPCG(plan.Seed, 2))
@@ -220,6 +223,23 @@
 	return faults
 }
 
+// meanCrashGap is the mean time between two requests that begin to crash targets. Each comes again and
+// again until the end.
+const meanCrashGap = 10 * time.Second
+
+// crashes returns the requests that crash targets. They are drawn apart from all other faults.
+func (plan Plan) crashes() []Fault {
+	if plan.Seed < firstCrashSeed {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(plan.Seed, 3))
+	var faults []Fault
+	for at := time.Duration(random.Int64N(int64(meanCrashGap / 2))); at < plan.Duration; at += time.Duration(random.ExpFloat64() * float64(meanCrashGap)) {
+		faults = append(faults, Fault{Kind: CrashingRequest, At: at, Duration: plan.Duration - at, Subject: len(faults)})
+	}
+	return faults
+}
+
 // Changes and faults of VMs that begin around a restore.
 var (
 	changes         = []Kind{WithdrawKey, MoveRoute, AddRoute, ForgeTarget, ForgeTarget}
--- a/soak/internal/relayer/relayer.go
+++ b/soak/internal/relayer/relayer.go
@@ -33,7 +33,10 @@
 	Listener net.Listener
 	To       string
 
-	mutex           sync.Mutex
+	mutex sync.Mutex
+	// listener is Listener, or the one after the relayer was down.
+	listener        net.Listener
+	down            bool
 	faults          Faults
 	openConnections map[net.Conn]bool
 }
@@ -47,19 +50,68 @@
 
 // Run forwards connections until the context ends.
 func (relayer *Relayer) Run(ctx context.Context) {
+	relayer.mutex.Lock()
+	relayer.listener = relayer.Listener
+	relayer.mutex.Unlock()
 	defer context.AfterFunc(ctx, func() {
-		_ = relayer.Listener.Close()
+		relayer.closeListener()
 		relayer.SetFaults(Faults{Reset: true})
 	})()
 	var group sync.WaitGroup
 	defer group.Wait()
 	for {
-		connection, err := relayer.Listener.Accept()
-		if err != nil {
+		connection, err := relayer.currentListener().Accept()
+		if err != nil && !relayer.awaitUp(ctx) {
 			return // the listener is closed
 		}
-		group.Go(func() { relayer.relay(connection) })
+		if err == nil {
+			group.Go(func() { relayer.relay(connection) })
+		}
+	}
+}
+
+// SetDown makes the relayer refuse connections, or accept them again.
+func (relayer *Relayer) SetDown(down bool) {
+	relayer.mutex.Lock()
+	relayer.down = down
+	relayer.mutex.Unlock()
+	if down {
+		relayer.closeListener()
+	}
+}
+
+func (relayer *Relayer) currentListener() net.Listener {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	return relayer.listener
+}
+
+func (relayer *Relayer) closeListener() {
+	if listener := relayer.currentListener(); listener != nil {
+		_ = listener.Close()
+	}
+}
+
+// awaitUp waits until the relayer isn't down any more, and listens again. It returns false if the
+// context ends first or the address can't be listened on.
+func (relayer *Relayer) awaitUp(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		relayer.mutex.Lock()
+		if !relayer.down {
+			listener, err := net.Listen("tcp", relayer.Listener.Addr().String())
+			if err == nil {
+				relayer.listener = listener
+			}
+			relayer.mutex.Unlock()
+			if ctx.Err() != nil && err == nil {
+				_ = listener.Close()
+			}
+			return err == nil
+		}
+		relayer.mutex.Unlock()
+		time.Sleep(blockPollPeriod)
 	}
+	return false
 }
 
 // SetFaults replaces the faults, also those of open connections.
--- a/soak/internal/runner/caller.go
+++ b/soak/internal/runner/caller.go
@@ -13,6 +13,7 @@
 	"godwitramp.example/platform/faker"
 	"godwitramp.example/shell/timer"
 	"godwitramp.example/soak/internal/auditor"
+	"godwitramp.example/soak/internal/planner"
 )
 
 const (
@@ -71,6 +72,40 @@
 	return time.Duration(caller.random.ExpFloat64() * float64(meanPause))
 }
 
+const (
+	// crashingCallers is the index of the first caller whose request crashes targets.
+	crashingCallers = 1000000
+	// maxCrashingPause is the longest pause between two of its requests.
+	maxCrashingPause = 600 * time.Millisecond
+)
+
+// sendCrashing sends the same request again and again, to any VM, for the duration of the fault. It
+// crashes each target that runs it.
+func (caller *caller) sendCrashing(ctx context.Context, fault planner.Fault) {
+	end := time.Now().Add(fault.Duration)
+	for time.Now().Before(end) {
+		if vm := caller.pickVM(); vm != nil {
+			caller.sendOnce(vm, fmt.Sprintf("/lists%s%d", faker.CrashPath, fault.Subject))
+		}
+		if !timer.Sleep(ctx, time.Duration(caller.random.Int64N(int64(maxCrashingPause)))) {
+			return
+		}
+	}
+}
+
+// sendOnce sends one idempotent request on a connection of its own.
+func (caller *caller) sendOnce(vm *vm, path string) {
+	connection, err := net.DialTimeout("tcp", vm.callersAddress, dialTimeout)
+	if err != nil {
+		return // nothing was sent
+	}
+	defer func() { _ = connection.Close() }()
+	_, start := vm.current()
+	call := caller.newCall(vm, start)
+	call.Method, call.Idempotent, call.Body, call.Path = http.MethodGet, true, "", path
+	caller.exchange(connection, bufio.NewReader(connection), []*auditor.Call{call}, 0)
+}
+
 // pickVM returns a random VM that the simulated balancer considers ready, or nil.
 func (caller *caller) pickVM() *vm {
 	vms := caller.runner.vms
--- a/soak/internal/runner/endpoint.go
+++ b/soak/internal/runner/endpoint.go
@@ -26,6 +26,8 @@
 	entryTimeout = 3 * time.Second
 	// addressReuseDelay is how long after a crash another target gets the address.
 	addressReuseDelay = 2 * time.Second
+	// crashedTime is how long a target is down after a request has crashed it.
+	crashedTime = 2 * time.Second
 	// leavingServeTime is how long a leaving target continues to serve, long enough to
 	// observe requests that arrive too late.
 	leavingServeTime = 3 * leaving
@@ -71,11 +73,11 @@
 	endpoint.link = &relayer.Relayer{Listener: listener, To: network.address(targetHosts, endpoint.index, basePort)}
 	group.Go(func() { endpoint.link.Run(ctx) })
 	context.AfterFunc(ctx, endpoint.close)
-	return endpoint.start(services[endpoint.index%len(services)])
+	return endpoint.start(ctx, services[endpoint.index%len(services)])
 }
 
 // start starts a new target of the service and writes its entry to the store.
-func (endpoint *endpoint) start(service string) error {
+func (endpoint *endpoint) start(ctx context.Context, service string) error {
 	listener, err := net.Listen("tcp", endpoint.link.To)
 	if err != nil {
 		return fmt.Errorf("start target: %w", err)
@@ -86,9 +88,11 @@
 		ID: fmt.Sprintf("i-%03d-%d", endpoint.index, endpoint.starts), Service: service, Slots: targetSlots, ServiceTime: targetServiceTime,
 		Record: endpoint.runner.addArrival,
 	}
+	target.Crash = sync.OnceFunc(func() { endpoint.crashAtOnce(ctx, target) })
 	server := &http.Server{Handler: target, ReadHeaderTimeout: time.Minute}
 	endpoint.target, endpoint.server, endpoint.listener, endpoint.startedAt = target, server, listener, time.Now()
 	endpoint.mutex.Unlock()
+	endpoint.link.SetDown(false)
 	go func() { _ = server.Serve(listener) }() // ends with close
 	endpoint.writeEntry(target, false)
 	return nil
@@ -195,7 +199,7 @@
 	endpoint.close()
 	endpoint.endEntry(target.ID)
 	endpoint.deleteEntry(target.ID)
-	endpoint.startReplacement(target.Service)
+	endpoint.startReplacement(ctx, target.Service)
 }
 
 // crash stops the target at once. Another target, of the given service, gets the
@@ -210,16 +214,30 @@
 	if !timer.Sleep(ctx, after) {
 		return
 	}
-	endpoint.startReplacement(service)
+	endpoint.startReplacement(ctx, service)
 	if !timer.Sleep(ctx, entryTimeout-after) {
 		return
 	}
 	endpoint.deleteEntry(target.ID)
 }
 
+// crashAtOnce ends the target under a request that crashes it, and refuses connections until another
+// one is up.
+func (endpoint *endpoint) crashAtOnce(ctx context.Context, target *faker.Target) {
+	end := endpoint.runner.beginDisturbance(target.ID)
+	if endpoint.current() == target {
+		endpoint.link.SetDown(true)
+		endpoint.close()
+	}
+	go func() {
+		defer end()
+		endpoint.crash(ctx, crashedTime, target.Service)
+	}()
+}
+
 // startReplacement starts another target and reports a violation if that fails.
-func (endpoint *endpoint) startReplacement(service string) {
-	if err := endpoint.start(service); err != nil {
+func (endpoint *endpoint) startReplacement(ctx context.Context, service string) {
+	if err := endpoint.start(ctx, service); err != nil {
 		endpoint.runner.addViolation("starts", "%v", err)
 	}
 }
--- a/soak/internal/runner/endpoint_test.go
+++ b/soak/internal/runner/endpoint_test.go
@@ -19,7 +19,7 @@
 	is.NoErr(listener.Close())
 	endpoint := &endpoint{runner: &Runner{}, link: &relayer.Relayer{To: listener.Addr().String()}}
 	for range 100 {
-		is.NoErr(endpoint.start("lists"))
+		is.NoErr(endpoint.start(t.Context(), "lists"))
 		endpoint.close()
 	}
 }
--- a/soak/internal/runner/faults.go
+++ b/soak/internal/runner/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -184,6 +185,9 @@
 		runner.flood.add(1)
 		timer.Sleep(ctx, fault.Duration)
 		runner.flood.add(-1)
+	case planner.CrashingRequest:
+		random := rand.New(rand.NewPCG(runner.Plan.Seed, uint64(fault.Subject)))
+		(&caller{runner: runner, index: crashingCallers + fault.Subject, random: random}).sendCrashing(ctx, fault)
 	case planner.CallersGiveUp:
 		runner.giveUp.add(1)
 		timer.Sleep(ctx, fault.Duration)
