dispatcher, placer: targets are used at once after the heal of a cut

A VM whose paths to the targets were back answered 503 (no-target) for seconds: failed connections had put each target on a pause of 1 to 8 s, which no success ends. The pauses end with the isolation now.

TestTargetsAreNotUsedForSecondsAfterACut failed before (2 s).

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -197,6 +197,16 @@
 	return targets[random.IntN(len(targets))].Target, true
 }
 
+// EndBackoffs makes the targets of a service that could not be reached available at once, as this VM
+// reaches others again.
+func (placer *Placer) EndBackoffs(service string, now time.Duration) {
+	for _, target := range placer.byService[service] {
+		if target.connectFailures > 0 {
+			target.connectFailures, target.backoffUntil = 0, min(target.backoffUntil, now)
+		}
+	}
+}
+
 // Usable reports whether a picked target may still receive the request.
 func (placer *Placer) Usable(picked Target, now time.Duration) bool {
 	known := placer.byID[picked.ID]
--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -132,7 +132,7 @@
 
 // recordConnected records that a connection to a target was opened.
 func (dispatcher *Dispatcher) recordConnected(target placer.Target) {
-	if dispatcher.state.recordConnected(target) {
+	if dispatcher.state.recordConnected(target, dispatcher.Clock()) {
 		dispatcher.Log.WithFields(logrus.Fields{"service": target.Service, "target": target.ID}).Info("service-reachable")
 	}
 }
@@ -193,10 +193,14 @@
 
 // recordConnected records that a connection to a target was opened, and reports whether the service
 // doesn't count as isolated any more.
-func (state *state) recordConnected(target placer.Target) bool {
+func (state *state) recordConnected(target placer.Target, now time.Duration) bool {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
-	return state.paths.RecordConnected(target.Service, target.ID, state.placer.Targets(target.Service))
+	reachable := state.paths.RecordConnected(target.Service, target.ID, state.placer.Targets(target.Service))
+	if reachable {
+		state.placer.EndBackoffs(target.Service, now)
+	}
+	return reachable
 }
 
 // recordUnreachable records that a target could not be reached. It returns the number of those that
--- a/gateway/internal/dispatcher/delegate_test.go
+++ b/gateway/internal/dispatcher/delegate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,3 +200,31 @@
 		}
 	}
 }
+
+// Once the targets are in reach again, requests must not wait for the end of the pauses that failed
+// connections have caused.
+func TestTargetsAreNotUsedForSecondsAfterACut(t *testing.T) {
+	is := is.New(t)
+	target := serve(t, answerWith(http.StatusOK, ""))
+	vm := start(t, target)
+	dial := (&net.Dialer{}).DialContext
+	var cut atomic.Bool
+	cut.Store(true)
+	vm.Exchanger.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if cut.Load() {
+			return nil, errRefused
+		}
+		return dial(ctx, network, address)
+	}
+	vm.Forwarder = &peers{answer: func(int) (receiver.Reply, error) { return receiver.Reply{}, errRefusedByPeer }}
+	vm.Candidates = func() []delegator.Candidate { return nil }
+	vm.read()
+	time.Sleep(1100 * time.Millisecond)
+	vm.read() // the pause is twice as long now
+	cut.Store(false)
+	healed := time.Now()
+	for vm.read().Status != http.StatusOK {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(time.Since(healed) < 1500*time.Millisecond)
+}
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -33,7 +33,10 @@
 	targetRequests atomic.Int32
 	// disconnected counts the requests whose connection ended before the answer.
 	disconnected atomic.Int32
-	vms          []*vm
+	mutex        sync.Mutex
+	// runs counts how often the target ran each request, by its ID.
+	runs map[string]int
+	vms  []*vm
 }
 
 // vm is one running VM.
@@ -69,6 +72,12 @@
 
 func (fleet *fleet) serveTarget(writer http.ResponseWriter, request *http.Request) {
 	fleet.targetRequests.Add(1)
+	fleet.mutex.Lock()
+	if fleet.runs == nil {
+		fleet.runs = make(map[string]int)
+	}
+	fleet.runs[request.Header.Get("X-Attempt-Id")]++
+	fleet.mutex.Unlock()
 	if strings.HasSuffix(request.URL.Path, "/hangs") {
 		<-request.Context().Done()
 		fleet.disconnected.Add(1)
@@ -82,6 +91,13 @@
 	_, _ = io.WriteString(writer, "served")
 }
 
+// runsOf returns how often the target ran a request.
+func (fleet *fleet) runsOf(id string) int {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.runs[id]
+}
+
 func (fleet *fleet) configure(version int, key string) {
 	fleet.store.Put(platform.ConfigurationTable, "", "config", fmt.Appendf(nil, `{"Version":"r%d","Resources":[
 		{"ResourceKind":"Routes","Metadata":{"Name":"r"},"Specification":{"Host":"a.example","Prefix":"/","Kind":"idempotent",
