entry: requests that outlast a planned stop are answered, not cut

Reported by other operators: requests that came late in the grace were passed on and cut with no answer at its end, among them ones that may not be repeated. By reading, gateway refuses and answers them (core/drainer), and entry cut whatever was unfinished at [stop] limit: net/http's Shutdown ended and the process exited. Requests get 504 with their outcome 250 ms before that now.

TestRequestIsCutWithoutAnAnswerAtTheEndOfAStop failed before. For gateway TestRequestsLateInAStopAreCut shows that it doesn't happen: 40 kept connections beside three requests that keep the VM up until the end of its grace.

Ruled out: ending the requests' own contexts (they then count as left by their callers and get no answer).

--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -76,6 +76,9 @@
 	Exchanger *exchanger.Exchanger
 	// Report is called at the end of each request unless it is nil.
 	Report func(Record)
+	// GivenUp, if set, ends shortly before the VM does. Requests that have no answer by then get one
+	// of this VM, as they would otherwise be cut.
+	GivenUp context.Context
 
 	services      services
 	bufferedBytes atomic.Int64
@@ -101,6 +104,9 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), started.Add(timeout))
 	defer cancel()
+	if forwarder.GivenUp != nil {
+		defer context.AfterFunc(forwarder.GivenUp, cancel)()
+	}
 	handler := &handler{forwarder: forwarder, writer: writer, request: request, job: job, ctx: ctx, started: started}
 	handler.service = forwarder.services.get(job.Service.Path)
 	defer handler.report()
--- a/entry/internal/server/server_test.go
+++ b/entry/internal/server/server_test.go
@@ -45,6 +45,8 @@
 	received bytes.Buffer
 	// discard makes the fixture drop what the upstream reads.
 	discard bool
+	// giveUp ends the requests in progress, as before the end of a planned stop.
+	giveUp context.CancelFunc
 }
 
 func table(t testing.TB) *configurator.Table {
@@ -142,8 +144,12 @@
 		tables := tables{compiled}
 		fixture := &fixture{callers: make(chan net.Conn), closed: make(chan struct{}), upstream: upstream}
 		sender := &exchanger.Exchanger{Dial: fixture.dial}
+		givenUp, giveUp := context.WithCancel(t.Context())
+		fixture.giveUp = giveUp
+		defer giveUp()
 		fixture.server = &server.Server{
-			Tables: tables, Keys: tables, Limits: tables, Forwarder: &forwarder.Forwarder{Picker: tables, Exchanger: sender},
+			Tables: tables, Keys: tables, Limits: tables,
+			Forwarder:    &forwarder.Forwarder{Picker: tables, Exchanger: sender, GivenUp: givenUp},
 			MaxBodyBytes: 1 << 30,
 		}
 		callers := fixture.server.HTTP()
@@ -502,3 +508,22 @@
 		is.True(strings.Contains(answer, "Connection: close"))
 	})
 }
+
+// A request that outlasts a planned stop, one that may not run twice among them, must get an answer
+// that says whether it may have run.
+func TestRequestIsCutWithoutAnAnswerAtTheEndOfAStop(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		hang := func(conn net.Conn, reader *bufio.Reader) { _, _ = io.Copy(io.Discard, reader) }
+		withFixture(t, hang, func(is *is.I, fixture *fixture) {
+			go func() {
+				time.Sleep(time.Second)
+				fixture.giveUp()
+			}()
+			started := time.Now()
+			answer := fixture.exchange(strings.Replace(get("/r", "X-Api-Key: "+key, "", ""), "GET", method, 1))
+			is.Equal(time.Since(started), time.Second) // its route's time-out is 5 s
+			is.True(strings.HasPrefix(answer, "HTTP/1.1 504"))
+			is.True(strings.Contains(answer, "Godwitramp-Outcome: unknown"))
+		})
+	}
+}
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -51,7 +51,10 @@
 	steward  *steward.Steward
 	// persister keeps the counters of the burn report.
 	persister *persister.Persister
-	observer  *observer.Observer
+	// givenUp is the end of requests that outlast a planned stop, and giveUp brings it about.
+	givenUp  context.Context
+	giveUp   context.CancelFunc
+	observer *observer.Observer
 }
 
 // Run serves until the context ends, then makes a planned stop: it reports that
@@ -71,6 +74,8 @@
 	}
 	workCtx, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
+	starter.givenUp, starter.giveUp = context.WithCancel(workCtx)
+	defer starter.giveUp()
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stopWork()
@@ -116,6 +121,8 @@
 	case <-stopCtx.Done():
 	case <-time.After(starter.Settings.StopGrace):
 	}
+	giveUp := time.AfterFunc(max(0, starter.Settings.StopLimit-starter.Settings.StopGrace-answerReserve), starter.giveUp)
+	defer giveUp.Stop()
 	unfinished := callers.Shutdown(stopCtx)
 	starter.handOverCounters(workCtx)
 	starter.leaveFleet(workCtx)
@@ -126,6 +133,10 @@
 	return nil
 }
 
+// answerReserve is the time before the end of a planned stop in which requests that are not finished
+// are answered.
+const answerReserve = 250 * time.Millisecond
+
 // leaveTimeout limits how long a stopping VM waits for the store and its peers.
 const leaveTimeout = 5 * time.Second
 
@@ -148,6 +159,7 @@
 			Picker:    starter.router,
 			Exchanger: sender,
 			Report:    starter.recordForwarded,
+			GivenUp:   starter.givenUp,
 		},
 		Log: starter.Log, Leaving: starter.leaving.Load, ReportRefusal: starter.recordRefused,
 	}
--- a/gateway/internal/starter/partition_soak_test.go
+++ b/gateway/internal/starter/partition_soak_test.go
@@ -106,3 +106,60 @@
 	is.Equal(counts[0], 0)
 	is.True(counts[http.StatusOK] > 0)
 }
+
+// Requests that come at any time of a planned stop, on kept connections, are answered or closed unread,
+// although slow ones keep the VM up until the end of its grace.
+func TestRequestsLateInAStopAreCut(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	vm := fleet.vms[0]
+	for range 3 { // they keep the VM up
+		connection, err := net.Dial("tcp", vm.settings.Callers)
+		is.NoErr(err)
+		defer func() { _ = connection.Close() }()
+		go func() { _, _ = sendRequest(connection, "/hangs", "key") }() // ends with the grace
+	}
+	fleet.waitUntil("the target runs them", func() bool { return fleet.targetRequests.Load() >= 3 })
+	var group sync.WaitGroup
+	outcomes := &outcomes{status: make(map[string]int)}
+	for caller := range 40 {
+		connection, err := net.Dial("tcp", vm.settings.Callers)
+		is.NoErr(err)
+		group.Go(func() {
+			defer func() { _ = connection.Close() }()
+			reader := bufio.NewReader(connection)
+			time.Sleep(time.Duration(caller) * 50 * time.Millisecond)
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("c%d-%d", caller, i)
+				_, err := fmt.Fprintf(connection, "POST /upload/%s%s HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %s\r\n"+
+					"X-Remaining-Milliseconds: 3000\r\nX-Credential: key\r\nContent-Length: 4\r\n\r\nbody", id, []string{"", "/slow"}[caller%2], id)
+				if err != nil {
+					return
+				}
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					outcomes.add(id, 0)
+					return
+				}
+				_, _ = io.ReadAll(response.Body) // a failed read shows in the next request
+				outcomes.add(id, response.StatusCode)
+				if response.Close {
+					return
+				}
+			}
+		})
+	}
+	vm.stop()
+	<-vm.stopped
+	group.Wait()
+	counts := make(map[int]int)
+	for id, status := range outcomes.status {
+		counts[status]++
+		runs := fleet.runsOf(id)
+		if status == 0 && runs > 0 || status == http.StatusServiceUnavailable && runs > 0 || runs > 1 {
+			t.Errorf("%s: status %d, ran %d times", id, status, runs)
+		}
+	}
+	t.Log(counts)
+	is.True(counts[http.StatusOK] > 0)
+}
