exchanger: long bodies that are read late aren't cut off

Since targets must acknowledge what is sent within 1.5 s, an upload that its target reads late failed: what doesn't fit into the target's buffers counts as unacknowledged (TCP_USER_TIMEOUT ends zero-window probes too). The limit holds for requests with bodies of 16 KiB at most now, connection by connection.

--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -32,6 +32,8 @@
 	// keepAliveTimeout is how long the connection may stay idle according to
 	// the upstream, or 0 if the upstream didn't say.
 	keepAliveTimeout time.Duration
+	// unackedTimeout is how long the upstream may acknowledge nothing, 0 if there is no limit.
+	unackedTimeout time.Duration
 
 	// pendingWrites is the number of calls of Write in progress.
 	pendingWrites atomic.Int32
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -29,7 +29,27 @@
 	malformed bool
 }
 
+// maxTimedBody is the size, in bytes, of the longest body for which Exchanger.UnackedTimeout applies. An
+// upstream may read a longer one late, and what doesn't fit in its buffers counts as unacknowledged.
+const maxTimedBody = 16 << 10
+
+// limitSilence sets how long the upstream may acknowledge nothing of this request.
+func (exchange *exchange) limitSilence() error {
+	timeout, connection := exchange.exchanger.UnackedTimeout, exchange.connection
+	if length := exchange.call.Request.ContentLength; length < 0 || length > maxTimedBody {
+		timeout = 0
+	}
+	if timeout == connection.unackedTimeout || connection.raw == nil {
+		return nil
+	}
+	connection.unackedTimeout = timeout
+	return UnackedTimeout(timeout).set(connection.raw)
+}
+
 func (exchange *exchange) send() {
+	if exchange.writeErr = exchange.limitSilence(); exchange.writeErr != nil {
+		return
+	}
 	if !exchange.call.Streamed {
 		exchange.writeErr = exchange.write()
 		return
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -51,7 +51,7 @@
 	IdleTimeout       time.Duration
 	MaxIdlePerAddress int
 	// UnackedTimeout, unless zero, ends connections whose peer acknowledges nothing for so long after
-	// data was sent. It applies if Dial is nil.
+	// a request was sent that has no long body.
 	UnackedTimeout time.Duration
 
 	mutex  sync.Mutex
--- a/shell/exchanger/pool.go
+++ b/shell/exchanger/pool.go
@@ -125,6 +125,10 @@
 	if timeout == 0 {
 		return nil
 	}
+	return timeout.set(raw)
+}
+
+func (timeout UnackedTimeout) set(raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(descriptor uintptr) {
 		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(time.Duration(timeout).Milliseconds()))
@@ -146,5 +150,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to upstream: %w", err)
 	}
-	return newConnection(raw, address), nil
+	connection := newConnection(raw, address)
+	if exchanger.Dial == nil {
+		connection.unackedTimeout = exchanger.UnackedTimeout
+	}
+	return connection, nil
 }
