--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -19,6 +19,7 @@
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/platform"
+	"godwitramp.example/shell/bufferer"
 	"godwitramp.example/shell/exchanger"
 )
 
@@ -239,42 +240,19 @@
 	}
 }
 
-var errTransferLimit = errors.New("answer exceeds its share of the memory limit for answers")
-
-// readBody reads the body. It fails with errTransferLimit if all answers in transfer
-// exceed the memory limit and this one exceeds its share.
+// readBody reads the body. It fails if all answers in transfer exceed the memory limit and this one
+// exceeds its share.
 func (attempt *attempt) readBody(body io.Reader) ([]byte, error) {
-	state := &attempt.dispatcher.state
-	state.beginTransfer()
-	transfer := &transfer{state: state, body: body}
-	defer func() { state.endTransfer(transfer.received) }()
-	received, err := io.ReadAll(transfer)
-	if errors.Is(err, errTransferLimit) {
+	received, release, err := attempt.dispatcher.answers.ReadAll(body)
+	defer release()
+	if errors.Is(err, bufferer.ErrTooLarge) {
 		attempt.dispatcher.Log.WithFields(logrus.Fields{
-			"request": attempt.job.metadata.ID, "target": attempt.target.ID, "bytes": transfer.received,
+			"request": attempt.job.metadata.ID, "target": attempt.target.ID, "bytes": len(received),
 		}).Warn("answer-too-long")
 	}
 	return received, err
 }
 
-// transfer is an answer body in transfer whose bytes count towards the memory limit.
-type transfer struct {
-	state    *state
-	body     io.Reader
-	received int64
-}
-
-// Read reads from the body. It returns errTransferLimit once the transfer exceeds its
-// share of the memory limit.
-func (transfer *transfer) Read(buffer []byte) (int, error) {
-	n, err := transfer.body.Read(buffer)
-	if !transfer.state.growTransfer(transfer.received, int64(n)) {
-		err = errTransferLimit
-	}
-	transfer.received += int64(n)
-	return n, err
-}
-
 // ampleTime reports whether the attempt has lasted at least the hedge delay: far longer
 // than the service's answers usually take, or the latency objective while that is unknown.
 func (attempt *attempt) ampleTime() bool {
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -29,11 +29,11 @@
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/quarantiner"
-	"godwitramp.example/core/rationer"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/shell/bufferer"
 	"godwitramp.example/shell/exchanger"
 )
 
@@ -94,7 +94,9 @@
 	OnBlocksChange func()
 	Log            *logrus.Entry
 
-	state   state
+	state state
+	// answers limits the memory for answer bodies in transfer.
+	answers bufferer.Bufferer
 	latency latencies
 	stop    atomic.Pointer[stop]
 }
@@ -107,11 +109,12 @@
 
 // Open prepares the dispatcher. Call it before all other methods.
 func (dispatcher *Dispatcher) Open() {
+	dispatcher.answers.Limit = dispatcher.MaxAnswerBytes
 	dispatcher.state = state{
 		placer: &placer.Placer{Locality: dispatcher.Locality, Regions: dispatcher.Regions, Floor: dispatcher.Policy.TargetFloor},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		policy: dispatcher.Policy, groupShare: 1 / float64(max(1, len(dispatcher.Regions))), reachableFraction: unjoinedFraction,
-		answers: rationer.Rationer{Limit: dispatcher.MaxAnswerBytes}, quarantine: quarantiner.Quarantiner{BlockTime: dispatcher.Policy.BlockTime},
+		quarantine: quarantiner.Quarantiner{BlockTime: dispatcher.Policy.BlockTime},
 	}
 }
 
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -11,7 +11,6 @@
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/quarantiner"
-	"godwitramp.example/core/rationer"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
@@ -37,34 +36,12 @@
 	groupShare, reachableFraction float64
 	// joined is true once the VM has found its group.
 	joined bool
-	// answers limits the memory for answer bodies in transfer.
-	answers rationer.Rationer
 	// quarantine knows the requests that crash targets.
 	quarantine quarantiner.Quarantiner
 	// paths knows which targets this VM can't reach, and which VMs may help.
 	paths delegator.Delegator
 }
 
-func (state *state) beginTransfer() {
-	state.mutex.Lock()
-	defer state.mutex.Unlock()
-	state.answers.Begin()
-}
-
-// growTransfer counts n more bytes of a transfer that holds held bytes. It returns false if
-// the transfer has to be aborted.
-func (state *state) growTransfer(held, n int64) bool {
-	state.mutex.Lock()
-	defer state.mutex.Unlock()
-	return state.answers.Grow(held, n)
-}
-
-func (state *state) endTransfer(held int64) {
-	state.mutex.Lock()
-	defer state.mutex.Unlock()
-	state.answers.End(held)
-}
-
 // unjoinedFraction is the fraction of a group's rates that a VM spends before it has found
 // its group: that of one VM in a group of maximum size.
 const unjoinedFraction = 1.0 / messenger.MaxGroup
--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -31,9 +31,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"godwitramp.example/core/rationer"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/platform"
+	"godwitramp.example/shell/bufferer"
 	"godwitramp.example/shell/certifier"
 	"godwitramp.example/shell/exchanger"
 )
@@ -67,8 +67,9 @@
 	inFlight atomic.Int64
 	dials    exchanger.Exchanger
 
-	mutex    sync.Mutex
-	rationer rationer.Rationer
+	messages bufferer.Bufferer
+
+	mutex sync.Mutex
 	// config is the TLS configuration for configKey.
 	config    *tls.Config
 	configKey []byte
@@ -103,9 +104,6 @@
 	if err != nil {
 		return fmt.Errorf("listen for requests of other VMs: %w", err)
 	}
-	forwarder.mutex.Lock()
-	forwarder.rationer.Limit = forwarder.MaxBytes
-	forwarder.mutex.Unlock()
 	router := echo.New()
 	router.POST(path, forwarder.handle)
 	errorLog := forwarder.Log.WriterLevel(logrus.DebugLevel)
@@ -150,6 +148,7 @@
 
 // Open prepares the forwarder. Call it before all other methods.
 func (forwarder *Forwarder) Open() {
+	forwarder.messages.Limit = forwarder.MaxBytes
 	dialer := &net.Dialer{Control: exchanger.UnackedTimeout(unackedTimeout).Control}
 	forwarder.dials.DialTimeout = dialTimeout
 	forwarder.dials.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -193,8 +192,8 @@
 		return receiver.Reply{}, err
 	}
 	defer answer.Close()
-	body, held, err := forwarder.read(answer.Response.Body)
-	defer forwarder.end(held)
+	body, release, err := forwarder.messages.ReadAll(io.LimitReader(answer.Response.Body, maxMessageBytes))
+	defer release()
 	var received reply
 	if err == nil && answer.Response.StatusCode != http.StatusOK {
 		err = fmt.Errorf("VM answered %d", answer.Response.StatusCode)
@@ -214,9 +213,9 @@
 
 // handle serves a request of another VM.
 func (forwarder *Forwarder) handle(context echo.Context) error {
-	body, held, err := forwarder.read(context.Request().Body)
-	defer forwarder.end(held)
-	if errors.Is(err, errTooLarge) {
+	body, release, err := forwarder.messages.ReadAll(io.LimitReader(context.Request().Body, maxMessageBytes))
+	defer release()
+	if errors.Is(err, bufferer.ErrTooLarge) {
 		return forwarder.answer(context, forwarder.Handler.Refuse(http.StatusServiceUnavailable, "bodies-too-large"))
 	}
 	if err != nil {
@@ -300,44 +299,3 @@
 		cancel(receiver.ErrGivenUp)
 	}
 }
-
-var errTooLarge = errors.New("requests and answers of other VMs exceed their share of the memory")
-
-// read reads a message, and returns how many bytes of it were counted. The caller must call end.
-func (forwarder *Forwarder) read(source io.Reader) (data []byte, held int64, err error) {
-	forwarder.mutex.Lock()
-	forwarder.rationer.Begin()
-	forwarder.mutex.Unlock()
-	counted := &countedReader{forwarder: forwarder, source: io.LimitReader(source, maxMessageBytes)}
-	data, err = io.ReadAll(counted)
-	if err != nil {
-		err = fmt.Errorf("read message: %w", err)
-	}
-	return data, counted.held, err
-}
-
-func (forwarder *Forwarder) end(held int64) {
-	forwarder.mutex.Lock()
-	defer forwarder.mutex.Unlock()
-	forwarder.rationer.End(held)
-}
-
-// countedReader counts what it reads towards the memory limit.
-type countedReader struct {
-	forwarder *Forwarder
-	source    io.Reader
-	held      int64
-}
-
-// Read reads from the source. It returns errTooLarge once the message exceeds its share.
-func (countedReader *countedReader) Read(buffer []byte) (int, error) {
-	n, err := countedReader.source.Read(buffer)
-	forwarder := countedReader.forwarder
-	forwarder.mutex.Lock()
-	defer forwarder.mutex.Unlock()
-	if !forwarder.rationer.Grow(countedReader.held, int64(n)) {
-		err = errTooLarge
-	}
-	countedReader.held += int64(n)
-	return n, err
-}
