dispatcher: an isolated VM makes one try at targets while no other VM can help

While targets are out of reach for all VMs, requests made up to four tries of 0.4 s one after the other before their 503.

Requests that another VM has passed on and that this one refuses as isolated are no longer counted as lost here.

--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -50,13 +50,14 @@
 // refusalIsolated is the answer to a request of another VM if this one can't reach the targets either.
 var refusalIsolated = refusal{status: http.StatusServiceUnavailable, reason: "isolated", retryAfter: otherVMRetryAfter}
 
-// cannotHelp reports whether the request was passed on by another VM, but this one can't reach the
-// targets either. The other VM finds a better one sooner than this one finds a target.
-func (handler *handler) cannotHelp() bool {
-	if handler.job.call.From == "" {
-		return false
+// outOfReach reports whether this VM should not try further targets: each costs the time of a failed
+// connection. If another VM has passed the request on, that one finds a better VM sooner.
+func (handler *handler) outOfReach() bool {
+	dispatcher, service, failed := handler.dispatcher, handler.job.service, len(handler.unreachable) > 0
+	if handler.job.call.From != "" {
+		return failed || dispatcher.state.isolated(service)
 	}
-	return len(handler.unreachable) > 0 || handler.dispatcher.state.isolated(handler.job.service)
+	return failed && dispatcher.state.isolated(service) && !dispatcher.state.delegates(service, dispatcher.Clock())
 }
 
 // choosePeer returns the address of a VM to pass a request on to that was sent to the tried ones in
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -88,8 +88,8 @@
 	if reply.Abort || stopped || !failed || handler.reason == blockedReason {
 		return
 	}
-	if len(handler.peers) > 0 && handler.mayHaveRun {
-		return // the VM that it was passed on to reports it
+	if len(handler.peers) > 0 && handler.mayHaveRun || handler.reason == refusalIsolated.reason {
+		return // another VM reports it
 	}
 	handler.dispatcher.state.recordFailure(handler.job.service, handler.dispatcher.Clock())
 	handler.dispatcher.Messenger.SendToGroup(messenger.Event{Kind: messenger.RequestFailed, Service: handler.job.service})
@@ -192,7 +192,7 @@
 	if dispatcher.refuseBlocked(handler.job) != nil { // it may have waited, or has just crashed a target
 		return false
 	}
-	if handler.cannotHelp() {
+	if handler.outOfReach() {
 		return false
 	}
 	if delegated, started := handler.delegate(ctx); delegated {
@@ -425,7 +425,7 @@
 		return handler.refuse(*refusal)
 	}
 	switch {
-	case handler.cannotHelp():
+	case handler.job.call.From != "" && handler.outOfReach():
 		return handler.refuse(refusalIsolated)
 	case handler.attempts == 0:
 		return handler.refuse(refusalNoTarget)
