quarantiner: a VM that knows fewer crashes keeps to the block of another

Only a VM that knows three crashes ends a block now.

TestBlockOfAnotherVMEndsWithAFurtherCrash failed before.

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -284,6 +284,9 @@
 		blocked := make(map[Instance]bool)
 		for _, candidate := range candidates[:equals] {
 			guilty := weigh(candidate.runs, explained) >= candidate.needed()
+			if !guilty && candidate.weight < crashesToBlock {
+				continue // a VM that knows more crashes has blocked it
+			}
 			if candidate.setBlocked(guilty, candidate.runs, quarantiner.BlockTime, now) {
 				changes = append(changes, Change{Block: candidate.block, Blocked: guilty, Crashes: len(candidate.runs)})
 			}
--- a/core/quarantiner/quarantiner_test.go
+++ b/core/quarantiner/quarantiner_test.go
@@ -118,3 +118,19 @@
 	is.True(blocked(q, 1, now)) // the least certain are dropped first
 	is.True(q.Len() <= 1024)
 }
+
+// A VM that has missed most crashes of a request must keep to the block of another VM, whatever else
+// crashes the targets that it knows of.
+func TestBlockOfAnotherVMEndsWithAFurtherCrash(t *testing.T) {
+	is := is.New(t)
+	q := &quarantiner.Quarantiner{}
+	q.RecordCrash(crash(1, "a", time.Second), time.Second)
+	q.Import(quarantiner.Block{Request: printOf(1), CrashedAt: 3 * time.Second, Until: 2 * time.Minute, Count: 1}, 3*time.Second)
+	now := 4 * time.Second
+	for _, target := range []string{"a", "b", "c", "d"} {
+		q.RecordCrash(crash(2, target, now), now)
+		now += time.Second
+	}
+	is.True(blocked(q, 2, now))
+	is.True(blocked(q, 1, now))
+}
