dispatcher, starter: blocks get into the store whoever finds them

The first VM of each data centre (the one that polls the store) writes it too. TestBlockFoundByOtherVMsIsNotStored failed before.

--- a/gateway/internal/dispatcher/crash_test.go
+++ b/gateway/internal/dispatcher/crash_test.go
@@ -289,3 +289,26 @@
 	is.Equal(vms[0].send(http.MethodGet, "/read/1").Status, http.StatusOK)
 	is.Equal(len(vms[0].Reminders()), 0)
 }
+
+// The VM whose attempt ends with the third crash may have missed the first ones. The block must get
+// into the store all the same.
+func TestBlockFoundByOtherVMsIsNotStored(t *testing.T) {
+	is := is.New(t)
+	vms, _ := startFragile(t, 3, 12)
+	stored := make([]int, len(vms))
+	for i, vm := range vms {
+		vm.OnBlocksChange = func() { stored[i]++ }
+	}
+	vms[1].WritesBlocks = func() bool { return true }
+	vms[2].WritesBlocks = func() bool { return false }
+	for i := range 3 {
+		event := messenger.Event{
+			Kind: messenger.RequestCrashed, Fingerprint: "0123456789abcdef", Name: fmt.Sprint("t", i),
+			StartedAgo: time.Duration(3-i)*time.Second + 100*time.Millisecond, EndedAgo: time.Duration(3-i) * time.Second,
+		}
+		for _, vm := range vms {
+			vm.HandleEvent(event, true)
+		}
+	}
+	is.Equal(stored, []int{0, 1, 0})
+}
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -92,6 +92,8 @@
 	// OnBlocksChange, if set, is called when this VM finds that a request must be blocked, or that a
 	// blocked one need not be. It must not block.
 	OnBlocksChange func()
+	// WritesBlocks, if set, reports whether OnBlocksChange is also called for what other VMs have found.
+	WritesBlocks func() bool
 	Log            *logrus.Entry
 
 	state state
--- a/gateway/internal/dispatcher/quarantine.go
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -185,10 +185,13 @@
 	now := dispatcher.Clock()
 	switch event.Kind {
 	case messenger.RequestCrashed:
-		dispatcher.recordCrash(quarantiner.Run{
+		changed := dispatcher.recordCrash(quarantiner.Run{
 			Request: fingerprint, At: quarantiner.Instance{Target: event.Name, Incarnation: event.Incarnation},
 			Start: now - max(0, event.StartedAgo), End: now - max(0, event.EndedAgo),
 		})
+		if changed && dispatcher.WritesBlocks != nil && dispatcher.WritesBlocks() {
+			dispatcher.blocksChanged() // the VM whose attempt it was may have missed the crashes before
+		}
 	case messenger.RequestCleared:
 		dispatcher.state.clear(fingerprint, now)
 	case messenger.RequestBlocked:
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -133,7 +133,7 @@
 		Locality:   placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions:    settings.Regions, Clock: timer.Now, Log: starter.Log,
 		Policy: policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
-		OnBlocksChange: starter.requestBlocksWrite,
+		OnBlocksChange: starter.requestBlocksWrite, WritesBlocks: func() bool { return starter.messages.Rank() == 0 },
 		MaxAnswerBytes: int64(answerMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
 	}
 	starter.dispatcher.Open()
