dispatcher, forwarder: targets that another VM has tried count for the route

The answer of a VM says how many it has tried now.

TestTargetsTriedByAnotherVMAreForgotten failed before.

--- a/gateway/internal/dispatcher/delegate_test.go
+++ b/gateway/internal/dispatcher/delegate_test.go
@@ -254,3 +254,17 @@
 	is.Equal(vm.book().Status, http.StatusServiceUnavailable)
 	is.True(dials.Load()-before <= 2) // its own and a probe
 }
+
+// Targets that rejected a request at another VM count towards those of its route.
+func TestTargetsTriedByAnotherVMAreForgotten(t *testing.T) {
+	is := is.New(t)
+	vm, peers := startIsolated(t, func(int) (receiver.Reply, error) {
+		return receiver.Reply{Status: http.StatusServiceUnavailable, Targets: 1}, nil
+	})
+	vm.book() // the route allows two targets; each other VM is given both, and tries one
+	asked, _ := peers.counts()
+	is.Equal(asked, 2)
+	is.Equal(peers.targets, []int{2, 1})
+	full := start(t, serve(t, full))
+	is.Equal(full.book().Targets, 1)
+}
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -31,6 +31,7 @@
 	}
 	handler := &handler{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.targets+maxExtraAttempts)}
 	reply := handler.serve(ctx)
+	reply.Targets = len(handler.tried)
 	handler.reportFailure(reply)
 	countAnswer(handler.reason, reply.Status, time.Since(call.Received))
 	handler.log(ctx, reply)
@@ -317,7 +318,7 @@
 	switch {
 	case attempt.peer != "" && !verdict.MayHaveRun:
 		handler.reached--
-		handler.forwarded -= attempt.targets
+		handler.forwarded -= max(0, attempt.targets-attempt.forwarded.Targets)
 	case verdict.Outcome == placer.Unreachable && !verdict.MayHaveRun:
 		handler.markUnreachable(attempt.target.ID)
 	}
--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -96,6 +96,8 @@
 	Body       []byte
 	Abort      bool
 	FromTarget bool
+	// Targets is the number of targets that the request was sent to.
+	Targets int
 }
 
 // Run serves requests of other VMs until the context ends.
@@ -208,6 +210,7 @@
 	}
 	return receiver.Reply{
 		Status: received.Status, Header: received.Header, Body: received.Body, Abort: received.Abort, FromTarget: received.FromTarget,
+		Targets: received.Targets,
 	}, nil
 }
 
@@ -259,6 +262,7 @@
 func (forwarder *Forwarder) answer(context echo.Context, answer receiver.Reply) error {
 	encoded, err := msgpack.Marshal(&reply{
 		Status: answer.Status, Header: answer.Header, Body: answer.Body, Abort: answer.Abort, FromTarget: answer.FromTarget,
+		Targets: answer.Targets,
 	})
 	if err != nil {
 		return fmt.Errorf("encode answer: %w", err)
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -65,6 +65,8 @@
 	Abort bool
 	// FromTarget is true if the answer is that of a target.
 	FromTarget bool
+	// Targets is the number of targets that the request was sent to.
+	Targets int
 }
 
 // ErrGivenUp is the cause of the end of a call's context after GiveUp.
