dispatcher, forwarder: only a VM with the same version of the configuration serves for another

The version goes with the request, and a VM with another refuses it (configuration-differs); the next one is asked.

TestRequestIsServedByAnotherVersionAtAnotherVM fails without the check (200 for 503).

--- a/gateway/internal/dispatcher/admit.go
+++ b/gateway/internal/dispatcher/admit.go
@@ -51,6 +51,9 @@
 	if !dispatcher.MayServe() {
 		return nil, &refusalStale
 	}
+	if call.From != "" && call.Configuration != index.Version {
+		return nil, &refusalOtherVersion
+	}
 	if refusal := dispatcher.resolve(job); refusal != nil {
 		if (refusal.status == http.StatusNotFound || refusal.status == http.StatusUnauthorized) && !dispatcher.mayRejectUnknown() {
 			return nil, &refusalStale
@@ -80,6 +83,10 @@
 	return allows(stop.policy, dispatcher.Clock()-stop.startedAt, usual)
 }
 
+// refusalOtherVersion is the answer to a request of another VM that has another version of the
+// configuration in force: its callers would see versions change back and forth.
+var refusalOtherVersion = refusal{status: http.StatusServiceUnavailable, reason: "configuration-differs", retryAfter: otherVMRetryAfter}
+
 var refusalStale = refusal{status: http.StatusServiceUnavailable, reason: "configuration-stale", retryAfter: otherVMRetryAfter}
 
 // resolve sets the job's service and the organisation of its key.
--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -11,6 +11,7 @@
 
 	"godwitramp.example/core/assessor"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/gateway/internal/forwarder"
 	"godwitramp.example/shell/exchanger"
 )
 
@@ -75,7 +76,9 @@
 	dispatcher := attempt.dispatcher
 	attempt.started = time.Now()
 	if dispatcher.maySend(attempt.job) {
-		reply, err := dispatcher.Forwarder.Forward(ctx, attempt.peer, attempt.job.call, attempt.targets, time.Until(attempt.job.deadline))
+		reply, err := dispatcher.Forwarder.Forward(ctx, attempt.peer, attempt.job.call, forwarder.Conditions{
+			Configuration: attempt.job.index.Version, Targets: attempt.targets, Remaining: time.Until(attempt.job.deadline),
+		})
 		attempt.forwarded = reply
 		if err != nil {
 			attempt.verdict = classifyForwardFailure(ctx, err)
--- a/gateway/internal/dispatcher/delegate_test.go
+++ b/gateway/internal/dispatcher/delegate_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"godwitramp.example/core/delegator"
+	"godwitramp.example/gateway/internal/forwarder"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/shell/exchanger"
 )
@@ -28,11 +29,11 @@
 	targets []int
 }
 
-func (peers *peers) Forward(_ context.Context, address string, _ *receiver.Call, targets int, _ time.Duration) (receiver.Reply, error) {
+func (peers *peers) Forward(_ context.Context, address string, _ *receiver.Call, conditions forwarder.Conditions) (receiver.Reply, error) {
 	peers.mutex.Lock()
 	defer peers.mutex.Unlock()
 	before := len(peers.asked)
-	peers.asked, peers.targets = append(peers.asked, address), append(peers.targets, targets)
+	peers.asked, peers.targets = append(peers.asked, address), append(peers.targets, conditions.Targets)
 	return peers.answer(before)
 }
 
@@ -135,7 +136,7 @@
 	is := is.New(t)
 	vm, peers := startIsolated(t, func(int) (receiver.Reply, error) { return receiver.Reply{Status: http.StatusOK, FromTarget: true}, nil })
 	forwarded := call(http.MethodGet, "/read/1", "key")
-	forwarded.From, forwarded.Targets = "vm-1", 1
+	forwarded.From, forwarded.Targets, forwarded.Configuration = "vm-1", 1, 1
 	is.Equal(vm.Serve(context.Background(), forwarded).Status, http.StatusServiceUnavailable)
 	asked, _ := peers.counts()
 	is.Equal(asked, 0)
@@ -148,7 +149,7 @@
 	vm := start(t, serve(t, answerWith(http.StatusOK, "")))
 	status := func(key, from string) int {
 		request := call(http.MethodGet, "/read/1", key)
-		request.From = from
+		request.From, request.Configuration = from, 1
 		return vm.Serve(context.Background(), request).Status
 	}
 	for status("key", "") == http.StatusOK { // until the rate is used up
@@ -195,7 +196,7 @@
 	}
 	for i, want := range []int{1, 2, 2, 2} {
 		request := call(http.MethodPost, "/book/1", "key")
-		request.From, request.Targets = "vm-1", 1
+		request.From, request.Targets, request.Configuration = "vm-1", 1, 1
 		reply := vm.Serve(context.Background(), request)
 		is.Equal(reply.Status, http.StatusServiceUnavailable)
 		is.Equal(string(reply.Body), "{\"reason\":\"isolated\"}\n")
@@ -268,3 +269,15 @@
 	full := start(t, serve(t, full))
 	is.Equal(full.book().Targets, 1)
 }
+
+// A VM with another version of the configuration must not serve for this one, whose callers would see
+// the versions change back and forth.
+func TestRequestIsServedByAnotherVersionAtAnotherVM(t *testing.T) {
+	is := is.New(t)
+	vm := start(t, serve(t, answerWith(http.StatusOK, "")))
+	for version, status := range map[uint64]int{0: http.StatusServiceUnavailable, 1: http.StatusOK, 2: http.StatusServiceUnavailable} {
+		request := call(http.MethodGet, "/read/1", "key")
+		request.From, request.Configuration = "vm-1", version
+		is.Equal(vm.Serve(context.Background(), request).Status, status)
+	}
+}
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -31,6 +31,7 @@
 	"godwitramp.example/core/quarantiner"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
+	"godwitramp.example/gateway/internal/forwarder"
 	"godwitramp.example/gateway/internal/messenger"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/shell/bufferer"
@@ -60,10 +61,9 @@
 	AskForTokens(scope throttler.Scope, organisation string, tokens float64, lenders int) int
 }
 
-// Forwarder passes a request on to the VM at an address, which may send it to so many targets. An
-// error is an *exchanger.Error.
+// Forwarder passes a request on to the VM at an address. An error is an *exchanger.Error.
 type Forwarder interface {
-	Forward(ctx context.Context, address string, call *receiver.Call, targets int, remaining time.Duration) (receiver.Reply, error)
+	Forward(ctx context.Context, address string, call *receiver.Call, conditions forwarder.Conditions) (receiver.Reply, error)
 }
 
 // Dispatcher serves requests. Fields are set before Open.
@@ -94,7 +94,7 @@
 	OnBlocksChange func()
 	// WritesBlocks, if set, reports whether OnBlocksChange is also called for what other VMs have found.
 	WritesBlocks func() bool
-	Log            *logrus.Entry
+	Log          *logrus.Entry
 
 	state state
 	// answers limits the memory for answer bodies in transfer.
--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -9,7 +9,7 @@
 //
 //	forwarder := &forwarder.Forwarder{Name: name, Address: address, Key: key, Handler: dispatcher, Log: log}
 //	go forwarder.Run(ctx)
-//	reply, err := forwarder.Forward(ctx, peerAddress, call, remaining)
+//	reply, err := forwarder.Forward(ctx, peerAddress, call, conditions)
 package forwarder
 
 import (
@@ -85,10 +85,22 @@
 	Body                       []byte
 	// Remaining is how much longer the VM that has passed it on waits.
 	Remaining time.Duration
+	// Configuration is the version of the configuration by which that VM has taken it.
+	Configuration uint64
 	// Targets is the number of targets that it may be sent to.
 	Targets int
 }
 
+// Conditions are those on which another VM serves a request.
+type Conditions struct {
+	// Configuration is the version of the configuration that it must have in force.
+	Configuration uint64
+	// Targets is the number of targets that it may send the request to.
+	Targets int
+	// Remaining is how much longer this VM waits.
+	Remaining time.Duration
+}
+
 // reply is the answer to a request.
 type reply struct {
 	Status     int
@@ -171,15 +183,12 @@
 	}
 }
 
-// Forward passes a request on to the VM at an address, which may send it to so many targets, and
-// returns its answer. An error is an *exchanger.Error; the request may have run if that says that
-// something was written.
-func (forwarder *Forwarder) Forward(
-	ctx context.Context, address string, call *receiver.Call, targets int, remaining time.Duration,
-) (receiver.Reply, error) {
+// Forward passes a request on to the VM at an address, and returns its answer. An error is an
+// *exchanger.Error; the request may have run if that says that something was written.
+func (forwarder *Forwarder) Forward(ctx context.Context, address string, call *receiver.Call, conditions Conditions) (receiver.Reply, error) {
 	message := request{
 		From: forwarder.Name, Method: call.Request.Method, Target: call.Target, Host: call.Request.Host, Header: call.Request.Header,
-		Body: call.Body, Remaining: remaining, Targets: targets,
+		Body: call.Body, Remaining: conditions.Remaining, Configuration: conditions.Configuration, Targets: conditions.Targets,
 	}
 	encoded, err := msgpack.Marshal(&message)
 	if err != nil {
@@ -255,7 +264,7 @@
 	now := time.Now()
 	return &receiver.Call{
 		Request: &http.Request{Method: request.Method, URL: target, Host: request.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1},
-		Target:  request.Target, Body: request.Body, Received: now, Accepted: now, Turn: turn, From: request.From, Targets: max(1, request.Targets),
+		Target:  request.Target, Body: request.Body, Received: now, Accepted: now, Turn: turn, From: request.From, Configuration: request.Configuration, Targets: max(1, request.Targets),
 	}, nil
 }
 
--- a/gateway/internal/forwarder/forwarder_test.go
+++ b/gateway/internal/forwarder/forwarder_test.go
@@ -87,7 +87,7 @@
 	})
 	vm := start(t, "key", unused)
 	for range 2 { // the second on the kept connection
-		reply, err := vm.Forward(context.Background(), other.Address, call(body), 2, 1500*time.Millisecond)
+		reply, err := vm.Forward(context.Background(), other.Address, call(body), forwarder.Conditions{Configuration: 7, Targets: 2, Remaining: 1500 * time.Millisecond})
 		is.NoErr(err)
 		is.Equal(reply.Status, http.StatusCreated)
 		is.Equal(reply.Header, http.Header{"X-Response-Signature": {"s"}, "Empty": {""}})
@@ -101,6 +101,7 @@
 		is.Equal(served.Request.Header["X-Remaining-Milliseconds"], []string{"1500"})
 		is.Equal(served.From, vm.Name)
 		is.Equal(served.Targets, 2)
+		is.Equal(served.Configuration, uint64(7))
 	}
 }
 
@@ -115,9 +116,9 @@
 	})
 	stranger := start(t, "another key", unused)
 	for range 2 {
-		_, err := stranger.Forward(context.Background(), other.Address, call(nil), 1, time.Second)
+		_, err := stranger.Forward(context.Background(), other.Address, call(nil), forwarder.Conditions{Targets: 1, Remaining: time.Second})
 		is.True(err != nil)
-		_, err = other.Forward(context.Background(), stranger.Address, call(nil), 1, time.Second)
+		_, err = other.Forward(context.Background(), stranger.Address, call(nil), forwarder.Conditions{Targets: 1, Remaining: time.Second})
 		var failure *exchanger.Error
 		is.True(errors.As(err, &failure))
 		is.True(!failure.Written) // the key of the caller has not left the VM
@@ -153,7 +154,7 @@
 		<-running
 		cancel() // the caller leaves
 	}()
-	_, err := vm.Forward(ctx, other.Address, call(nil), 1, time.Minute)
+	_, err := vm.Forward(ctx, other.Address, call(nil), forwarder.Conditions{Targets: 1, Remaining: time.Minute})
 	var failure *exchanger.Error
 	is.True(errors.As(err, &failure))
 	is.True(failure.Written)
@@ -163,7 +164,7 @@
 func TestVMThatIsGoneCountsAsNotRun(t *testing.T) {
 	is := is.New(t)
 	vm := start(t, "key", unused)
-	_, err := vm.Forward(context.Background(), "127.0.0.1:1", call(nil), 1, time.Second)
+	_, err := vm.Forward(context.Background(), "127.0.0.1:1", call(nil), forwarder.Conditions{Targets: 1, Remaining: time.Second})
 	var failure *exchanger.Error
 	is.True(errors.As(err, &failure))
 	is.True(!failure.Written)
@@ -183,7 +184,7 @@
 		<-running
 		other.GiveUp()
 	}()
-	reply, err := vm.Forward(context.Background(), other.Address, call(nil), 1, time.Minute)
+	reply, err := vm.Forward(context.Background(), other.Address, call(nil), forwarder.Conditions{Targets: 1, Remaining: time.Minute})
 	is.NoErr(err)
 	is.Equal(reply.Status, http.StatusBadGateway)
 	is.True(!reply.Abort)
@@ -199,10 +200,10 @@
 		return receiver.Reply{Status: http.StatusOK, FromTarget: true}
 	})
 	vm := start(t, "key", unused)
-	reply, err := vm.Forward(context.Background(), other.Address, call(make([]byte, 12<<20)), 1, time.Minute)
+	reply, err := vm.Forward(context.Background(), other.Address, call(make([]byte, 12<<20)), forwarder.Conditions{Targets: 1, Remaining: time.Minute})
 	is.NoErr(err)
 	is.Equal(reply.Status, http.StatusServiceUnavailable)
-	reply, err = vm.Forward(context.Background(), other.Address, call(make([]byte, 1<<20)), 1, time.Minute)
+	reply, err = vm.Forward(context.Background(), other.Address, call(make([]byte, 1<<20)), forwarder.Conditions{Targets: 1, Remaining: time.Minute})
 	is.NoErr(err)
 	is.Equal(reply.Status, http.StatusOK)
 }
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -49,6 +49,8 @@
 	Turn <-chan struct{}
 	// From is the name of the VM that has passed the request on, empty if it came from a caller.
 	From string
+	// Configuration is the version of the configuration by which that VM has taken the request.
+	Configuration uint64
 	// Targets, unless zero, limits the targets that the request may be sent to further than its route
 	// does.
 	Targets int
