soak: arrivals belong to the VM that sent them, requests that crash targets keep their caller

The senders of requests that were passed on are read from the logs of the VMs now, by request, target and process, and what is unknown isn't counted; nothing else is excused. The request that crashes targets took the key of another organisation while the load floods, and was another request then.

--- a/soak/internal/auditor/crashes.go
+++ b/soak/internal/auditor/crashes.go
@@ -33,9 +33,9 @@
 				crashes, last = crashes+1, arrival.Ended
 			}
 			audit.report.Checked[promise]++
-			call := audit.calls[arrival.ID]
+			from, call := audit.senderOf(arrival)
 			if crashes == crashesAllowed && arrival.Begun.After(last.Add(audit.Bounds.SettleTime)) && call != nil &&
-				audit.undisturbed(arrival.Begun, arrival.Begun, call.VM) {
+				audit.undisturbed(arrival.Begun, arrival.Begun, call.VM, from.vm) {
 				late++
 			}
 		}
--- a/soak/internal/auditor/limits.go
+++ b/soak/internal/auditor/limits.go
@@ -62,7 +62,7 @@
 		}
 		told, ok := toldAt[from]
 		if ok && arrival.Begun.After(told.Add(limitDelay)) && arrival.Begun.After(arrivals[0].Ended.Add(audit.Bounds.SettleTime)) &&
-			!audit.disturbed(arrival.Begun, arrival.Begun, call.VM, LinkTo(target)) {
+			!audit.disturbed(arrival.Begun, arrival.Begun, from.vm, LinkTo(target)) {
 			begun = append(begun, arrival.Begun)
 		}
 		if !ok && call.Outcome == Complete && call.Answer.TargetID == target {
--- a/soak/internal/auditor/record.go
+++ b/soak/internal/auditor/record.go
@@ -71,6 +71,15 @@
 	From, Until time.Time
 }
 
+// Forward is a request that a VM has sent to a target for another VM, which had passed it on, by the
+// log of the first. Start is the number of its process.
+type Forward struct {
+	ID       string
+	TargetID string
+	VM       string
+	Start    int
+}
+
 // Restore is the return of the store from an older copy: when it went away, when the copy
 // had been taken, and when the store confirmed that the operator had written the newest
 // version again, zero if that didn't happen.
@@ -121,6 +130,9 @@
 	Departures   []Departure
 	Stops        []Stop
 	Disturbances []Disturbance
+	Forwards     []Forward
+	// PassedOn are the IDs of the requests that some VM has passed on.
+	PassedOn map[string]bool
 }
 
 // Violation is one observation that contradicts a guarantee.
@@ -150,6 +162,8 @@
 	Record
 	calls    map[string]*Call
 	arrivals map[string][]*faker.Arrival
+	// forwards are those of the record, by the ID of the request and of the target.
+	forwards map[[2]string]Forward
 	report   Report
 }
 
@@ -191,6 +205,10 @@
 	for i := range audit.Calls {
 		audit.calls[audit.Calls[i].ID] = &audit.Calls[i]
 	}
+	audit.forwards = make(map[[2]string]Forward)
+	for _, forward := range audit.Forwards {
+		audit.forwards[[2]string{forward.ID, forward.TargetID}] = forward
+	}
 	for i := range audit.Arrivals {
 		arrival := &audit.Arrivals[i]
 		audit.arrivals[arrival.ID] = append(audit.arrivals[arrival.ID], arrival)
--- a/soak/internal/runner/caller.go
+++ b/soak/internal/runner/caller.go
@@ -103,6 +103,8 @@
 	_, start := vm.current()
 	call := caller.newCall(vm, start)
 	call.Method, call.Idempotent, call.Body, call.Path = http.MethodGet, true, "", path
+	key, _ := caller.runner.configuration.newest()
+	call.Key = fmt.Sprint("key-", key) // always the same organisation
 	caller.exchange(connection, bufio.NewReader(connection), []*auditor.Call{call}, 0)
 }
 
--- a/soak/internal/runner/runner.go
+++ b/soak/internal/runner/runner.go
@@ -312,6 +312,7 @@
 		runner.record.Disturbances = append(runner.record.Disturbances, *disturbance)
 	}
 	runner.record.Versions, runner.record.Restores = runner.configuration.written()
+	runner.record.Forwards, runner.record.PassedOn = runner.forwards()
 	runner.record.Bounds = auditor.Bounds{
 		SettleTime: settleTime, Propagation: propagation, Leaving: leaving, Withdrawal: withdrawal, Grace: stopGrace,
 		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20,
