--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -133,21 +133,37 @@
 	return suspected
 }
 
-// Import adds a block of another VM. It returns true if the request has been answered since,
-// which the other VM can't know.
-func (quarantiner *Quarantiner) Import(block Block, now time.Duration) bool {
+// Imported is what has become of a block of another VM.
+type Imported int
+
+// The results of Import.
+const (
+	// Known is a block that changes nothing.
+	Known Imported = iota
+	// Added is a block that was unknown.
+	Added
+	// Outdated is a block of a request that has been answered since, which the other VM can't know.
+	Outdated
+)
+
+// Import adds a block of another VM.
+func (quarantiner *Quarantiner) Import(block Block, now time.Duration) Imported {
 	known := quarantiner.add(block.Request, now)
 	if known.answered && block.CrashedAt <= known.answeredAt {
-		return true
+		return Outdated
 	}
-	if known.block.Until <= now && weigh(known.fresh(now), nil) >= crashesToBlock {
-		return false // this VM knows the crashes, and that another request explains them
+	blocked := known.block.Until > now
+	if !blocked && weigh(known.fresh(now), nil) >= crashesToBlock {
+		return Known // this VM knows the crashes, and that another request explains them
 	}
 	block.Until = min(block.Until, now+max(maxBlockTime, quarantiner.BlockTime))
 	if block.Until > known.block.Until {
 		known.block = block
 	}
-	return false
+	if blocked || block.Until <= now {
+		return Known
+	}
+	return Added
 }
 
 // BlockedUntil returns the end of the block of a request, or false if it isn't blocked.
--- a/core/quarantiner/quarantiner_test.go
+++ b/core/quarantiner/quarantiner_test.go
@@ -56,7 +56,7 @@
 	is.True(!q.RecordAnswer(printOf(1), now+2*time.Second))
 	is.True(!q.RecordAnswer(printOf(2), now))
 	q.RecordCrash(crash(1, "d", now+500*time.Millisecond), now+2*time.Second) // news that was held up
-	is.True(q.Import(quarantiner.Block{Request: printOf(1), CrashedAt: now, Until: now + time.Hour, Count: 1}, now+2*time.Second))
+	is.Equal(q.Import(quarantiner.Block{Request: printOf(1), CrashedAt: now, Until: now + time.Hour, Count: 1}, now+2*time.Second), quarantiner.Outdated)
 	is.True(!blocked(q, 1, now+2*time.Second))
 }
 
@@ -71,7 +71,7 @@
 	is.True(blocked(q, 2, now+time.Second))
 	is.Equal(len(changes), 1)
 	is.True(!changes[0].Blocked)
-	is.True(!q.Import(quarantiner.Block{Request: printOf(1), CrashedAt: now, Until: now + time.Hour, Count: 1}, now+time.Second))
+	is.Equal(q.Import(quarantiner.Block{Request: printOf(1), CrashedAt: now, Until: now + time.Hour, Count: 1}, now+time.Second), quarantiner.Known)
 	is.True(!blocked(q, 1, now+time.Second))
 }
 
@@ -100,7 +100,8 @@
 	now := crashes(q, 1, "a", "b", "c")
 	blocks := q.Blocks(now)
 	is.Equal(len(blocks), 1)
-	is.True(!other.Import(blocks[0], now))
+	is.Equal(other.Import(blocks[0], now), quarantiner.Added)
+	is.Equal(other.Import(blocks[0], now), quarantiner.Known)
 	is.Equal(other.Blocks(now), blocks)
 	blocks[0].Until = now + 1000*time.Hour // senseless
 	other.Import(blocks[0], now)
--- a/gateway/internal/dispatcher/crash_test.go
+++ b/gateway/internal/dispatcher/crash_test.go
@@ -311,4 +311,10 @@
 		}
 	}
 	is.Equal(stored, []int{0, 1, 0})
+	told := messenger.Event{Kind: messenger.RequestBlocked, Fingerprint: "fedcba9876543210", Remaining: time.Minute, Blocks: 1}
+	for _, vm := range vms {
+		vm.HandleEvent(told, true)
+		vm.HandleEvent(told, true)
+	}
+	is.Equal(stored, []int{0, 2, 0})
 }
--- a/gateway/internal/dispatcher/quarantine.go
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -103,6 +103,13 @@
 	}
 }
 
+// blocksChangedElsewhere is blocksChanged for what other VMs have told, on the VMs that write that too.
+func (dispatcher *Dispatcher) blocksChangedElsewhere() {
+	if dispatcher.WritesBlocks != nil && dispatcher.WritesBlocks() {
+		dispatcher.blocksChanged()
+	}
+}
+
 // recordCrash records a crash and logs which requests are blocked because of it, or no longer. It
 // reports whether there are any.
 func (dispatcher *Dispatcher) recordCrash(run quarantiner.Run) bool {
@@ -189,8 +196,8 @@
 			Request: fingerprint, At: quarantiner.Instance{Target: event.Name, Incarnation: event.Incarnation},
 			Start: now - max(0, event.StartedAgo), End: now - max(0, event.EndedAgo),
 		})
-		if changed && dispatcher.WritesBlocks != nil && dispatcher.WritesBlocks() {
-			dispatcher.blocksChanged() // the VM whose attempt it was may have missed the crashes before
+		if changed {
+			dispatcher.blocksChangedElsewhere() // the VM whose attempt it was may have missed the crashes before
 		}
 	case messenger.RequestCleared:
 		dispatcher.state.clear(fingerprint, now)
@@ -198,8 +205,11 @@
 		block := quarantiner.Block{
 			Request: fingerprint, CrashedAt: now - max(0, event.EndedAgo), Until: now + max(0, event.Remaining), Count: max(1, event.Blocks),
 		}
-		if dispatcher.state.importBlock(block, now) {
+		switch dispatcher.state.importBlock(block, now) {
+		case quarantiner.Outdated:
 			dispatcher.sendToAll(messenger.Event{Kind: messenger.RequestCleared, Fingerprint: event.Fingerprint})
+		case quarantiner.Added:
+			dispatcher.blocksChangedElsewhere()
 		}
 	}
 }
@@ -232,7 +242,7 @@
 	return state.quarantine.RecordAnswer(fingerprint, now)
 }
 
-func (state *state) importBlock(block quarantiner.Block, now time.Duration) bool {
+func (state *state) importBlock(block quarantiner.Block, now time.Duration) quarantiner.Imported {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	return state.quarantine.Import(block, now)
