quarantiner, dispatcher: quick retries count as crashes of their own, crashes are told again

That a run was a retry after a crash is exact and goes with the news now. And news of a crash was sent once only; a VM repeats those that it has found for 2 s with its heartbeats.

TestQuickRetryCountsLikeACrashAtTheSameMoment and TestCrashIsToldOnce failed before.

--- a/core/quarantiner/fleet_test.go
+++ b/core/quarantiner/fleet_test.go
@@ -240,14 +240,14 @@
 	lost := play.running[target]
 	play.running[target] = make(map[*send]bool)
 	for send := range lost {
-		age, ended := play.now-send.start, play.now
+		age, ended, follows := play.now-send.start, play.now, send.crashes > 0
 		record := func(vm int) {
 			// A message says how long ago the run ended, and is late.
 			end := play.now
 			if vm == send.vm {
 				end = ended
 			}
-			run := quarantiner.Run{Request: printOf(send.request), At: instance, Start: end - age, End: end}
+			run := quarantiner.Run{Request: printOf(send.request), At: instance, Start: end - age, End: end, Follows: follows}
 			play.fleet[vm].RecordCrash(run, play.now)
 		}
 		record(send.vm)
--- a/core/quarantiner/judge.go
+++ b/core/quarantiner/judge.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// needed is the weight of crashes that blocks the request: one more if it was blocked before.
+// needed is the weight of crashes that blocks the request: that of one if it was blocked before.
 func (request *request) needed() float64 {
 	if request.block.Count > 0 {
 		return 1
@@ -37,6 +37,8 @@
 		case group == 0 || run.Start >= end-clockSlack && run.End >= end+clockSlack:
 			total += group
 			group, end = 1, run.End
+		case run.Follows:
+			group = maxOverlapWeight // it did not begin before its first run had ended
 		default:
 			group = min(maxOverlapWeight, group+overlapWeight)
 		}
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -33,7 +33,7 @@
 	// crashesToBlock is the number of targets that a request crashes before it is blocked.
 	crashesToBlock = 3
 	// overlapWeight is the weight of a crash whose run overlaps an earlier one, and
-	// maxOverlapWeight the most that runs that overlap count in all.
+	// maxOverlapWeight the most that runs that overlap count in all, retries among them.
 	overlapWeight    = 0.5
 	maxOverlapWeight = 2
 	// clockSlack is the error of times that VMs tell each other: the way of a message.
@@ -61,6 +61,8 @@
 	Request    fingerprinter.Fingerprint
 	At         Instance
 	Start, End time.Duration
+	// Follows is true if it is a retry after a run that had ended with the crash of another target.
+	Follows bool
 }
 
 // Block is a request that must not be sent.
--- a/core/quarantiner/quarantiner_test.go
+++ b/core/quarantiner/quarantiner_test.go
@@ -135,3 +135,17 @@
 	is.True(blocked(q, 2, now))
 	is.True(blocked(q, 1, now))
 }
+
+// A culprit may crash two targets within milliseconds, one after the other.
+func TestQuickRetryCountsLikeACrashAtTheSameMoment(t *testing.T) {
+	is := is.New(t)
+	q := &quarantiner.Quarantiner{}
+	first := crash(1, "a", time.Second)
+	q.RecordCrash(first, time.Second)
+	second := quarantiner.Run{Request: printOf(1), At: quarantiner.Instance{Target: "b"}, Start: 2 * time.Second, End: 2010 * time.Millisecond}
+	q.RecordCrash(second, second.End)
+	third := quarantiner.Run{Request: printOf(1), At: quarantiner.Instance{Target: "c"}, Start: 2012 * time.Millisecond, End: 2020 * time.Millisecond}
+	third.Follows = true
+	q.RecordCrash(third, third.End)
+	is.True(blocked(q, 1, third.End))
+}
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -55,6 +55,8 @@
 	// lost is true if the connection ended after the request was written and before an answer, and
 	// crashed if the target couldn't be reached right after that.
 	lost, crashed bool
+	// follows is true if it is a retry after the crash of another target.
+	follows bool
 	// suspicionBefore and suspicionAfter are the target's suspicion right before and
 	// right after the outcome was recorded.
 	suspicionBefore, suspicionAfter float64
--- a/gateway/internal/dispatcher/crash_test.go
+++ b/gateway/internal/dispatcher/crash_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -318,3 +319,21 @@
 	}
 	is.Equal(stored, []int{0, 2, 0})
 }
+
+// The first news of a crash may be lost. It must be told again for a while, and then no more.
+func TestCrashIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	vms, _ := startFragile(t, 1, 12)
+	vm := vms[0]
+	var now atomic.Int64
+	now.Store(int64(vm.Clock()))
+	vm.Clock = func() time.Duration { return time.Duration(now.Load()) }
+	vm.send(http.MethodPost, "/book/crash")
+	now.Add(int64(time.Second))
+	reminders := vm.Reminders()
+	is.Equal(len(reminders), 1)
+	is.Equal(reminders[0].Kind, messenger.RequestCrashed)
+	is.Equal(reminders[0].EndedAgo, time.Second)
+	now.Add(int64(2 * time.Second))
+	is.Equal(len(vm.Reminders()), 0)
+}
--- a/gateway/internal/dispatcher/quarantine.go
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,10 @@
 	probeTimeout = 300 * time.Millisecond
 	// maxBlocks limits the blocks that a VM repeats to others and writes to the store.
 	maxBlocks = 32
+	// repeatTime is how long a crash is told to others with heartbeats, as messages may be lost, and
+	// maxRepeated the most crashes that are.
+	repeatTime  = 2 * time.Second
+	maxRepeated = 16
 	// blockedReason is the reason of refusals because the request crashes targets.
 	blockedReason = "request-blocked"
 )
@@ -79,17 +84,23 @@
 	if !ok {
 		return
 	}
-	now := dispatcher.Clock()
-	changed := dispatcher.recordCrash(quarantiner.Run{
-		Request: fingerprint, At: quarantiner.Instance{Target: attempt.target.ID, Incarnation: attempt.target.Incarnation}, Start: start, End: end,
-	})
-	if changed {
+	run := quarantiner.Run{
+		Request: fingerprint, At: quarantiner.Instance{Target: attempt.target.ID, Incarnation: attempt.target.Incarnation},
+		Start: start, End: end, Follows: attempt.follows,
+	}
+	if dispatcher.recordCrash(run) {
 		dispatcher.blocksChanged()
 	}
-	dispatcher.sendToAll(messenger.Event{
-		Kind: messenger.RequestCrashed, Name: attempt.target.ID, Incarnation: attempt.target.Incarnation,
-		Fingerprint: string(fingerprint[:]), StartedAgo: now - start, EndedAgo: now - end,
-	})
+	dispatcher.state.repeatCrash(run)
+	dispatcher.sendToAll(crashEvent(run, dispatcher.Clock()))
+}
+
+// crashEvent returns the event that tells other VMs of a crash.
+func crashEvent(run quarantiner.Run, now time.Duration) messenger.Event {
+	return messenger.Event{
+		Kind: messenger.RequestCrashed, Name: run.At.Target, Incarnation: run.At.Incarnation, Fingerprint: string(run.Request[:]),
+		StartedAgo: now - run.Start, EndedAgo: now - run.End, Follows: run.Follows,
+	}
 }
 
 func (dispatcher *Dispatcher) sendToAll(event messenger.Event) {
@@ -159,10 +170,14 @@
 	dispatcher.state.importBlock(block, dispatcher.Clock())
 }
 
-// Reminders returns an event for each request that is blocked.
+// Reminders returns an event for each request that is blocked, and for each crash that this VM has found
+// a moment ago.
 func (dispatcher *Dispatcher) Reminders() []messenger.Event {
 	now := dispatcher.Clock()
 	var events []messenger.Event
+	for _, run := range dispatcher.state.recentCrashes(now) {
+		events = append(events, crashEvent(run, now))
+	}
 	for _, block := range dispatcher.Blocks() {
 		events = append(events, messenger.Event{
 			Kind: messenger.RequestBlocked, Fingerprint: string(block.Request[:]),
@@ -194,7 +209,7 @@
 	case messenger.RequestCrashed:
 		changed := dispatcher.recordCrash(quarantiner.Run{
 			Request: fingerprint, At: quarantiner.Instance{Target: event.Name, Incarnation: event.Incarnation},
-			Start: now - max(0, event.StartedAgo), End: now - max(0, event.EndedAgo),
+			Start: now - max(0, event.StartedAgo), End: now - max(0, event.EndedAgo), Follows: event.Follows,
 		})
 		if changed {
 			dispatcher.blocksChangedElsewhere() // the VM whose attempt it was may have missed the crashes before
@@ -235,6 +250,21 @@
 	return state.quarantine.RecordCrash(run, now)
 }
 
+// repeatCrash keeps a crash that this VM has found for reminders.
+func (state *state) repeatCrash(run quarantiner.Run) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.crashes = append(state.crashes[max(0, len(state.crashes)-maxRepeated+1):], run)
+}
+
+// recentCrashes returns the crashes that other VMs are reminded of.
+func (state *state) recentCrashes(now time.Duration) []quarantiner.Run {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.crashes = slices.DeleteFunc(state.crashes, func(run quarantiner.Run) bool { return now-run.End > repeatTime })
+	return slices.Clone(state.crashes)
+}
+
 // clear records that a request was answered well, and reports whether crashes of it were known.
 func (state *state) clear(fingerprint fingerprinter.Fingerprint, now time.Duration) bool {
 	state.mutex.Lock()
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -216,7 +216,7 @@
 	if !slices.Contains(handler.tried, target.ID) {
 		handler.tried = append(handler.tried, target.ID)
 	}
-	attempt := &attempt{dispatcher: dispatcher, job: handler.job, target: target, number: handler.attempts}
+	attempt := &attempt{dispatcher: dispatcher, job: handler.job, target: target, number: handler.attempts, follows: handler.crashes > 0}
 	handler.run(attempt, func() { attempt.send(ctx) })
 	return true
 }
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -38,6 +38,8 @@
 	joined bool
 	// quarantine knows the requests that crash targets.
 	quarantine quarantiner.Quarantiner
+	// crashes are those that this VM has found and goes on to tell the others.
+	crashes []quarantiner.Run
 	// paths knows which targets this VM can't reach, and which VMs may help.
 	paths delegator.Delegator
 }
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -88,6 +88,8 @@
 	// RequestBlocked.
 	Remaining time.Duration
 	Blocks    int
+	// Follows is true if the run was a retry after another crash, for RequestCrashed.
+	Follows bool
 }
 
 // message is the content of one datagram. Messages and events are encoded as arrays: the
@@ -175,6 +177,8 @@
 func (event *Event) EncodeMsgpack(encoder *msgpack.Encoder) error {
 	used := firstEventFields
 	switch {
+	case event.Follows:
+		used += 9
 	case event.Remaining != 0:
 		used += 8
 	case event.Fingerprint != "":
@@ -198,6 +202,7 @@
 	return []any{
 		&event.Kind, &event.Name, &event.Service, &event.Outcome, &event.Incarnation, &event.Tokens, &event.Load, &event.Limit,
 		&event.Fingerprint, &event.StartedAgo, &event.EndedAgo, &event.Remaining, &event.Blocks,
+		&event.Follows,
 	}
 }
 
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -248,15 +248,16 @@
 	}
 }
 
-// remind repeats the reminders in the group. The VM that polls the store for the data centre also
-// repeats them in the rest of the fleet, in a part of its heartbeats.
+// remind repeats the reminders in the group. They are also repeated in the rest of the fleet, in a part
+// of its heartbeats by the VM that polls the store for the data centre, and crashes at once.
 func (messenger *Messenger) remind() {
 	events := messenger.reminders()
 	if len(events) == 0 {
 		return
 	}
 	messenger.SendToGroup(events...)
-	if messenger.Rank() == 0 && rand.IntN(fleetReminder) == 0 {
+	crashed := slices.ContainsFunc(events, func(event Event) bool { return event.Kind == RequestCrashed })
+	if crashed || messenger.Rank() == 0 && rand.IntN(fleetReminder) == 0 {
 		messenger.SendToFleet(events...)
 	}
 }
--- a/gateway/internal/messenger/version_test.go
+++ b/gateway/internal/messenger/version_test.go
@@ -101,13 +101,14 @@
 	var decoded messenger.Event
 	is.NoErr(msgpack.Unmarshal(encode(&event), &decoded))
 	is.Equal(decoded, event)
-	later := []any{event.Kind, event.Name, "", 0, 0, 0.5, 2.0, 1.5, "", 0, 0, 0, 0, "new", []int{1}}
+	later := []any{event.Kind, event.Name, "", 0, 0, 0.5, 2.0, 1.5, "", 0, 0, 0, 0, false, "new", []int{1}}
 	decoded = messenger.Event{}
 	is.NoErr(msgpack.Unmarshal(encode(later), &decoded))
 	is.Equal(decoded, event)
 	is.True(msgpack.Unmarshal(encode([]any{1, "crews"}), &decoded) != nil)
 	for _, event := range []messenger.Event{
 		{Kind: messenger.RequestCrashed, Name: "t", Incarnation: 5, Fingerprint: "print", StartedAgo: 2, EndedAgo: 1},
+		{Kind: messenger.RequestCrashed, Name: "t", Fingerprint: "print", StartedAgo: 2, EndedAgo: 1, Follows: true},
 		{Kind: messenger.RequestBlocked, Fingerprint: "print", EndedAgo: 1, Remaining: 3, Blocks: 2},
 	} {
 		decoded = messenger.Event{}
