dispatcher, forwarder: only VMs that can't reach the targets are left alone

Found by reading the diff: a VM that refused one request that was passed on, because targets were full or the request was blocked, wasn't asked again for 1 to 8 s, and after four such refusals requests stayed at the isolated VM for up to 4 s. The answer says now whether the VM can't reach the targets either. The line attempt-forwarded has the error.

--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -75,23 +74,27 @@
 func (attempt *attempt) forward(ctx context.Context) {
 	dispatcher := attempt.dispatcher
 	attempt.started = time.Now()
+	var err error
 	if dispatcher.maySend(attempt.job) {
-		reply, err := dispatcher.Forwarder.Forward(ctx, attempt.peer, attempt.job.call, forwarder.Conditions{
+		attempt.forwarded, err = dispatcher.Forwarder.Forward(ctx, attempt.peer, attempt.job.call, forwarder.Conditions{
 			Configuration: attempt.job.index.Version, Targets: attempt.targets, Remaining: time.Until(attempt.job.deadline),
 		})
-		attempt.forwarded = reply
 		if err != nil {
 			attempt.verdict = classifyForwardFailure(ctx, err)
 		} else {
-			attempt.verdict = assessor.ClassifyForwarded(reply.Status, reply.FromTarget, reply.Abort)
+			attempt.verdict = assessor.ClassifyForwarded(attempt.forwarded.Status, attempt.forwarded.FromTarget, attempt.forwarded.Abort)
 		}
 	} else {
 		attempt.verdict = assessor.Verdict{Outcome: placer.Unknown, Reason: assessor.Withheld}
 	}
 	latency := time.Since(attempt.started)
 	countAttempt(attempt.verdict, latency)
-	dispatcher.state.recordForwarded(attempt.job.service, attempt.peer, attempt.verdict, dispatcher.Clock())
-	dispatcher.Log.WithFields(logrus.Fields{
+	dispatcher.state.recordForwarded(attempt, dispatcher.Clock())
+	log := dispatcher.Log
+	if err != nil {
+		log = log.WithError(err)
+	}
+	log.WithFields(logrus.Fields{
 		"request": attempt.job.metadata.ID, "attempt": attempt.number, "peer": attempt.peer, "service": attempt.job.service,
 		"reason": attempt.verdict.Reason, "status": attempt.forwarded.Status, "duration": latency.Round(time.Millisecond),
 		"may-have-run": attempt.verdict.MayHaveRun,
@@ -167,15 +170,21 @@
 	state.paths.RecordUnserved(service, now)
 }
 
+// helpless reports whether the other VM can't reach the targets, or could not be reached itself. One
+// that refuses for another reason may serve the next request.
+func (attempt *attempt) helpless() bool {
+	return attempt.forwarded.OutOfReach || attempt.verdict.Reason == "peer-unreachable" || attempt.verdict.Reason == "peer-lost"
+}
+
 // recordForwarded records whether another VM could serve a request.
-func (state *state) recordForwarded(service, peer string, verdict assessor.Verdict, now time.Duration) {
+func (state *state) recordForwarded(attempt *attempt, now time.Duration) {
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	switch {
-	case verdict.Deliver != assessor.Never:
-		state.paths.RecordServed(service, peer, now)
-	case slices.Contains([]string{"peer-refused", "peer-lost", "peer-unreachable"}, verdict.Reason):
-		state.paths.RecordRefusal(peer, now)
+	case attempt.verdict.Deliver != assessor.Never:
+		state.paths.RecordServed(attempt.job.service, attempt.peer, now)
+	case attempt.helpless():
+		state.paths.RecordRefusal(attempt.peer, now)
 	}
 }
 
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -31,7 +31,7 @@
 	}
 	handler := &handler{dispatcher: dispatcher, job: job, results: make(chan *attempt, job.targets+maxExtraAttempts)}
 	reply := handler.serve(ctx)
-	reply.Targets = len(handler.tried)
+	reply.Targets, reply.OutOfReach = len(handler.tried), handler.reason == refusalIsolated.reason
 	handler.reportFailure(reply)
 	countAnswer(handler.reason, reply.Status, time.Since(call.Received))
 	handler.log(ctx, reply)
@@ -74,8 +74,9 @@
 	// answer was delivered.
 	peers []string
 	via   string
-	// forwarded is the number of targets to which these VMs may have sent the request.
-	forwarded int
+	// forwarded is the number of targets to which these VMs may have sent the request, and helpless the
+	// number of those VMs that can't reach any or could not be reached.
+	forwarded, helpless int
 	// last is the attempt that ended last.
 	last   *attempt
 	reason string
@@ -318,6 +319,9 @@
 	switch {
 	case attempt.peer != "" && !verdict.MayHaveRun:
 		handler.reached--
+		if attempt.helpless() {
+			handler.helpless++
+		}
 		handler.forwarded -= max(0, attempt.targets-attempt.forwarded.Targets)
 	case verdict.Outcome == placer.Unreachable && !verdict.MayHaveRun:
 		handler.markUnreachable(attempt.target.ID)
@@ -416,7 +420,7 @@
 	case handler.mayHaveRun:
 		return handler.refuse(refusal{status: http.StatusBadGateway, reason: handler.lastVerdict.Reason})
 	}
-	if len(handler.peers) > 0 {
+	if handler.helpless > 0 && handler.helpless == len(handler.peers) {
 		handler.dispatcher.state.recordUnserved(handler.job.service, handler.dispatcher.Clock())
 	}
 	if refusal := handler.dispatcher.refuseBlocked(handler.job); refusal != nil {
--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -110,6 +110,8 @@
 	FromTarget bool
 	// Targets is the number of targets that the request was sent to.
 	Targets int
+	// OutOfReach is true if the VM can't reach the targets.
+	OutOfReach bool
 }
 
 // Run serves requests of other VMs until the context ends.
@@ -219,7 +221,7 @@
 	}
 	return receiver.Reply{
 		Status: received.Status, Header: received.Header, Body: received.Body, Abort: received.Abort, FromTarget: received.FromTarget,
-		Targets: received.Targets,
+		Targets: received.Targets, OutOfReach: received.OutOfReach,
 	}, nil
 }
 
@@ -271,7 +273,7 @@
 func (forwarder *Forwarder) answer(context echo.Context, answer receiver.Reply) error {
 	encoded, err := msgpack.Marshal(&reply{
 		Status: answer.Status, Header: answer.Header, Body: answer.Body, Abort: answer.Abort, FromTarget: answer.FromTarget,
-		Targets: answer.Targets,
+		Targets: answer.Targets, OutOfReach: answer.OutOfReach,
 	})
 	if err != nil {
 		return fmt.Errorf("encode answer: %w", err)
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -69,6 +69,9 @@
 	FromTarget bool
 	// Targets is the number of targets that the request was sent to.
 	Targets int
+	// OutOfReach is true if another VM had passed the request on, and this one can't reach the targets
+	// either.
+	OutOfReach bool
 }
 
 // ErrGivenUp is the cause of the end of a call's context after GiveUp.
