--- a/core/quarantiner/judge.go
+++ b/core/quarantiner/judge.go
@@ -25,8 +25,8 @@
 }
 
 // weigh returns how much the crashes of runs count in all, without those at the instances that
-// other requests explain. A run counts fully if it began after the one before had ended, and ended
-// noticeably later.
+// other requests explain. A run counts fully if it began after the one before had ended, as far as
+// clockSlack allows to say, and ended later than that by clockSlack at least.
 func weigh(runs []Run, explained map[Instance]bool) float64 {
 	total, group := 0.0, 0.0
 	var end time.Duration
--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -129,6 +129,7 @@
 		return
 	}
 	go func() {
+		// It may outlast the request, by probeTimeout at most.
 		if dispatcher.Exchanger.Reachable(context.Background(), target.Address, probeTimeout) {
 			dispatcher.recordConnected(target)
 		} else {
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -496,6 +496,9 @@
 func (dispatcher *Dispatcher) logRefusal(call *receiver.Call, refusal *refusal) {
 	path, _, _ := strings.Cut(call.Target, "?") // the query may contain secrets
 	fields := logrus.Fields{"status": refusal.status, "reason": refusal.reason, "host": call.Request.Host, "path": path}
+	if call.From != "" {
+		fields["from"], fields["required"] = call.From, call.Configuration
+	}
 	if index := dispatcher.Tracker.Index(); index != nil {
 		fields["configuration"] = index.Version
 		freshness := dispatcher.freshness()
--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 // # Usage
 //
 //	forwarder := &forwarder.Forwarder{Name: name, Address: address, Key: key, Handler: dispatcher, Log: log}
+//	forwarder.Open()
 //	go forwarder.Run(ctx)
 //	reply, err := forwarder.Forward(ctx, peerAddress, call, conditions)
 package forwarder
@@ -44,13 +45,13 @@
 	dialTimeout = 400 * time.Millisecond
 	// unackedTimeout ends a connection to a VM that acknowledges nothing.
 	unackedTimeout = time.Second
-	// maxMessageBytes limits one request or answer.
+	// maxMessageBytes limits one request or answer: the longest answer of a target, with its header.
 	maxMessageBytes   = 48 << 20
 	readHeaderTimeout = 2 * time.Second
 	idleTimeout       = 40 * time.Second // longer than that of the exchanger
 )
 
-// Forwarder exchanges requests with other VMs. Fields are set before Run.
+// Forwarder exchanges requests with other VMs. Fields are set before Open.
 type Forwarder struct {
 	// Name is the name of this VM.
 	Name string
@@ -65,8 +66,9 @@
 	Log      *logrus.Entry
 
 	inFlight atomic.Int64
-	dials    exchanger.Exchanger
-
+	// peers sends requests to other VMs.
+	peers exchanger.Exchanger
+	// messages reads requests and answers of other VMs.
 	messages bufferer.Bufferer
 
 	mutex sync.Mutex
@@ -131,7 +133,7 @@
 	defer stop()
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { _ = forwarder.dials.Run(ctx) })
+	group.Go(func() { _ = forwarder.peers.Run(ctx) })
 	config := &tls.Config{
 		MinVersion:         tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return forwarder.tlsConfig() },
@@ -166,8 +168,8 @@
 func (forwarder *Forwarder) Open() {
 	forwarder.messages.Limit = forwarder.MaxBytes
 	dialer := &net.Dialer{Control: exchanger.UnackedTimeout(unackedTimeout).Control}
-	forwarder.dials.DialTimeout = dialTimeout
-	forwarder.dials.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+	forwarder.peers.DialTimeout = dialTimeout
+	forwarder.peers.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		config, err := forwarder.tlsConfig()
 		if err != nil {
 			return nil, err
@@ -200,7 +202,7 @@
 		Method: http.MethodPost, URL: &url.URL{Path: path}, Host: address, Header: http.Header{"User-Agent": {""}},
 		ContentLength: int64(len(encoded)), Body: io.NopCloser(bytes.NewReader(encoded)),
 	}
-	answer, err := forwarder.dials.Do(ctx, exchanger.Call{Address: address, Request: httpRequest})
+	answer, err := forwarder.peers.Do(ctx, exchanger.Call{Address: address, Request: httpRequest})
 	if err != nil {
 		return receiver.Reply{}, err
 	}
@@ -233,7 +235,8 @@
 		return forwarder.answer(context, forwarder.Handler.Refuse(http.StatusServiceUnavailable, "bodies-too-large"))
 	}
 	if err != nil {
-		return err
+		forwarder.Log.WithError(err).WithField("bytes", len(body)).Warn("forwarded-request-cut")
+		return context.NoContent(http.StatusBadRequest)
 	}
 	var received request
 	if err := msgpack.Unmarshal(body, &received); err != nil {
@@ -266,7 +269,8 @@
 	now := time.Now()
 	return &receiver.Call{
 		Request: &http.Request{Method: request.Method, URL: target, Host: request.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1},
-		Target:  request.Target, Body: request.Body, Received: now, Accepted: now, Turn: turn, From: request.From, Configuration: request.Configuration, Targets: max(1, request.Targets),
+		Target:  request.Target, Body: request.Body, Received: now, Accepted: now, Turn: turn,
+		From: request.From, Configuration: request.Configuration, Targets: max(1, request.Targets),
 	}, nil
 }
 
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -242,7 +242,7 @@
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
 	var candidates []delegator.Candidate
-	for _, peer := range messenger.peers { // in random order
+	for _, peer := range messenger.peers { // Go begins at a random one
 		if len(candidates) < nearCandidates && !peer.silent {
 			candidates = append(candidates, delegator.Candidate{Address: peer.address.String(), Distance: delegator.SameDataCentre})
 		}
