--- a/gateway/internal/dispatcher/handler_test.go
+++ b/gateway/internal/dispatcher/handler_test.go
@@ -32,3 +32,15 @@
 		}
 	}
 }
+
+// A request whose caller has left must not count as failed because its attempt ends first.
+func TestRequestOfACallerThatHasLeftIsAnswered(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		handler := &handler{job: &job{route: &indexer.Route{}}, results: make(chan *attempt, 1), inFlight: 1}
+		handler.results <- &attempt{verdict: assessor.Verdict{MayHaveRun: true, Reason: "cancelled"}}
+		is.True(handler.awaitAttempts(ctx).Abort)
+	}
+}
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -337,7 +337,7 @@
 	if verdict.Deliver == assessor.IfLast {
 		handler.failure = attempt
 	}
-	if givenUp(ctx) {
+	if givenUp(ctx) || context.Cause(ctx) == context.Canceled {
 		reply := handler.expire(ctx)
 		return &reply
 	}
