review: a withdrawn key is in use again after a restore and a restart

Rule: CONFIG, StrictRevocation. Disruptions: the drill, in which the store comes back from a copy some seconds old, and one VM that is killed and started again.

Seen: the VM that starts reads the older configuration and, before it has joined the fleet, runs requests with a key whose withdrawal was acknowledged more than 7 s before (bound: 5 s). The VM beside it still knows the newer one.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,7 +27,8 @@
 
 // cases are the cases by name. Each returns how many times the rule was broken.
 var cases = map[string]func(ctx context.Context, record *record, trouble bool) (int, error){
-	"twice": playTwice,
+	"twice":     playTwice,
+	"withdrawn": playWithdrawn,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
