review: case 2 with an operator that writes again after one second

Disruptions: as before, but the VM is killed while the store is away, and the operator writes the newest configuration again 1 s after its return, not 2 s.

--- a/review/standin/withdrawn.go
+++ b/review/standin/withdrawn.go
@@ -22,11 +22,11 @@
 	// storeAway is how long the store is away before it comes back from the copy.
 	storeAway = time.Second
 	// rewriteDelay is how long after that the operator writes the newest configuration again.
-	rewriteDelay = 2 * time.Second
+	rewriteDelay = time.Second
 	// restartDelay is how long after its end a process is started again.
 	restartDelay = 200 * time.Millisecond
 	// callers is the number of callers that use the withdrawn key.
-	callers = 4
+	callers = 8
 )
 
 // playWithdrawn takes a key away, has the store come back from a copy from before that, and kills
@@ -91,20 +91,22 @@
 		record.printf("the store goes away")
 		fleet.store.SetFaults(faker.Faults{Refuse: http.StatusServiceUnavailable})
 	}
-	time.Sleep(storeAway)
+	back := time.Now().Add(storeAway)
+	time.Sleep(storeAway / 4)
 	record.printf("vm-0 is killed")
 	fleet.vms[0].kill()
+	time.Sleep(restartDelay)
+	if err := fleet.vms[0].start(); err != nil {
+		return 0, err
+	}
+	record.printf("vm-0 is started again")
+	time.Sleep(time.Until(back))
 	if trouble {
 		fleet.store.Restore(copied)
 		fleet.store.SetFaults(faker.Faults{})
 		record.printf("the store is back from a copy of before r12")
 	}
 	restored := time.Now()
-	time.Sleep(restartDelay)
-	if err := fleet.vms[0].start(); err != nil {
-		return 0, err
-	}
-	record.printf("vm-0 is started again")
 	time.Sleep(time.Until(restored.Add(rewriteDelay)))
 	if trouble {
 		fleet.store.Put(platform.ConfigurationTable, "", platform.ConfigurationKey, value)
