review: a request that silences the targets it crashes is never blocked

Rule: BUDGET, crashing requests. Disruption: a request that crashes each target that begins to run it; the targets fall silent (srv_crash, dark) and are back after 4 s.

Seen: the request reaches two targets each time it comes and is never blocked; only a connection that ends counts as a sign of a crash. 24 crashes in 50 s, and the bookings that ran on these targets are lost.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,9 @@
 var cases = map[string]func(ctx context.Context, record *record, trouble bool) (int, error){
 	"twice":     playTwice,
 	"withdrawn": playWithdrawn,
+	"foreign":   playForeign,
+	"late":      playLate,
+	"dark":      playDark,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -27,6 +27,7 @@
 	mutex    sync.Mutex
 	answers  int
 	copies   int
+	opened   []net.Conn
 }
 
 func (target *target) open() error {
@@ -41,12 +42,25 @@
 			if err != nil {
 				return
 			}
+			target.mutex.Lock()
+			target.opened = append(target.opened, connection)
+			target.mutex.Unlock()
 			go target.serve(connection)
 		}
 	}()
 	return nil
 }
 
+// exit ends the target: it accepts no connections, and those that are open end.
+func (target *target) exit() {
+	_ = target.listener.Close()
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	for _, connection := range target.opened {
+		_ = connection.Close()
+	}
+}
+
 // serve answers the requests of a connection one at a time.
 func (target *target) serve(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
