--- a/review/standin/departure.go
+++ b/review/standin/departure.go
@@ -22,6 +22,8 @@
 	// drains, and lateness how much later than it was sent that heartbeat is performed.
 	reportDelay = 3600 * time.Millisecond
 	lateness    = 6 * time.Second
+	// bookingTime is how long a target works on a booking.
+	bookingTime = 260 * time.Millisecond
 	// bookers is the number of callers that book one after the other.
 	bookers = 10
 	// refusedPause is how long a caller waits after a refusal.
@@ -84,7 +86,7 @@
 	targets := make([]*target, 3)
 	entries := make([]placer.Target, len(targets))
 	for i := range targets {
-		targets[i] = &target{Target: faker.Target{ID: fmt.Sprint("i-", i), Service: "kaambook", Slots: 4, ServiceTime: workTime, Record: runs.add}}
+		targets[i] = &target{Target: faker.Target{ID: fmt.Sprint("i-", i), Service: "kaambook", Slots: 4, ServiceTime: bookingTime, Record: runs.add}}
 		if err := targets[i].open(); err != nil {
 			return 0, err
 		}
@@ -160,7 +162,7 @@
 	time.Sleep(2 * time.Second)
 	cancel()
 	group.Wait()
-	time.Sleep(2 * workTime)
+	time.Sleep(2 * bookingTime)
 	count, lost := 0, 0
 	for _, request := range booked.all {
 		for _, arrival := range runs.of(request.id) {
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -23,9 +23,9 @@
 	// farRefusal is how long the target in the other data centre takes to say that it is full.
 	farRefusal = 250 * time.Millisecond
 	// copyDelay is how much later than the answer its copy arrives.
-	copyDelay = 440 * time.Millisecond
+	copyDelay = 460 * time.Millisecond
 	// workTime is how long a target works on a request.
-	workTime = 260 * time.Millisecond
+	workTime = 400 * time.Millisecond
 	// reads is the number of reads before each booking.
 	reads    = 40
 	patience = 2500 * time.Millisecond
