--- a/review/standin/departure.go
+++ b/review/standin/departure.go
@@ -192,7 +192,7 @@
 	return json.Marshal(fields)
 }
 
-// state returns the state that an entry names, and an entry without a field has none.
+// state returns the state that an entry names. One that lacks Version names none.
 func state(value []byte) string {
 	var fields struct{ State, Version string }
 	if json.Unmarshal(value, &fields) != nil || fields.Version == "" {
