--- a/review/standin/withdrawn.go
+++ b/review/standin/withdrawn.go
@@ -119,7 +119,7 @@
 	slices.SortFunc(sent.all, func(a, b sentRequest) int { return a.at.Compare(b.at) })
 	count := 0
 	for _, request := range sent.all {
-		ran := len(runs.of(request.id)) > 0
+		ran := slices.ContainsFunc(runs.of(request.id), func(arrival faker.Arrival) bool { return arrival.Run })
 		record.printf("%s with the withdrawn key, sent at %.3f s to %s, %.3f s after the acknowledgement: answered %d, ran: %t",
 			request.id, request.at.Sub(record.start).Seconds(), request.vm, request.at.Sub(acknowledged).Seconds(), request.status, ran)
 		if ran && request.at.Sub(acknowledged) > withdrawal {
