dispatcher: a late copy of an answer to the same request is no answer

Cause: all attempts of a request have one X-Attempt-Id, by which alone an answer is matched. On a kept connection a late copy of the rejection of attempt 1 passes as the answer to attempt 3 at the same target. Shown by the lines: attempt 3 is not-run after 209 ms at a target whose record says run=true from then on.

Ruled out: bytes left over from before the write (such connections are closed), answers without an ID (they prove nothing on kept connections).

A request that goes to a target again gets a new connection.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -44,6 +44,8 @@
 	// targets is the number of targets to which that VM may send the request.
 	targets int
 	number  int
+	// repeated is true if the request was sent to the target before.
+	repeated bool
 	// forwarded is the answer of that VM.
 	forwarded receiver.Reply
 
@@ -92,6 +94,8 @@
 	request := attempt.request()
 	call := exchanger.Call{
 		Address: attempt.target.Address, Request: request,
+		// All attempts of a request have one ID, so that a late copy of an earlier answer would match.
+		FreshOnly: attempt.repeated,
 		Connected: func(fresh bool) {
 			attempt.dialed.Store(true)
 			if fresh {
@@ -288,6 +292,9 @@
 		"duration": latency.Round(time.Millisecond), "may-have-run": verdict.MayHaveRun,
 		"suspicion-before": attempt.suspicionBefore, "suspicion-after": attempt.suspicionAfter,
 	}
+	if attempt.repeated {
+		fields["repeated"] = true
+	}
 	if attempt.lost {
 		if fingerprint, ok := dispatcher.fingerprint(attempt.job); ok {
 			fields["fingerprint"] = fingerprint
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -214,10 +214,13 @@
 	handler.attempts++
 	handler.reached++
 	handler.inFlight++
-	if !slices.Contains(handler.tried, target.ID) {
+	repeated := slices.Contains(handler.tried, target.ID)
+	if !repeated {
 		handler.tried = append(handler.tried, target.ID)
 	}
-	attempt := &attempt{dispatcher: dispatcher, job: handler.job, target: target, number: handler.attempts, follows: handler.crashes > 0}
+	attempt := &attempt{
+		dispatcher: dispatcher, job: handler.job, target: target, number: handler.attempts, repeated: repeated, follows: handler.crashes > 0,
+	}
 	handler.run(attempt, func() { attempt.send(ctx) })
 	return true
 }
