dispatcher, quarantiner: a target that falls silent under a request counts as crashed

Cause: a crash was an attempt whose connection ended. Here it ended with the request's deadline and counted as slow; the lines told such a target from a slow one, one that hangs or a path that is cut in no way. The line target-silent and the counter gateway_target_looks_total are new.

Ruled out: that crashes were known and told late (none was recorded); that the deadline is sign enough (in virtual time a request that comes sooner ends a target each time until then).

When an attempt lasts longer than answers usually do, or ends unanswered, the VM dials the target; if that fails, the target that answered it last, to know its own path; then the first again.

--- a/core/placer/placer.go
+++ b/core/placer/placer.go
@@ -58,6 +58,8 @@
 	// leaving holds the target instances that announced in an answer that they
 	// leave.
 	leaving map[instance]bool
+	// witnesses are the targets that answered this VM last.
+	witnesses []witness
 }
 
 // The costs of an attempt. The unit is the cost of a failed request that can't be
@@ -209,8 +211,7 @@
 
 // Usable reports whether a picked target may still receive the request.
 func (placer *Placer) Usable(picked Target, now time.Duration) bool {
-	known := placer.byID[picked.ID]
-	return known != nil && !known.isLeaving() && !known.coolingDown(now) && known.Address == picked.Address && known.Incarnation == picked.Incarnation
+	return placer.Present(picked) && !placer.byID[picked.ID].coolingDown(now)
 }
 
 // Done records the end of an attempt of this VM.
@@ -221,6 +222,9 @@
 	}
 	known.ownInFlight = max(0, known.ownInFlight-1)
 	known.record(outcome, true, now)
+	if outcome.isAnswer() {
+		placer.recordAnswer(known, now)
+	}
 }
 
 // PeerStarted records the start of an attempt of another VM.
--- a/core/placer/target.go
+++ b/core/placer/target.go
@@ -52,6 +52,9 @@
 	failedAt time.Duration
 	// lastAttemptAt is when the last known attempt started.
 	lastAttemptAt time.Duration
+	// answeredAt is when the last answer to this VM came. It is only set if answered is true.
+	answeredAt time.Duration
+	answered   bool
 	// backoffUntil is when a target that was unreachable, full or replaced may be
 	// picked again.
 	backoffUntil time.Duration
--- a/core/quarantiner/judge.go
+++ b/core/quarantiner/judge.go
@@ -15,13 +15,44 @@
 	return crashesToBlock
 }
 
+// recordDown records that an instance was down at the end of a run.
+func (quarantiner *Quarantiner) recordDown(run Run, now time.Duration) {
+	if quarantiner.downAt == nil {
+		quarantiner.downAt = make(map[Instance]time.Duration)
+	}
+	at, known := quarantiner.downAt[run.At]
+	if known && at <= run.End {
+		return
+	}
+	if !known && len(quarantiner.downAt) >= maxInstances {
+		maps.DeleteFunc(quarantiner.downAt, func(_ Instance, at time.Duration) bool { return at < now-memory })
+		if len(quarantiner.downAt) >= maxInstances {
+			return
+		}
+	}
+	quarantiner.downAt[run.At] = run.End
+}
+
+// sentTooLate reports whether a run began when its instance was known to be down: it was sent over a
+// connection that the crash had not ended.
+func (quarantiner *Quarantiner) sentTooLate(run Run) bool {
+	at, known := quarantiner.downAt[run.At]
+	return known && run.Start > at
+}
+
 // fresh returns the runs that count.
-func (request *request) fresh(now time.Duration) []Run {
-	old := 0
-	for old < len(request.runs) && request.runs[old].End < now-memory {
-		old++
+func (quarantiner *Quarantiner) fresh(request *request, now time.Duration) []Run {
+	counts := func(run Run) bool { return run.End >= now-memory && !quarantiner.sentTooLate(run) }
+	if !slices.ContainsFunc(request.runs, func(run Run) bool { return !counts(run) }) {
+		return request.runs
+	}
+	var fresh []Run
+	for _, run := range request.runs {
+		if counts(run) {
+			fresh = append(fresh, run)
+		}
 	}
-	return request.runs[old:]
+	return fresh
 }
 
 // weigh returns how much the crashes of runs count in all, without those at the instances that
@@ -56,7 +87,7 @@
 	}
 	var candidates []candidate
 	for _, known := range quarantiner.requests {
-		runs := known.fresh(now)
+		runs := quarantiner.fresh(known, now)
 		if weight := weigh(runs, nil); weight >= known.needed() {
 			candidates = append(candidates, candidate{known, runs, weight})
 		}
--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -8,6 +8,10 @@
 // callers send at the same time is on all of them. Where a blocked request took part, a crash
 // no longer counts against others.
 //
+// A target may also crash so that its connections stay open. A Watch says when to look whether
+// that is so, and a Look what was seen. Runs at such targets end when they are found to be down, and
+// those that began after that don't count.
+//
 // All VMs of a fleet tell each other of crashes and answers, and decide alike.
 //
 // # Usage
@@ -18,6 +22,12 @@
 //		// Refuse the request.
 //	}
 //	cleared := quarantiner.RecordAnswer(fingerprint, now) // tell the other VMs if true
+//
+//	watch := &quarantiner.Watch{Usual: usual}
+//	time.Sleep(watch.Next())
+//	if (quarantiner.Look{Reachable: reachable, OthersReachable: others}).Judge() == quarantiner.Crashed {
+//		// Record a crash.
+//	}
 package quarantiner
 
 import (
@@ -44,9 +54,11 @@
 	maxBlockTime = time.Hour
 	// memory is how long a crash counts.
 	memory = 10 * time.Minute
-	// maxRequests limits the requests that are remembered, and maxRuns the runs of each.
-	maxRequests = 1024
-	maxRuns     = 8
+	// maxRequests limits the requests that are remembered, maxRuns the runs of each, and maxInstances the
+	// instances that have crashed.
+	maxRequests  = 1024
+	maxRuns      = 16
+	maxInstances = 4096
 )
 
 // Instance is one start of a target.
@@ -56,7 +68,8 @@
 }
 
 // Run is a run of a request that ended with a crash of its target. Times are on the monotonic
-// clock of this VM.
+// clock of this VM. If the crash ended no connection, End is the first time at which the target
+// was found to be down.
 type Run struct {
 	Request    fingerprinter.Fingerprint
 	At         Instance
@@ -94,6 +107,8 @@
 	BlockTime time.Duration
 
 	requests map[fingerprinter.Fingerprint]*request
+	// downAt are the times at which instances were first known to be down.
+	downAt map[Instance]time.Duration
 }
 
 // request is what is known of a request.
@@ -109,6 +124,7 @@
 // RecordCrash adds a run that ended with a crash, found by this VM or another. It returns the
 // requests whose state has changed.
 func (quarantiner *Quarantiner) RecordCrash(run Run, now time.Duration) []Change {
+	quarantiner.recordDown(run, now)
 	known := quarantiner.add(run.Request, now)
 	if known.answered && run.End <= known.answeredAt {
 		return nil
@@ -155,7 +171,7 @@
 		return Outdated
 	}
 	blocked := known.block.Until > now
-	if !blocked && weigh(known.fresh(now), nil) >= crashesToBlock {
+	if !blocked && weigh(quarantiner.fresh(known, now), nil) >= crashesToBlock {
 		return Known // this VM knows the crashes, and that another request explains them
 	}
 	block.Until = min(block.Until, now+max(maxBlockTime, quarantiner.BlockTime))
--- a/gateway/internal/dispatcher/admit.go
+++ b/gateway/internal/dispatcher/admit.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"godwitramp.example/core/drainer"
@@ -26,6 +27,8 @@
 	targets int
 	// limit is the time from the receipt of the request to its deadline.
 	limit time.Duration
+	// answered is true once an attempt was answered well.
+	answered atomic.Bool
 }
 
 // otherVMRetryAfter is the Retry-After of refusals that another VM may not give, for
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -54,6 +54,10 @@
 	verdict  assessor.Verdict
 	dialed   atomic.Bool
 	started  time.Time
+	watch    watch
+	// written is true if the request may have been written, and silent if the target can't be reached that
+	// has not answered it.
+	written, silent atomic.Bool
 	// lost is true if the connection ended after the request was written and before an answer, and
 	// crashed if the target couldn't be reached right after that.
 	lost, crashed bool
@@ -67,7 +71,9 @@
 // send sends the request, classifies the result and records it.
 func (attempt *attempt) send(ctx context.Context) {
 	attempt.started = time.Now()
+	attempt.startWatch()
 	answer, err := attempt.dispatcher.Exchanger.Do(ctx, attempt.call())
+	attempt.endWatch(err)
 	if err != nil {
 		attempt.verdict = assessor.ClassifyFailure(attempt.failureOf(ctx, err))
 	} else {
@@ -75,7 +81,9 @@
 	}
 	latency := time.Since(attempt.started)
 	attempt.detectCrash(ctx)
-	if attempt.verdict.Outcome == placer.Unreachable {
+	if attempt.silent.Load() && err != nil {
+		attempt.crashed, attempt.verdict.Outcome = true, placer.Unreachable
+	} else if attempt.verdict.Outcome == placer.Unreachable {
 		attempt.dispatcher.recordUnreachable(attempt.target)
 	}
 	attempt.recordOutcome(latency)
@@ -108,6 +116,7 @@
 				return errWithheld
 			}
 			platform.WriteAttempt(request.Header, attempt.instructions())
+			attempt.written.Store(true)
 			return nil
 		},
 	}
@@ -278,6 +287,7 @@
 	switch verdict.Outcome {
 	case placer.Good:
 		dispatcher.latency.observe(attempt.job.service, latency)
+		attempt.job.answered.Store(true)
 		dispatcher.recordAnswer(attempt.job)
 	case placer.Failed:
 		if attempt.job.route.Idempotent { // for others the end of the request follows
@@ -295,7 +305,7 @@
 	if attempt.repeated {
 		fields["repeated"] = true
 	}
-	if attempt.lost {
+	if attempt.lost || attempt.crashed {
 		if fingerprint, ok := dispatcher.fingerprint(attempt.job); ok {
 			fields["fingerprint"] = fingerprint
 		}
--- a/gateway/internal/dispatcher/crash_test.go
+++ b/gateway/internal/dispatcher/crash_test.go
@@ -30,8 +30,14 @@
 	crashes, ran int
 	// resets makes every request end with a reset of its own connection only.
 	resets bool
+	// silent makes crashes end no connection; new ones to a target that is down hang.
+	silent bool
+	// cut makes all connections hang.
+	cut bool
 	// hold, if set, keeps requests running until it is closed.
 	hold chan struct{}
+	// ended is closed when the test ends.
+	ended chan struct{}
 }
 
 // crashTime is how long a request runs before its target crashes.
@@ -39,9 +45,15 @@
 
 var errRefused = errors.New("connection refused")
 
-func (fragileTargets *fragileTargets) dial(_ context.Context, _, address string) (net.Conn, error) {
+func (fragileTargets *fragileTargets) dial(ctx context.Context, _, address string) (net.Conn, error) {
 	fragileTargets.mutex.Lock()
 	defer fragileTargets.mutex.Unlock()
+	if fragileTargets.cut || fragileTargets.down[address] && fragileTargets.silent {
+		fragileTargets.mutex.Unlock()
+		<-ctx.Done()
+		fragileTargets.mutex.Lock()
+		return nil, ctx.Err()
+	}
 	if fragileTargets.down[address] {
 		return nil, errRefused
 	}
@@ -83,6 +95,15 @@
 		time.Sleep(crashTime)
 	}
 	fragileTargets.mutex.Lock()
+	if fragileTargets.cut || fragileTargets.silent && (crashes || fragileTargets.down[address]) {
+		if crashes && !fragileTargets.cut && !fragileTargets.down[address] {
+			fragileTargets.crashes++
+			fragileTargets.down[address] = true
+		}
+		fragileTargets.mutex.Unlock()
+		<-fragileTargets.ended
+		return false
+	}
 	defer fragileTargets.mutex.Unlock()
 	if fragileTargets.resets {
 		return false
@@ -148,7 +169,8 @@
 
 // startFragile returns VMs of one group in front of the targets.
 func startFragile(t *testing.T, vms, targets int) ([]*vm, *fragileTargets) {
-	fragile := &fragileTargets{open: make(map[string][]net.Conn), down: make(map[string]bool)}
+	fragile := &fragileTargets{open: make(map[string][]net.Conn), down: make(map[string]bool), ended: make(chan struct{})}
+	t.Cleanup(func() { close(fragile.ended) })
 	servers := make([]*targetServer, targets)
 	for i := range servers {
 		servers[i] = &targetServer{address: fmt.Sprint("target:", i)}
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -100,6 +100,7 @@
 	// answers limits the memory for answer bodies in transfer.
 	answers bufferer.Bufferer
 	latency latencies
+	looks   looks
 	stop    atomic.Pointer[stop]
 }
 
--- a/gateway/internal/dispatcher/meter.go
+++ b/gateway/internal/dispatcher/meter.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"godwitramp.example/core/assessor"
+	"godwitramp.example/core/quarantiner"
 )
 
 // countAnswer counts an answer and its duration. The labels have few values: reasons are
@@ -37,6 +38,11 @@
 // countCrash counts a crash of a target under a request.
 func countCrash() { metrics.GetOrCreateCounter("gateway_target_crashes_total").Inc() }
 
+// countLook counts a look at a target that has not answered.
+func countLook(finding quarantiner.Finding) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`gateway_target_looks_total{finding=%q}`, finding)).Inc()
+}
+
 // countBlock counts a request that has become blocked.
 func countBlock() { metrics.GetOrCreateCounter("gateway_requests_blocked_total").Inc() }
 
--- a/gateway/internal/dispatcher/quarantine.go
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -79,6 +79,13 @@
 	attempt.crashed = true
 	// It may also be this VM's path that is cut. In neither case the target fails requests.
 	attempt.verdict.Outcome = placer.Unreachable
+	attempt.recordCrash(start, end)
+}
+
+// recordCrash records that the target has crashed while it ran the request, from start to end, and tells
+// the other VMs.
+func (attempt *attempt) recordCrash(start, end time.Duration) {
+	dispatcher := attempt.dispatcher
 	countCrash()
 	fingerprint, ok := dispatcher.fingerprint(attempt.job)
 	if !ok {
--- /dev/null
+++ b/gateway/internal/dispatcher/silence.go
@@ -0,0 +1,192 @@
+package dispatcher
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"godwitramp.example/core/placer"
+	"godwitramp.example/core/quarantiner"
+	"godwitramp.example/shell/exchanger"
+	"godwitramp.example/shell/recoverer"
+)
+
+// defaultLookDelay applies to routes without a latency objective while the usual latency is unknown.
+const defaultLookDelay = time.Second
+
+// watch runs the looks at the target of an attempt that isn't answered.
+type watch struct {
+	quarantiner.Watch
+	mutex sync.Mutex
+	timer *time.Timer
+	ended bool
+}
+
+// startWatch begins to look at the target from time to time until endWatch.
+func (attempt *attempt) startWatch() {
+	watch := &attempt.watch
+	objective := cmp.Or(attempt.job.route.LatencyObjective, defaultLookDelay)
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	watch.Usual = attempt.dispatcher.latency.hedgeDelay(attempt.job.service, objective)
+	watch.timer = time.AfterFunc(watch.Next(), func() { attempt.recoverLook(attempt.lookAgain) })
+}
+
+// recoverLook runs a look in the background.
+func (attempt *attempt) recoverLook(look func()) {
+	recoverer.Do(attempt.dispatcher.Log.WithField("request", attempt.job.metadata.ID), look)
+}
+
+func (attempt *attempt) lookAgain() {
+	if attempt.written.Load() && attempt.look(answerRecent) == quarantiner.Crashed {
+		return
+	}
+	watch := &attempt.watch
+	watch.mutex.Lock()
+	defer watch.mutex.Unlock()
+	if !watch.ended {
+		watch.timer.Reset(watch.Next())
+	}
+}
+
+// endWatch ends the looks. If the attempt has ended without an answer while its connection stayed open,
+// it looks once more: a caller's deadline may be shorter than the usual latency.
+func (attempt *attempt) endWatch(err error) {
+	watch := &attempt.watch
+	watch.mutex.Lock()
+	watch.ended = true
+	watch.timer.Stop()
+	watch.mutex.Unlock()
+	var exchange *exchanger.Error
+	if !errors.As(err, &exchange) || !exchange.Written || exchange.Answered || attempt.silent.Load() || attempt.job.answered.Load() {
+		return
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) || errors.Is(err, syscall.ETIMEDOUT) {
+		// It may outlast the request, by three times probeTimeout at most.
+		go attempt.recoverLook(func() { attempt.look(0) })
+	}
+}
+
+// look finds out whether the target has crashed without ending its connections, and records that once. An
+// answer of the target to another attempt shows that it has not if it is no older than recent.
+func (attempt *attempt) look(recent time.Duration) quarantiner.Finding {
+	dispatcher, target := attempt.dispatcher, attempt.target
+	if !dispatcher.state.present(target) {
+		return quarantiner.Alive // a target that leaves ends in time
+	}
+	if recent > 0 && dispatcher.state.answeredSince(target, dispatcher.Clock()-recent) {
+		return quarantiner.Alive
+	}
+	look, lookedAt := dispatcher.looks.at(dispatcher, target)
+	finding := look.Judge()
+	countLook(finding)
+	if finding == quarantiner.Alive || attempt.job.answered.Load() {
+		return finding
+	}
+	waited := time.Since(attempt.started)
+	log := dispatcher.Log.WithFields(logrus.Fields{
+		"request": attempt.job.metadata.ID, "attempt": attempt.number, "target": target.ID, "service": target.Service,
+		"incarnation": target.Incarnation, "waited": waited.Round(time.Millisecond), "finding": finding,
+	})
+	if fingerprint, ok := dispatcher.fingerprint(attempt.job); ok {
+		log = log.WithField("fingerprint", fingerprint)
+	}
+	if finding == quarantiner.Crashed && !attempt.silent.CompareAndSwap(false, true) {
+		return finding // recorded already
+	}
+	log.Info("target-silent")
+	if finding == quarantiner.Crashed {
+		attempt.recordCrash(dispatcher.Clock()-waited, lookedAt)
+	}
+	return finding
+}
+
+// looks joins the looks at a target that many attempts wait for.
+type looks struct {
+	mutex   sync.Mutex
+	running map[quarantiner.Instance]*runningLook
+}
+
+type runningLook struct {
+	done  chan struct{}
+	look  quarantiner.Look
+	begun time.Duration
+}
+
+// at returns what a look at the target shows, and when it began.
+func (looks *looks) at(dispatcher *Dispatcher, target placer.Target) (quarantiner.Look, time.Duration) {
+	instance := quarantiner.Instance{Target: target.ID, Incarnation: target.Incarnation}
+	looks.mutex.Lock()
+	if running := looks.running[instance]; running != nil {
+		looks.mutex.Unlock()
+		<-running.done
+		return running.look, running.begun
+	}
+	running := &runningLook{done: make(chan struct{}), begun: dispatcher.Clock()}
+	if looks.running == nil {
+		looks.running = make(map[quarantiner.Instance]*runningLook)
+	}
+	looks.running[instance] = running
+	looks.mutex.Unlock()
+	defer func() {
+		looks.mutex.Lock()
+		delete(looks.running, instance)
+		looks.mutex.Unlock()
+		close(running.done)
+	}()
+	running.look = dispatcher.lookAt(target, running.begun)
+	return running.look, running.begun
+}
+
+// answerRecent is the time within which an answer shows that a target is up, if it is looked at again later.
+const answerRecent = 100 * time.Millisecond
+
+// lookAt dials the target and, if that fails, the target that answered this VM last, unless that has
+// answered since now, and then the first once more: the VM's path may have been cut for a moment.
+func (dispatcher *Dispatcher) lookAt(target placer.Target, now time.Duration) quarantiner.Look {
+	state := &dispatcher.state
+	if dispatcher.Exchanger.Reachable(context.Background(), target.Address, probeTimeout) {
+		return quarantiner.Look{Reachable: true}
+	}
+	state.recordSilent(target, dispatcher.Clock())
+	witness, answeredAt, ok := state.witness(target)
+	if ok && answeredAt < now {
+		ok = dispatcher.Exchanger.Reachable(context.Background(), witness.Address, probeTimeout)
+	}
+	if !ok {
+		return quarantiner.Look{}
+	}
+	return quarantiner.Look{
+		OthersReachable: true, Reachable: dispatcher.Exchanger.Reachable(context.Background(), target.Address, probeTimeout),
+	}
+}
+
+// present reports whether the target is still the same and isn't leaving.
+func (state *state) present(target placer.Target) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.Present(target)
+}
+
+func (state *state) answeredSince(target placer.Target, since time.Duration) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.AnsweredSince(target, since)
+}
+
+func (state *state) witness(other placer.Target) (placer.Target, time.Duration, bool) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	return state.placer.Witness(other)
+}
+
+func (state *state) recordSilent(target placer.Target, now time.Duration) {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	state.placer.RecordSilent(target, now)
+}
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -188,16 +188,34 @@
 	return exchanger.dial(ctx, call.Address)
 }
 
-// Reachable reports whether a connection to the address can be opened within the timeout.
+// Reachable reports whether a connection to the address can be opened within the timeout. It opens a
+// second one after a third of that, as the first packet may be lost.
 func (exchanger *Exchanger) Reachable(ctx context.Context, address string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	connection, err := exchanger.dial(ctx, address)
-	if err != nil {
-		return false
+	results := make(chan bool, 2)
+	dial := func() {
+		connection, err := exchanger.dial(ctx, address)
+		if err == nil {
+			_ = connection.Close()
+		}
+		results <- err == nil
+	}
+	go dial()
+	second := time.NewTimer(timeout / 3)
+	defer second.Stop()
+	for running := 1; running > 0; {
+		select {
+		case <-second.C:
+			running++
+			go dial()
+		case reachable := <-results:
+			if running--; reachable {
+				return true
+			}
+		}
 	}
-	_ = connection.Close()
-	return true
+	return false
 }
 
 // putUnused returns a reused connection to which nothing was written to the
