throttler, messenger, dispatcher: tokens of VMs that are not heard are withheld

Cause: the VMs of a group spend from replicas of one bucket, and go on with the whole until silence is noticed, 1.7 s.

A VM's own part is always its to spend; those of others only by messages of the last 0.15 s, are lost after a gap of 0.65 s, and quiet VMs are asked for a message when a request needs their part. Buckets hold 0.75 of burst and tolerance (0.8): lower, TestBorrowingRefusesFewRequests fails. Lent tokens and retry budgets follow.

--- a/core/throttler/borrower.go
+++ b/core/throttler/borrower.go
@@ -180,10 +180,10 @@
 	return 1 - borrowed, true
 }
 
-// Level returns the tokens in the bucket. It is negative if later ones are reserved.
+// Level returns the tokens in the bucket that this VM may spend. It is negative if later ones are reserved.
 func (bucket *Bucket) Level(now time.Duration) float64 {
 	bucket.advance(now)
-	return bucket.level
+	return bucket.usable()
 }
 
 // Burst returns the most tokens that the bucket holds.
@@ -193,10 +193,10 @@
 // returns how many. The VM's group has to be told before they are sent.
 func (bucket *Bucket) Lend(wanted float64, now time.Duration) float64 {
 	bucket.advance(now)
-	if !(wanted > 0) || bucket.level <= 0 {
+	if !(wanted > 0) || bucket.usable() <= 0 {
 		return 0
 	}
-	lent := min(wanted, bucket.level)
+	lent := min(wanted, bucket.usable())
 	bucket.level -= lent
 	return lent
 }
--- a/core/throttler/budget.go
+++ b/core/throttler/budget.go
@@ -33,6 +33,12 @@
 // SetShare sets the share of the group's budget that this VM may use, from 0 to 1.
 func (budget *Budget) SetShare(share float64, now time.Duration) { budget.bucket.SetShare(share, now) }
 
+// Believe sets what this VM has reason to believe about its group.
+func (budget *Budget) Believe(belief Belief, now time.Duration) { budget.bucket.Believe(belief, now) }
+
+// Since returns the time from which the loss of messages matters, see Bucket.Since.
+func (budget *Budget) Since(now time.Duration) time.Duration { return budget.bucket.Since(now) }
+
 // Deposit adds the retries that one request earns, less the margin. Call it for the
 // requests of every VM of the group.
 func (budget *Budget) Deposit(now time.Duration) {
@@ -51,7 +57,7 @@
 // for unexpected failures. It takes nothing.
 func (budget *Budget) AffordsLikelyRetry(now time.Duration) bool {
 	budget.bucket.advance(now)
-	return budget.bucket.level >= max(1, failureReserve*budget.bucket.burst())
+	return budget.bucket.usable() >= max(1, failureReserve*budget.bucket.burst())
 }
 
 // Debit deducts a retry that another VM of the group made.
--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -5,14 +5,16 @@
 // between groups of VMs. The VMs of a group share one bucket: each VM keeps a
 // replica and reports every token that it takes to its peers. A VM that can't reach
 // all of its group may use only the share of the VMs that it can reach, itself
-// included, so the halves of a partitioned group together never spend more than its
-// limit. A group that has no token left can borrow from others, see Borrower.
+// included, and withholds the share of those that it has not heard a moment ago, so the parts
+// of a group that are cut off from each other spend little more than its limit together. A group that has no token left can borrow from others, see Borrower.
 //
 // # Usage
 //
 //	bucket := &throttler.Bucket{}
 //	bucket.Set(throttler.Limit{Rate: 40, Burst: 50}, now)
-//	bucket.SetShare(reachable/members, now)
+//	beliefs := throttler.Beliefs{Since: bucket.Since(now), Now: now}
+//	beliefs.Add(hearing) // for each other VM of the group
+//	bucket.Believe(beliefs.Belief(), now)
 //	wait, ok := bucket.Reserve(maxWait, now)
 //	if !ok {
 //		// Refuse; the caller may retry after the wait.
@@ -39,9 +41,14 @@
 // has no limit. It isn't safe for concurrent use.
 type Bucket struct {
 	limit Limit
-	// share is the share of the limit that this VM may use.
-	share      float64
-	level      float64
+	// share is the share of the limit that this VM may use, and heard the part of it that belongs to VMs
+	// that were heard a moment ago, this one included.
+	share, heard float64
+	// level are the tokens of the share. withheld of them belong to VMs that were not heard lately, which
+	// may have spent them.
+	level, withheld float64
+	// believedAt is the time of the last call of Believe.
+	believedAt time.Duration
 	updated    time.Duration
 	configured bool
 	// lastSurplusAt is when the bucket last held more than the next request needs.
@@ -68,8 +75,8 @@
 func (bucket *Bucket) Set(limit Limit, now time.Duration) {
 	if !bucket.configured {
 		bucket.configured = true
-		bucket.share = 1
-		bucket.updated, bucket.lastSurplusAt = now, now
+		bucket.share, bucket.heard = 1, 1
+		bucket.updated, bucket.lastSurplusAt, bucket.believedAt = now, now, now
 		bucket.limit = limit
 		bucket.level = initialLevel * limit.Burst
 		return
@@ -79,21 +86,71 @@
 	bucket.level = min(bucket.level, bucket.burst())
 }
 
-// SetShare sets the share of the limit that this VM may use, from 0 to 1.
+// SetShare sets the share of the limit that this VM may use, from 0 to 1, all of which it has heard.
 func (bucket *Bucket) SetShare(share float64, now time.Duration) {
+	bucket.Believe(Belief{Reachable: share, Heard: share}, now)
+}
+
+// Believe sets what this VM has reason to believe about its group. The tokens of VMs that are out of reach
+// are lost to it, also when they are back: they may have spent them.
+func (bucket *Bucket) Believe(belief Belief, now time.Duration) {
 	bucket.advance(now)
-	if share < bucket.share && bucket.level > 0 {
-		bucket.level *= share / bucket.share // the rest belongs to the VMs that this one can't reach
+	bucket.believedAt = now
+	bucket.setShare(min(bucket.share, belief.Reachable-belief.Lost))
+	bucket.share = belief.Reachable
+	bucket.setHeard(min(belief.Reachable, belief.Heard))
+	bucket.level = min(bucket.level, bucket.burst())
+}
+
+// Since returns the time from which the loss of messages matters to this bucket: the last call of Believe, or
+// the time in which the bucket has filled since.
+func (bucket *Bucket) Since(now time.Duration) time.Duration {
+	if bucket.limit.Rate <= 0 {
+		return bucket.believedAt
+	}
+	return max(bucket.believedAt, now-time.Duration(bucket.limit.Burst/bucket.limit.Rate*float64(time.Second)))
+}
+
+// Withholds reports whether the bucket has a token that this VM may not spend until it hears other VMs.
+func (bucket *Bucket) Withholds(now time.Duration) bool {
+	bucket.advance(now)
+	return bucket.level >= 1 && bucket.usable() < 1
+}
+
+// setShare reduces the share to one that is not larger. The rest of the tokens is lost.
+func (bucket *Bucket) setShare(share float64) {
+	bucket.setHeard(min(share, bucket.heard))
+	if share < bucket.share {
+		lost := bucket.withheld * (bucket.share - share) / (bucket.share - bucket.heard)
+		bucket.level -= lost
+		bucket.withheld -= lost
 	}
 	bucket.share = share
-	bucket.level = min(bucket.level, bucket.burst())
 }
 
+// setHeard withholds the tokens of VMs that are not heard any more, and releases those of VMs that are heard
+// again.
+func (bucket *Bucket) setHeard(heard float64) {
+	switch {
+	case heard < bucket.heard && bucket.heard > 0:
+		bucket.withheld += max(0, bucket.usable()) * (bucket.heard - heard) / bucket.heard
+	case heard > bucket.heard && bucket.share > bucket.heard:
+		bucket.withheld *= (bucket.share - min(heard, bucket.share)) / (bucket.share - bucket.heard)
+	}
+	bucket.heard = heard
+}
+
+// usable returns the tokens that this VM may spend.
+func (bucket *Bucket) usable() float64 { return bucket.level - bucket.withheld }
+
 // ResetLevel sets the bucket to its initial level. Call it when a VM has just joined
 // its group: until then its peers did not know of the tokens that it took.
 func (bucket *Bucket) ResetLevel(now time.Duration) {
 	bucket.advance(now)
-	bucket.level = initialLevel * bucket.burst()
+	bucket.level, bucket.withheld = initialLevel*bucket.burst(), 0
+	if bucket.share > 0 {
+		bucket.withheld = bucket.level * (bucket.share - bucket.heard) / bucket.share
+	}
 }
 
 // Take takes a token without waiting. If there is none, it returns the time until
@@ -125,7 +182,7 @@
 
 // overloaded reports whether demand has been above the rate for some time.
 func (bucket *Bucket) overloaded(now time.Duration) bool {
-	rate := bucket.limit.Rate * bucket.share
+	rate := bucket.limit.Rate * bucket.heard
 	if rate <= 0 {
 		return true // no demand is within this rate
 	}
@@ -135,14 +192,14 @@
 
 // wait returns the time until a token is available.
 func (bucket *Bucket) wait() time.Duration {
-	if bucket.level >= 1 {
+	if bucket.usable() >= 1 {
 		return 0
 	}
-	rate := bucket.limit.Rate * bucket.share
+	rate := bucket.limit.Rate * bucket.heard
 	if rate <= 0 {
 		return maxReportedWait
 	}
-	return min(time.Duration((1-bucket.level)/rate*float64(time.Second)), maxReportedWait)
+	return min(time.Duration((1-bucket.usable())/rate*float64(time.Second)), maxReportedWait)
 }
 
 // maxReportedWait caps the wait that Reserve returns. At a rate of zero it returns
@@ -172,9 +229,12 @@
 // advance refills the bucket up to now.
 func (bucket *Bucket) advance(now time.Duration) {
 	if elapsed := now - bucket.updated; elapsed > 0 {
-		bucket.level = min(bucket.burst(), bucket.level+bucket.limit.Rate*bucket.share*elapsed.Seconds())
+		refill := bucket.limit.Rate * elapsed.Seconds()
+		unheard := bucket.share - bucket.heard
+		bucket.level = min(bucket.burst(), bucket.level+refill*bucket.share)
+		bucket.withheld = min(bucket.limit.Burst*unheard, bucket.withheld+refill*unheard)
 		bucket.updated = now
-		if bucket.level >= min(surplusLevel, surplusShare*bucket.burst()) {
+		if bucket.usable() >= min(surplusLevel, surplusShare*bucket.limit.Burst*bucket.heard) {
 			bucket.lastSurplusAt = now
 		}
 	}
--- a/core/throttler/tolerance.go
+++ b/core/throttler/tolerance.go
@@ -15,7 +15,7 @@
 // usedFraction is the fraction of burst plus tolerance that the buckets hold. The rest
 // covers VMs that restart with a partly filled bucket within the window, and requests
 // that VMs admit before they learn what their peers admitted.
-const usedFraction = 0.8
+const usedFraction = 0.75
 
 // maxUsedFraction is the fraction that the buckets may hold so that each holds a whole token.
 const maxUsedFraction = 0.9
--- a/gateway/internal/dispatcher/borrow.go
+++ b/gateway/internal/dispatcher/borrow.go
@@ -121,6 +121,7 @@
 	if loan == nil || bucket == nil {
 		return 0, nil, false
 	}
+	state.believe(bucket, now)
 	own, ok = loan.Spend(bucket, now)
 	return own, slices.Clone(loan.lenders), ok
 }
@@ -184,5 +185,6 @@
 	if !state.joined || bucket == nil {
 		return 0
 	}
+	state.believe(bucket, now)
 	return bucket.Lend(tokens, now)
 }
--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -194,7 +194,11 @@
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	budget := state.budgets[service]
-	return budget == nil || budget.Withdraw(now)
+	if budget == nil {
+		return true
+	}
+	state.believeReachable(budget, now)
+	return budget.Withdraw(now)
 }
 
 // probeDue returns a target of an isolated service to be probed, or false.
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -61,6 +61,14 @@
 	AskForTokens(scope throttler.Scope, organisation string, tokens float64, lenders int) int
 }
 
+// Group tells what this VM has reason to believe about the VMs of its group.
+type Group interface {
+	// Belief counts messages that were lost since a time.
+	Belief(since, now time.Duration) throttler.Belief
+	// AskGroup asks VMs that were not heard lately for a message, and reports whether there are any.
+	AskGroup() bool
+}
+
 // Forwarder passes a request on to the VM at an address. An error is an *exchanger.Error.
 type Forwarder interface {
 	Forward(ctx context.Context, address string, call *receiver.Call, conditions forwarder.Conditions) (receiver.Reply, error)
@@ -89,6 +97,9 @@
 	// Forwarder, if set, passes requests on to other VMs, which Candidates returns.
 	Forwarder  Forwarder
 	Candidates func() []delegator.Candidate
+	// Group, if set, says how much of the group's rates this VM may spend. Otherwise that is what the last
+	// call of SetShare says.
+	Group Group
 	// OnBlocksChange, if set, is called when this VM finds that a request must be blocked, or that a
 	// blocked one need not be. It must not block.
 	OnBlocksChange func()
@@ -117,7 +128,7 @@
 		placer: &placer.Placer{Locality: dispatcher.Locality, Regions: dispatcher.Regions, Floor: dispatcher.Policy.TargetFloor},
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		policy: dispatcher.Policy, groupShare: 1 / float64(max(1, len(dispatcher.Regions))), reachableFraction: unjoinedFraction,
-		quarantine: quarantiner.Quarantiner{BlockTime: dispatcher.Policy.BlockTime},
+		group: dispatcher.Group, quarantine: quarantiner.Quarantiner{BlockTime: dispatcher.Policy.BlockTime},
 	}
 }
 
--- a/gateway/internal/dispatcher/meter.go
+++ b/gateway/internal/dispatcher/meter.go
@@ -52,6 +52,9 @@
 // countAsks counts the groups that were asked for tokens.
 func countAsks(asked int) { metrics.GetOrCreateCounter("gateway_token_asks_total").Add(asked) }
 
+// countGroupAsk counts a request for which VMs of the group were asked for a message.
+func countGroupAsk() { metrics.GetOrCreateCounter("gateway_group_asks_total").Inc() }
+
 // countLent counts the tokens that were lent to other groups.
 func countLent(tokens float64) {
 	metrics.GetOrCreateFloatCounter("gateway_tokens_lent_total").Add(tokens)
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -160,6 +160,9 @@
 	maxWait := throttler.MaxWait(handler.job.route.LatencyObjective, time.Until(handler.job.deadline))
 	wait, refusal := dispatcher.state.charge(organisation.Name, min(maxWait, throttler.ShortWait), startedAt)
 	tokens := 1.0
+	if refusal != nil && refusal.reason == rateExceeded && handler.hearGroup(ctx, maxWait) {
+		wait, refusal = dispatcher.state.charge(organisation.Name, min(maxWait, throttler.ShortWait), dispatcher.Clock())
+	}
 	if refusal != nil && refusal.reason == rateExceeded {
 		if own, ok := handler.borrow(ctx, maxWait); ok {
 			tokens, refusal = own, nil
@@ -185,6 +188,21 @@
 	return nil
 }
 
+// hearTime is how long a request waits for the messages of VMs of the group that were asked for one.
+const hearTime = 15 * time.Millisecond
+
+// hearGroup asks the VMs of the group for a message, if tokens are withheld until they are heard, and waits
+// for it. It reports whether it did.
+func (handler *handler) hearGroup(ctx context.Context, maxWait time.Duration) bool {
+	dispatcher := handler.dispatcher
+	if maxWait < hearTime || !dispatcher.state.withholds(handler.job.organisation.Name, dispatcher.Clock()) || !dispatcher.Group.AskGroup() {
+		return false
+	}
+	countGroupAsk()
+	timer.Sleep(ctx, hearTime)
+	return true
+}
+
 // startAttempt starts one attempt. It returns false if none is allowed or possible.
 func (handler *handler) startAttempt(ctx context.Context) bool {
 	if ctx.Err() != nil || handler.attempts >= handler.job.targets+maxExtraAttempts {
--- a/gateway/internal/dispatcher/state.go
+++ b/gateway/internal/dispatcher/state.go
@@ -34,6 +34,8 @@
 	// reachableFraction is the fraction of the group that this VM receives events from; it
 	// spends only that fraction of groupShare.
 	groupShare, reachableFraction float64
+	// group, if set, goes before reachableFraction for rates and retry budgets.
+	group Group
 	// joined is true once the VM has found its group.
 	joined bool
 	// quarantine knows the requests that crash targets.
@@ -97,7 +99,7 @@
 			bucket = &throttler.Bucket{}
 		}
 		bucket.Set(state.policy.Rates.Divide(organisation.Rate, organisation.Burst, state.groupShare), now)
-		bucket.SetShare(state.reachableFraction, now)
+		state.believe(bucket, now)
 		rates[organisation.Name] = bucket
 	}
 	state.rates = rates
@@ -115,12 +117,33 @@
 			budget = &throttler.Budget{Ratio: state.policy.RetryRatio}
 		}
 		budget.Set(state.policy.RetryExtra, state.policy.RetryWindow, state.groupShare, now)
-		budget.SetShare(state.reachableFraction, now)
+		state.believeReachable(budget, now)
 		budgets[name] = budget
 	}
 	state.budgets = budgets
 }
 
+// believe tells a bucket how much of the group's tokens this VM may spend.
+func (state *state) believe(bucket *throttler.Bucket, now time.Duration) {
+	if state.group == nil || !state.joined {
+		bucket.SetShare(state.reachableFraction, now)
+		return
+	}
+	bucket.Believe(state.group.Belief(bucket.Since(now), now), now)
+}
+
+// believeReachable tells a retry budget how much of the group's retries this VM may spend. Nothing is withheld: a
+// group is busy when its targets fail, so that its VMs hear each other.
+func (state *state) believeReachable(budget *throttler.Budget, now time.Duration) {
+	if state.group == nil || !state.joined {
+		budget.SetShare(state.reachableFraction, now)
+		return
+	}
+	belief := state.group.Belief(budget.Since(now), now)
+	belief.Heard = belief.Reachable
+	budget.Believe(belief, now)
+}
+
 // setGroup sets the position of the VM's group among the groups of its data centre.
 func (state *state) setGroup(position, groups int) {
 	state.mutex.Lock()
@@ -152,7 +175,7 @@
 		return
 	}
 	for _, bucket := range state.rates {
-		bucket.SetShare(reachableFraction, now)
+		state.believe(bucket, now)
 		bucket.ResetLevel(now)
 	}
 }
@@ -172,6 +195,7 @@
 	if !state.joined {
 		maxWait = 0 // unknown peers may spend the same tokens
 	}
+	state.believe(bucket, now)
 	wait, ok := bucket.Reserve(maxWait, now)
 	switch {
 	case ok:
@@ -184,6 +208,15 @@
 	}
 }
 
+// withholds reports whether there is a token of the organisation that this VM may spend once it has heard the
+// VMs of its group.
+func (state *state) withholds(organisation string, now time.Duration) bool {
+	state.mutex.Lock()
+	defer state.mutex.Unlock()
+	bucket := state.rates[organisation]
+	return state.group != nil && state.joined && bucket != nil && bucket.Withholds(now)
+}
+
 // pick picks a target for an attempt. A retry is charged to the service's retry budget, a
 // first attempt adds to it. A retryable request is placed as one that can't be retried
 // while the budget is too low for a likely retry.
@@ -191,6 +224,9 @@
 	state.mutex.Lock()
 	defer state.mutex.Unlock()
 	budget := state.budgets[info.Service]
+	if budget != nil {
+		state.believeReachable(budget, info.Now)
+	}
 	info.Retryable = info.Retryable && (budget == nil || budget.AffordsLikelyRetry(info.Now))
 	target, ok := state.placer.Pick(info, state.random)
 	if !ok {
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -31,6 +31,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/spreader"
+	"godwitramp.example/core/throttler"
 	"godwitramp.example/shell/recoverer"
 )
 
@@ -118,6 +119,10 @@
 	address   netip.AddrPort
 	lastHeard time.Duration
 	silent    bool
+	// hearing says how far this VM's tokens and those of the peer are known to each other, and askedAt is
+	// when the peer was last asked for a message.
+	hearing throttler.Hearing
+	askedAt time.Duration
 	// storeUnreachable is true while the store does not answer the peer.
 	storeUnreachable bool
 }
--- a/gateway/internal/messenger/messenger_test.go
+++ b/gateway/internal/messenger/messenger_test.go
@@ -195,6 +195,23 @@
 	waitUntil(t, "the leaving peer is removed", noAction, func() bool { return vms[2].Share().VMs == 2 })
 }
 
+// The tokens of a VM that is not heard are withheld at once, and it must answer when it is asked for a message.
+func TestVMsOfTheGroupAreHeardWhenAsked(t *testing.T) {
+	is := is.New(t)
+	vms := fleet(t, "d", "d", "d")
+	waitUntil(t, "all VMs know each other", noAction, func() bool { return vms[0].Share().VMs == 3 })
+	now := vms[0].Clock
+	belief := func() throttler.Belief { return vms[0].Belief(now(), now()) }
+	waitUntil(t, "a heartbeat is long ago", noAction, func() bool { return belief().Heard < 0.5 })
+	is.Equal(belief().Reachable, 1.0)
+	waitUntil(t, "those asked are heard", func() { vms[0].AskGroup() }, func() bool { return belief().Heard > 0.9 })
+	vms[2].stop()
+	started := now()
+	waitUntil(t, "one is out of reach", func() { vms[0].AskGroup() }, func() bool { return belief().Reachable < 1 })
+	is.True(vms[0].Belief(started, now()).Reachable < 1)
+	is.Equal(vms[0].Share().Reachable, 1.0) // it doesn't count as silent yet
+}
+
 // A peer that was just added must not look like a network partition.
 func TestNewPeerCountsAsReachable(t *testing.T) {
 	is := is.New(t)
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -6,9 +6,11 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"godwitramp.example/core/delegator"
 	"godwitramp.example/core/spreader"
+	"godwitramp.example/core/throttler"
 )
 
 // MaxGroup limits the VMs of a group, so that the datagrams of a VM don't grow with the
@@ -69,11 +71,13 @@
 		// A new peer counts as reachable until silenceTimeout has passed. Otherwise each
 		// start of a VM would look like a network partition of the group.
 		known = &peer{lastHeard: messenger.Clock()}
+		known.hearing.KnownAt = known.lastHeard
 		messenger.peers[from.Name] = known
 	}
 	known.Peer, known.address = from, address
 	if heard {
 		known.lastHeard, known.silent = messenger.Clock(), false
+		known.hearing.Heard(known.lastHeard)
 	}
 	if changed {
 		messenger.regroup()
@@ -178,6 +182,40 @@
 	}
 }
 
+// Belief returns what this VM has reason to believe about its group, given the time from which lost
+// messages count.
+func (messenger *Messenger) Belief(since, now time.Duration) throttler.Belief {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	beliefs := throttler.Beliefs{Since: since, Now: now}
+	for _, peer := range messenger.group {
+		beliefs.Add(&peer.hearing)
+	}
+	return beliefs.Belief()
+}
+
+// askInterval is the shortest time after which a VM is asked again for a message.
+const askInterval = 100 * time.Millisecond
+
+// AskGroup asks the VMs of the group that were not heard lately for a message, as their tokens are withheld
+// until then. It reports whether there are any.
+func (messenger *Messenger) AskGroup() bool {
+	now := messenger.Clock()
+	var stale []netip.AddrPort
+	messenger.mutex.Lock()
+	for _, peer := range messenger.group {
+		if peer.hearing.Stale(now) && (peer.askedAt == 0 || now-peer.askedAt >= askInterval) {
+			peer.askedAt = now
+			stale = append(stale, peer.address)
+		}
+	}
+	messenger.mutex.Unlock()
+	if len(stale) > 0 {
+		messenger.sendAll(stale, messenger.newMessage(true, nil))
+	}
+	return len(stale) > 0
+}
+
 func (messenger *Messenger) setStoreUnreachable(name string, unreachable bool) {
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"godwitramp.example/core/delegator"
 	"godwitramp.example/core/throttler"
@@ -68,6 +69,20 @@
 	return messenger.Share{Group: 1, Reachable: 1, VMs: 1}
 }
 
+// Belief returns what this VM has reason to believe about its group.
+func (messages *messages) Belief(since, now time.Duration) throttler.Belief {
+	if messenger := messages.messenger.Load(); messenger != nil {
+		return messenger.Belief(since, now)
+	}
+	return throttler.Belief{Reachable: 1, Heard: 1}
+}
+
+// AskGroup asks VMs of the group for a message, and reports whether there are any to ask.
+func (messages *messages) AskGroup() bool {
+	messenger := messages.messenger.Load()
+	return messenger != nil && messenger.AskGroup()
+}
+
 // SendClaims sends the group a heartbeat, which includes the tracker's claims.
 func (messages *messages) SendClaims() {
 	if messenger := messages.messenger.Load(); messenger != nil {
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -129,9 +129,9 @@
 	}
 	starter.dispatcher = &dispatcher.Dispatcher{
 		Tracker: starter.tracker, Messenger: starter.messages, Exchanger: &exchanger.Exchanger{DialTimeout: targetDialTimeout, UnackedTimeout: targetUnackedTimeout},
-		Candidates: starter.messages.Candidates,
-		Locality:   placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
-		Regions:    settings.Regions, Clock: timer.Now, Log: starter.Log,
+		Candidates: starter.messages.Candidates, Group: starter.messages,
+		Locality: placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
+		Regions:  settings.Regions, Clock: timer.Now, Log: starter.Log,
 		Policy: policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
 		OnBlocksChange: starter.requestBlocksWrite, WritesBlocks: func() bool { return starter.messages.Rank() == 0 },
 		MaxAnswerBytes: int64(answerMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
