--- a/core/fingerprinter/fingerprinter_test.go
+++ b/core/fingerprinter/fingerprinter_test.go
@@ -62,3 +62,11 @@
 	_, ok = fingerprinter.Parse("short")
 	is.True(!ok)
 }
+
+// A VM of the build in production (f78941f) must know a request by the same fingerprint during an upgrade.
+func TestFingerprintsAreThoseOfTheBuildInProduction(t *testing.T) {
+	is := is.New(t)
+	sums := fingerprinter.New([]byte("key of the fleet"))
+	request := fingerprinter.Request{Method: "POST", Host: "a.example", Target: "/book/1?x=2", Caller: "crews", Body: []byte("book")}
+	is.Equal(sums.Sum(request).String(), "8d08a112588de175401c535e80963f46")
+}
