soak: silent crashes, late copies of rejections, and two builds side by side

From seed 10000 on, targets that a request crashes fall silent (connections stay open, new ones hang), every other such request is a booking, and all targets send late copies of rejections for a while.

Not played: cuts of VMs from all others, as messages have no proxy.

--- a/soak/internal/planner/planner.go
+++ b/soak/internal/planner/planner.go
@@ -50,6 +50,7 @@
 	TargetGarbles   Kind = "target-garbles"
 	TargetTruncates Kind = "target-cuts-answers"
 	TargetRepeats   Kind = "target-repeats-answers"
+	TargetCopies    Kind = "targets-copy-rejections"
 	TargetLimits    Kind = "target-names-limit"
 	TargetLeaves    Kind = "target-leaves"
 	TargetCrashes   Kind = "target-crash"
@@ -158,6 +159,7 @@
 	faults = append(faults, plan.restores()...)
 	faults = append(faults, plan.limits()...)
 	faults = append(faults, plan.crashes()...)
+	faults = append(faults, plan.copies()...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -190,13 +192,18 @@
 
 // firstRestoreSeed is the first seed under which the store is restored from older copies,
 // firstLimitSeed the first of those under which targets name limits instead, and firstCrashSeed of
-// those under which requests crash targets. Lower seeds have no such faults.
+// those under which requests crash targets. From firstSilenceSeed on such targets fall silent, and targets send
+// late copies of rejections. Lower seeds have no such faults.
 const (
 	firstRestoreSeed = 1000
 	firstLimitSeed   = 2000
 	firstCrashSeed   = 3000
+	firstSilenceSeed = 10000
 )
 
+// Silences reports whether targets that crash fall silent.
+func (plan Plan) Silences() bool { return plan.Seed >= firstSilenceSeed }
+
 // Restores reports whether the plan restores the store.
 func (plan Plan) Restores() bool { return plan.Seed >= firstRestoreSeed && plan.Seed < firstLimitSeed }
 
@@ -240,6 +247,28 @@
 	return faults
 }
 
+const (
+	// meanCopyGap is the mean time between the times in which all targets reject the first attempt of each
+	// request and send late copies of that, of minCopyTime to maxCopyTime.
+	meanCopyGap = 8 * time.Second
+	minCopyTime = time.Second
+	maxCopyTime = 3 * time.Second
+)
+
+// copies returns the times in which targets send late copies. They are drawn apart from all other faults.
+func (plan Plan) copies() []Fault {
+	if !plan.Silences() {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(plan.Seed, 4))
+	var faults []Fault
+	for at := time.Duration(random.Int64N(int64(meanCopyGap))); at < plan.Duration; at += maxCopyTime + time.Duration(random.ExpFloat64()*float64(meanCopyGap)) {
+		duration := minCopyTime + time.Duration(random.Int64N(int64(maxCopyTime-minCopyTime)))
+		faults = append(faults, Fault{Kind: TargetCopies, At: at, Duration: min(duration, plan.Duration-at)})
+	}
+	return faults
+}
+
 // Changes and faults of VMs that begin around a restore.
 var (
 	changes         = []Kind{WithdrawKey, MoveRoute, AddRoute, ForgeTarget, ForgeTarget}
--- a/soak/internal/planner/planner_test.go
+++ b/soak/internal/planner/planner_test.go
@@ -74,3 +74,19 @@
 	is.True(restores > 30)
 	is.True(soonAgain > restores/6)
 }
+
+// Guards against seeds without silent crashes and late copies, and against lower seeds with them.
+func TestSilencesBeginAtASeed(t *testing.T) {
+	is := is.New(t)
+	for seed := uint64(9995); seed < 10005; seed++ {
+		plan := planner.Plan{Seed: seed, Duration: time.Minute, VMs: 12, Targets: 8}
+		kinds := make(map[planner.Kind]int)
+		for _, fault := range plan.Faults() {
+			kinds[fault.Kind]++
+			is.True(fault.At+fault.Duration <= plan.Duration)
+		}
+		is.Equal(plan.Silences(), seed >= 10000)
+		is.Equal(kinds[planner.TargetCopies] > 0, seed >= 10000)
+		is.True(kinds[planner.CrashingRequest] > 0)
+	}
+}
--- a/soak/internal/relayer/relayer.go
+++ b/soak/internal/relayer/relayer.go
@@ -10,8 +10,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -35,8 +38,11 @@
 
 	mutex sync.Mutex
 	// listener is Listener, or the one after the relayer was down.
-	listener        net.Listener
-	down            bool
+	listener net.Listener
+	down     bool
+	silent   bool
+	// queued are connections that fill the queue of the listener while the relayer is silent.
+	queued          []net.Conn
 	faults          Faults
 	openConnections map[net.Conn]bool
 }
@@ -46,6 +52,11 @@
 	bufferBytes = 32 << 10
 	// blockPollPeriod is the time between checks whether a direction is still blocked.
 	blockPollPeriod = 10 * time.Millisecond
+	// queueLength is the length of the queue of new connections, and silentLength that of a silent relayer.
+	// fullTime is the time after which a connection that isn't opened shows that it is full.
+	queueLength  = 128
+	silentLength = 1
+	fullTime     = 20 * time.Millisecond
 )
 
 // Run forwards connections until the context ends.
@@ -64,9 +75,93 @@
 		if err != nil && !relayer.awaitUp(ctx) {
 			return // the listener is closed
 		}
-		if err == nil {
-			group.Go(func() { relayer.relay(connection) })
+		if err != nil {
+			continue
 		}
+		if relayer.hold(connection) {
+			relayer.awaitAudible(ctx)
+			continue
+		}
+		group.Go(func() { relayer.relay(connection) })
+	}
+}
+
+// SetSilent makes new connections hang and open ones carry nothing, as if the host were gone. When that
+// ends, all of them are reset.
+func (relayer *Relayer) SetSilent(silent bool) error {
+	relayer.mutex.Lock()
+	wasSilent := relayer.silent
+	relayer.silent = silent
+	queued, listener := relayer.queued, relayer.listener
+	relayer.queued = nil
+	relayer.mutex.Unlock()
+	if !silent && !wasSilent {
+		return nil
+	}
+	if !silent {
+		for _, connection := range queued {
+			abort(connection)
+		}
+		relayer.SetFaults(Faults{Reset: true})
+		relayer.SetFaults(Faults{})
+		return setQueue(listener, queueLength)
+	}
+	relayer.SetFaults(Faults{BlockRequests: true, BlockAnswers: true})
+	if err := setQueue(listener, silentLength); err != nil {
+		return err
+	}
+	for range 2 * (silentLength + 2) { // one is accepted, and the queue holds one more than its length
+		connection, err := net.DialTimeout("tcp", listener.Addr().String(), fullTime)
+		if err != nil {
+			return nil
+		}
+		relayer.mutex.Lock()
+		relayer.queued = append(relayer.queued, connection)
+		relayer.mutex.Unlock()
+	}
+	return errors.New("connections to a silent relayer don't hang")
+}
+
+// setQueue sets the length of the queue of new connections of a listener.
+func setQueue(listener net.Listener, length int) error {
+	tcp, ok := listener.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("listener is a %T, must be of TCP", listener)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("get socket of the listener: %w", err)
+	}
+	var failure error
+	if err := raw.Control(func(descriptor uintptr) { failure = syscall.Listen(int(descriptor), length) }); err != nil {
+		return fmt.Errorf("set queue of the listener: %w", err)
+	}
+	if failure != nil {
+		return fmt.Errorf("set queue of the listener: %w", failure)
+	}
+	return nil
+}
+
+// hold keeps a connection that was accepted while the relayer is silent, and reports whether it did.
+func (relayer *Relayer) hold(connection net.Conn) bool {
+	relayer.mutex.Lock()
+	defer relayer.mutex.Unlock()
+	if relayer.silent {
+		relayer.queued = append(relayer.queued, connection)
+	}
+	return relayer.silent
+}
+
+// awaitAudible waits until the relayer isn't silent any more.
+func (relayer *Relayer) awaitAudible(ctx context.Context) {
+	for ctx.Err() == nil {
+		relayer.mutex.Lock()
+		silent := relayer.silent
+		relayer.mutex.Unlock()
+		if !silent {
+			return
+		}
+		time.Sleep(blockPollPeriod)
 	}
 }
 
--- a/soak/internal/runner/caller.go
+++ b/soak/internal/runner/caller.go
@@ -85,7 +85,7 @@
 	end := time.Now().Add(fault.Duration)
 	for time.Now().Before(end) {
 		if vm := caller.pickVM(); vm != nil {
-			caller.sendOnce(vm, fmt.Sprintf("/lists%s%d", faker.CrashPath, fault.Subject))
+			caller.sendOnce(vm, caller.runner.crashingRequest(fault.Subject))
 		}
 		if !timer.Sleep(ctx, time.Duration(caller.random.Int64N(int64(maxCrashingPause)))) {
 			return
@@ -93,8 +93,20 @@
 	}
 }
 
-// sendOnce sends one idempotent request on a connection of its own.
-func (caller *caller) sendOnce(vm *vm, path string) {
+// crashingRequest returns the request with a number that crashes targets: a read, or every other one a booking
+// where targets fall silent.
+func (runner *Runner) crashingRequest(number int) auditor.Call {
+	call := auditor.Call{Idempotent: true}
+	call.Method, call.Path = http.MethodGet, fmt.Sprintf("/lists%s%d", faker.CrashPath, number)
+	if runner.Plan.Silences() && number%2 == 1 {
+		call.Idempotent, call.Method, call.Body = false, http.MethodPost, "book"
+		call.Path = fmt.Sprintf("/jobs%s%d", faker.CrashPath, number)
+	}
+	return call
+}
+
+// sendOnce sends one request on a connection of its own.
+func (caller *caller) sendOnce(vm *vm, request auditor.Call) {
 	connection, err := net.DialTimeout("tcp", vm.callersAddress, dialTimeout)
 	if err != nil {
 		return // nothing was sent
@@ -102,7 +114,7 @@
 	defer func() { _ = connection.Close() }()
 	_, start := vm.current()
 	call := caller.newCall(vm, start)
-	call.Method, call.Idempotent, call.Body, call.Path = http.MethodGet, true, "", path
+	call.Method, call.Idempotent, call.Body, call.Path = request.Method, request.Idempotent, request.Body, request.Path
 	key, _ := caller.runner.configuration.newest()
 	call.Key = fmt.Sprint("key-", key) // always the same organisation
 	caller.exchange(connection, bufio.NewReader(connection), []*auditor.Call{call}, 0)
--- a/soak/internal/runner/endpoint.go
+++ b/soak/internal/runner/endpoint.go
@@ -89,10 +89,16 @@
 		Record: endpoint.runner.addArrival,
 	}
 	target.Crash = sync.OnceFunc(func() { endpoint.crashAtOnce(ctx, target) })
+	target.HidesCrashes = endpoint.runner.Plan.Silences()
 	server := &http.Server{Handler: target, ReadHeaderTimeout: time.Minute}
 	endpoint.target, endpoint.server, endpoint.listener, endpoint.startedAt = target, server, listener, time.Now()
 	endpoint.mutex.Unlock()
 	endpoint.link.SetDown(false)
+	if endpoint.runner.Plan.Silences() {
+		if err := endpoint.link.SetSilent(false); err != nil {
+			return fmt.Errorf("start target: %w", err)
+		}
+	}
 	go func() { _ = server.Serve(listener) }() // ends with close
 	endpoint.writeEntry(target, false)
 	return nil
@@ -221,11 +227,18 @@
 	endpoint.deleteEntry(target.ID)
 }
 
-// crashAtOnce ends the target under a request that crashes it, and refuses connections until another
-// one is up.
+// crashAtOnce ends the target under a request that crashes it, and refuses connections, or lets them hang,
+// until another one is up.
 func (endpoint *endpoint) crashAtOnce(ctx context.Context, target *faker.Target) {
 	end := endpoint.runner.beginDisturbance(target.ID)
-	if endpoint.current() == target {
+	switch {
+	case endpoint.current() != target:
+	case endpoint.runner.Plan.Silences():
+		if err := endpoint.link.SetSilent(true); err != nil {
+			endpoint.runner.addViolation("starts", "silence a target: %v", err)
+		}
+		endpoint.close()
+	default:
 		endpoint.link.SetDown(true)
 		endpoint.close()
 	}
--- a/soak/internal/runner/faults.go
+++ b/soak/internal/runner/faults.go
@@ -188,6 +188,12 @@
 	case planner.CrashingRequest:
 		random := rand.New(rand.NewPCG(runner.Plan.Seed, uint64(fault.Subject)))
 		(&caller{runner: runner, index: crashingCallers + fault.Subject, random: random}).sendCrashing(ctx, fault)
+	case planner.TargetCopies:
+		var group sync.WaitGroup
+		defer group.Wait()
+		for _, endpoint := range runner.endpoints {
+			group.Go(func() { endpoint.injectFaults(ctx, faker.TargetFaults{Copies: true}, fault.Duration) })
+		}
 	case planner.CallersGiveUp:
 		runner.giveUp.add(1)
 		timer.Sleep(ctx, fault.Duration)
--- a/soak/internal/runner/runner.go
+++ b/soak/internal/runner/runner.go
@@ -57,6 +57,8 @@
 type Runner struct {
 	// Program is the path of the executable of a VM.
 	Program string
+	// Former, if set, is the executable that a VM runs until it starts again.
+	Former string
 	// Directory is where settings and logs are written.
 	Directory string
 	Plan      planner.Plan
--- a/soak/internal/runner/vm.go
+++ b/soak/internal/runner/vm.go
@@ -118,7 +118,11 @@
 		return fmt.Errorf("open log of %s: %w", vm.name, err)
 	}
 	defer func() { _ = log.Close() }() // the process has its own descriptor
-	command := exec.Command(vm.runner.Program, "--settings", vm.settingsFile)
+	program := vm.runner.Program
+	if vm.runner.Former != "" && vm.starts == 0 {
+		program = vm.runner.Former
+	}
+	command := exec.Command(program, "--settings", vm.settingsFile)
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", vm.name, err)
--- a/soak/main.go
+++ b/soak/main.go
@@ -32,6 +32,7 @@
 
 type options struct {
 	Program  string        `long:"program" required:"yes" description:"program of a VM" value-name:"FILE"`
+	Former   string        `long:"former-program" description:"program that every VM runs until it starts again, as during an upgrade" value-name:"FILE"`
 	Seed     uint64        `long:"seed" required:"yes" description:"seed of the plan of faults"`
 	Duration time.Duration `long:"duration" default:"30s" description:"how long faults are brought about"`
 	Size     int           `long:"size" default:"12" description:"number of VMs"`
@@ -80,7 +81,7 @@
 		return 0
 	}
 	directory := filepath.Join(options.Logs, fmt.Sprint("seed-", options.Seed))
-	result, err := soak(ctx, options.Program, directory, plan)
+	result, err := soak(ctx, options, directory, plan)
 	if err != nil {
 		_, _ = fmt.Fprintf(out, "seed=%d: %v; logs are in %s\n", options.Seed, err, directory)
 		return exitViolation
@@ -96,14 +97,16 @@
 	return 0
 }
 
-func soak(ctx context.Context, program, directory string, plan planner.Plan) (runner.Result, error) {
+func soak(ctx context.Context, options options, directory string, plan planner.Plan) (runner.Result, error) {
 	if err := os.RemoveAll(directory); err != nil {
 		return runner.Result{}, fmt.Errorf("remove old logs: %w", err)
 	}
 	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return runner.Result{}, fmt.Errorf("make directory for logs: %w", err)
 	}
-	return (&runner.Runner{Program: program, Directory: directory, Plan: plan, CallersPerVM: callersPerVM}).Run(ctx)
+	return (&runner.Runner{
+		Program: options.Program, Former: options.Former, Directory: directory, Plan: plan, CallersPerVM: callersPerVM,
+	}).Run(ctx)
 }
 
 // report prints the counts of faults, answers and checks, and the first violations.
