exchanger: heads of 400 answers fit into the memory of a VM

What callers would see: a faulty target that sends header lines without end takes 170 MB at 400 requests at once, where a VM has 284 MB; the VM could end, with the requests of others.

Cause: a head may have 256 KiB, which parsed into many headers takes three times that, and unlike bodies heads don't count together. Ruled out by the same test: bodies, chunks, trailers and answers to others (60 MB at most).

A head may have 64 KiB.

--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -12,10 +12,10 @@
 const (
 	bufferBytes = 4 << 10
 	// maxHeaderBytes bounds the status line and header of an answer.
-	maxHeaderBytes = 256 << 10
+	maxHeaderBytes = 64 << 10
 )
 
-var errHeaderTooLong = errors.New("status line and header of the answer exceed 256 KiB")
+var errHeaderTooLong = errors.New("status line and header of the answer exceed 64 KiB")
 
 // connection is a connection to an upstream. It records, below all buffers,
 // whether bytes of a request were written.
