--- a/gateway/internal/starter/blocks_test.go
+++ b/gateway/internal/starter/blocks_test.go
@@ -26,7 +26,7 @@
 	}))
 	fleet.t.Cleanup(server.Close)
 	fleet.store.Put(platform.TargetTable, "", id, fmt.Appendf(nil,
-		`{"Service":"s","Address":%q,"Zone":"d","Slots":4,"State":"ready","Sequence":1}`, strings.TrimPrefix(server.URL, "http://")))
+		`{"Service":"s","Address":%q,"Zone":"d","Version":"v1","WarmupRemaining":"0ms","Slots":4,"State":"ready","Sequence":1}`, strings.TrimPrefix(server.URL, "http://")))
 }
 
 func TestRequestIsSentAgainAfterAllVMsAreGone(t *testing.T) {
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -63,7 +63,7 @@
 	fleet.upstream = strings.TrimPrefix(target.URL, "http://")
 	fleet.configure(1, "key")
 	fleet.store.Put(platform.TargetTable, "", "t", fmt.Appendf(nil,
-		`{"Service":"s","Address":%q,"Zone":"d","Slots":4,"State":"ready","Sequence":1}`, fleet.upstream))
+		`{"Service":"s","Address":%q,"Zone":"d","Version":"v1","WarmupRemaining":"0ms","Slots":4,"State":"ready","Sequence":1}`, fleet.upstream))
 	for i := range vms {
 		fleet.run(fmt.Sprint("vm-", i))
 	}
--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -256,7 +256,7 @@
 // putEntry writes a target's entry with a start and a number of writes since.
 func putEntry(store *faker.Store, id, state string, born, sequence int) {
 	store.Put(platform.TargetTable, "", id, fmt.Appendf(nil,
-		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":%q,"Sequence":%d,"born":%d}`, state, sequence, born))
+		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","WarmupRemaining":"0ms","Slots":4,"State":%q,"Sequence":%d,"born":%d}`, state, sequence, born))
 }
 
 // knows reports whether the VM has the target.
--- a/gateway/internal/tracker/targets_test.go
+++ b/gateway/internal/tracker/targets_test.go
@@ -20,7 +20,7 @@
 
 func entry(id string, version uint64, sequence int) platform.Row {
 	return platform.Row{Key: id, Version: version, Value: fmt.Appendf(nil,
-		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":"ready","Sequence":%d,"born":7}`, sequence)}
+		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","WarmupRemaining":"0ms","Slots":4,"State":"ready","Sequence":%d,"born":7}`, sequence)}
 }
 
 // The store doesn't tell of writes that change nothing but their number: a target that was taken
--- a/gateway/internal/tracker/tracker_test.go
+++ b/gateway/internal/tracker/tracker_test.go
@@ -144,7 +144,7 @@
 
 func putTarget(store *faker.Store, id, state string) {
 	store.Put(platform.TargetTable, "", id, fmt.Appendf(nil,
-		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":4,"State":%q,"Sequence":1}`, state))
+		`{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","WarmupRemaining":"0ms","Slots":4,"State":%q,"Sequence":1}`, state))
 }
 
 func TestStoreChangesAreApplied(t *testing.T) {
@@ -220,9 +220,9 @@
 	odd := map[string]string{
 		"deep":     `{"Service":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
 		"unclosed": `{"Service":` + strings.Repeat(`{"a":`, 8_000),
-		"number":   `{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Slots":1e999,"State":"ready","Sequence":1}`,
-		"port":     `{"Service":"s","Address":"10.0.0.1:99999","Zone":"z","Slots":4,"State":"ready","Sequence":1}`,
-		"no-port":  `{"Service":"s","Address":"10.0.0.1:0","Zone":"z","Slots":4,"State":"ready","Sequence":1}`,
+		"number":   `{"Service":"s","Address":"10.0.0.1:80","Zone":"z","Version":"v1","WarmupRemaining":"0ms","Slots":1e999,"State":"ready","Sequence":1}`,
+		"port":     `{"Service":"s","Address":"10.0.0.1:99999","Zone":"z","Version":"v1","WarmupRemaining":"0ms","Slots":4,"State":"ready","Sequence":1}`,
+		"no-port":  `{"Service":"s","Address":"10.0.0.1:0","Zone":"z","Version":"v1","WarmupRemaining":"0ms","Slots":4,"State":"ready","Sequence":1}`,
 	}
 	store, address := newStore(t, "a")
 	for id, value := range odd {
