tracker: a heartbeat that is performed late doesn't bring a leaving target back

Cause: within an era of the store entries were taken as they came. One of the same start with fewer writes that says ready of a leaving target is older than its report. Ruled out: entries without born, which may be of a target that started again and counts anew; they are taken as before.

TestEntryWithFewerWritesIsTakenWithinAnEra asked for the fault: it had an entry of the same start, with fewer writes, make a draining target ready.

--- a/gateway/internal/tracker/restore_test.go
+++ b/gateway/internal/tracker/restore_test.go
@@ -332,13 +332,19 @@
 	waitUntil(t, "a target that writes again is taken as it is", func() bool { return vm.leaving("up") })
 }
 
-// Within an era, an entry is taken as it is whatever its number of writes.
+// Within an era, an entry with fewer writes is taken as it is if the target has started again, and counts anew.
+// Of the same start, it was sent before the target's report and performed late.
 func TestEntryWithFewerWritesIsTakenWithinAnEra(t *testing.T) {
+	is := is.New(t)
 	store, address := newStore(t, "a")
 	putEntry(store, "b", "draining", 7, 9)
 	vm := start(t, address, &group{})
 	waitUntil(t, "configuration and targets are read", func() bool { return vm.Complete() && vm.has("a", "b") })
 	putEntry(store, "b", "ready", 7, 1)
+	putTarget(store, "marker", "ready")
+	waitUntil(t, "the late entry is read", func() bool { return vm.knows("marker") })
+	is.True(vm.leaving("b"))
+	putEntry(store, "b", "ready", 8, 1)
 	waitUntil(t, "the target is ready again", func() bool { return !vm.leaving("b") })
 }
 
--- a/gateway/internal/tracker/targets.go
+++ b/gateway/internal/tracker/targets.go
@@ -128,15 +128,22 @@
 	return true
 }
 
-// outdated reports whether an entry was brought back by an older copy of the store, and says
-// that a target is there that is known to be leaving or gone.
+// outdated reports whether an entry was brought back by an older copy of the store, or written late, and
+// says that a target is there that is known to be leaving or gone.
 func (targets *targets) outdated(target placer.Target, found sighting) bool {
 	known, ok := targets.sightings[target.ID]
-	if !ok || known.era >= found.era || known.incarnation < found.incarnation {
+	if !ok || known.era > found.era || known.incarnation < found.incarnation {
 		return false
 	}
 	current, present := targets.byID[target.ID]
 	switch {
+	case known.era == found.era:
+		// The store may perform a write seconds after it was sent. Without the time of its start, a target
+		// that counts anew may have started again.
+		undone := present && current.Leaving && !target.Leaving && found.sequence < known.sequence
+		if !undone || found.incarnation == 0 || found.incarnation != known.incarnation {
+			return false
+		}
 	case known.incarnation > found.incarnation: // an earlier start
 	case present && (!current.Leaving || target.Leaving):
 		return false // nothing is undone
--- a/gateway/internal/tracker/targets_test.go
+++ b/gateway/internal/tracker/targets_test.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"testing"
@@ -56,3 +57,31 @@
 	targets.forgetGone(time.Second + goneMemory)
 	is.Equal(len(targets.sightings), 0)
 }
+
+// A heartbeat that the store performs after the target's report that it drains must not bring the target back.
+func TestLateHeartbeatBringsALeavingTargetBack(t *testing.T) {
+	is := is.New(t)
+	targets := newTargets()
+	leaving := func(id string, version uint64, sequence int) platform.Row {
+		row := entry(id, version, sequence)
+		row.Value = bytes.Replace(row.Value, []byte("ready"), []byte("draining"), 1)
+		return row
+	}
+	startedAgain := func(id string, version uint64, sequence int, born string) platform.Row {
+		row := entry(id, version, sequence)
+		row.Value = bytes.Replace(row.Value, []byte(`"born":7`), []byte(born), 1)
+		return row
+	}
+	targets.apply([]platform.Row{entry("a", 5, 3)}, true, 1, 0)
+	is.True(targets.apply([]platform.Row{leaving("a", 6, 5)}, false, 1, time.Second))
+	is.True(!targets.apply([]platform.Row{entry("a", 7, 4)}, false, 1, 2*time.Second))
+	is.True(targets.byID["a"].Leaving)
+	is.True(targets.apply([]platform.Row{entry("a", 8, 6)}, false, 1, 3*time.Second)) // it has changed its mind
+	is.True(!targets.byID["a"].Leaving)
+	targets.apply([]platform.Row{leaving("a", 9, 7)}, false, 1, 4*time.Second)
+	is.True(targets.apply([]platform.Row{startedAgain("a", 10, 1, `"born":8`)}, false, 1, 5*time.Second))
+	is.True(!targets.byID["a"].Leaving)
+	targets.apply([]platform.Row{startedAgain("b", 11, 9, `"x":0`)}, false, 1, 6*time.Second)
+	targets.apply([]platform.Row{{Key: "b", Version: 12, Value: bytes.Replace(startedAgain("b", 12, 10, `"x":0`).Value, []byte("ready"), []byte("draining"), 1)}}, false, 1, 7*time.Second)
+	is.True(targets.apply([]platform.Row{startedAgain("b", 13, 1, `"x":0`)}, false, 1, 8*time.Second)) // when it started isn't known
+}
