--- a/core/throttler/throttler.go
+++ b/core/throttler/throttler.go
@@ -6,7 +6,8 @@
 // replica and reports every token that it takes to its peers. A VM that can't reach
 // all of its group may use only the share of the VMs that it can reach, itself
 // included, and withholds the share of those that it has not heard a moment ago, so the parts
-// of a group that are cut off from each other spend little more than its limit together. A group that has no token left can borrow from others, see Borrower.
+// of a group that are cut off from each other spend little more than its limit together. A
+// group that has no token left can borrow from others, see Borrower.
 //
 // # Usage
 //
