--- a/core/quarantiner/fleet_test.go
+++ b/core/quarantiner/fleet_test.go
@@ -528,3 +528,24 @@
 		})
 	}
 }
+
+// Where targets that fall silent crash by themselves twice a second, or half of them at once, a popular request may
+// be on three of them in a row without an answer.
+func TestInnocentRequestIsBlockedWhileTargetsFallSilentOnTheirOwn(t *testing.T) {
+	is := is.New(t)
+	for _, seed := range []uint64{71, 76, 80} {
+		scene := silent(calm())
+		scene.popular, scene.paths, scene.crashes = 0.9, 5, 2
+		result := scene.run(seed)
+		t.Logf("two a second, seed %d: %+v", seed, result)
+		is.True(float64(result.refused) <= 0.05*float64(result.asked))
+	}
+	for _, seed := range []uint64{12, 30, 44, 73} {
+		scene := silent(calm())
+		scene.every, scene.popular, scene.paths, scene.rate = 0, 0.9, 5, 100
+		scene.dieAt, scene.dying = 20*time.Second, 6
+		result := scene.run(seed)
+		t.Logf("half at once, seed %d: %+v", seed, result)
+		is.Equal(result.refused, 0)
+	}
+}
