throttler: a VM that was just heard counts whole, as a bucket may hold one token

Cause: a VM counted as heard in parts from the first millisecond on. Groups of a large fleet hold a token or two of an organisation, and never had a whole one to spend, not even after asking.

A VM heard within 50 ms counts whole.

TestTokenOfASmallBucketIsWithheldFromAVMThatHearsItsGroup failed before.

--- a/core/throttler/belief.go
+++ b/core/throttler/belief.go
@@ -3,11 +3,10 @@
 import "time"
 
 const (
-	// unheardTime is the time since the last message of a VM from which it doesn't count as heard at all.
-	// Under load a VM sends many messages a second.
+	// heardTime is the time since the last message of a VM within which it counts as heard, and
+	// unheardTime the time from which it doesn't at all. Under load a VM sends many messages a second.
+	heardTime   = 50 * time.Millisecond
 	unheardTime = 150 * time.Millisecond
-	// staleTime is the time from which a VM is worth asking for a message.
-	staleTime = 50 * time.Millisecond
 	// missedTime is the time from which messages of a VM must have been lost: heartbeats come every
 	// half second, and some are late.
 	missedTime = 650 * time.Millisecond
@@ -49,7 +48,7 @@
 // Stale reports whether the tokens of the VM are withheld, so that a message should be asked of it.
 func (hearing *Hearing) Stale(now time.Duration) bool {
 	age := hearing.age(now)
-	return (!hearing.heard || age > staleTime) && age < missedTime
+	return (!hearing.heard || age > heardTime) && age < missedTime
 }
 
 // age returns the time since the last message, or since the VM became known if there was none.
@@ -80,7 +79,7 @@
 		beliefs.lost++
 	}
 	if hearing.heard {
-		beliefs.heard += min(1, max(0, float64(unheardTime-age)/float64(unheardTime)))
+		beliefs.heard += min(1, max(0, float64(unheardTime-age)/float64(unheardTime-heardTime)))
 	}
 }
 
--- a/core/throttler/cut_test.go
+++ b/core/throttler/cut_test.go
@@ -389,3 +389,34 @@
 		is.True(result.peak <= 1)
 	}
 }
+
+// Groups of a large fleet may hold one token of an organisation. A VM that has just heard its group must be able
+// to spend it.
+func TestTokenOfASmallBucketIsWithheldFromAVMThatHearsItsGroup(t *testing.T) {
+	is := is.New(t)
+	bucket := &throttler.Bucket{}
+	bucket.Set(throttler.Limit{Rate: 1, Burst: 1}, 0)
+	hearings := make([]throttler.Hearing, 10)
+	believe := func(now time.Duration) {
+		beliefs := throttler.Beliefs{Since: bucket.Since(now), Now: now}
+		for i := range hearings {
+			beliefs.Add(&hearings[i])
+		}
+		bucket.Believe(beliefs.Belief(), now)
+	}
+	hear := func(now time.Duration) {
+		for i := range hearings {
+			hearings[i].Heard(now)
+		}
+	}
+	for now := time.Duration(0); now < 3*time.Second; now += 500 * time.Millisecond {
+		hear(now)
+		believe(now)
+	}
+	believe(2900 * time.Millisecond)
+	is.True(!bucket.Available(2900 * time.Millisecond)) // the last heartbeat is 400 ms old
+	is.True(bucket.Withholds(2900 * time.Millisecond))
+	hear(2910 * time.Millisecond) // those asked have answered
+	believe(2925 * time.Millisecond)
+	is.True(bucket.Available(2925 * time.Millisecond))
+}
