--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -9,7 +9,8 @@
 //
 // A connection is reused only if the request was written and the answer read
 // completely, the context had not ended, and no further bytes were received. An
-// answer therefore never reaches a request that it doesn't belong to.
+// answer that has come by then never reaches a request that it doesn't belong to. One that comes
+// later on a reused connection can only be told by Call.Matches, or avoided by Call.FreshOnly.
 //
 // # Usage
 //
