dispatcher, exchanger: the line of an attempt says whose answer it was

REFUSED has no lines to tell its causes apart: attempt-ended said not-run and nothing of the connection.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -51,10 +51,13 @@
 
 	response *http.Response
 	body     []byte
-	verdict  assessor.Verdict
-	dialed   atomic.Bool
-	started  time.Time
-	watch    watch
+	trace    exchanger.Trace
+	// unidentified is true if the answer bears no ID of a request.
+	unidentified bool
+	verdict      assessor.Verdict
+	dialed       atomic.Bool
+	started      time.Time
+	watch        watch
 	// written is true if the request may have been written, and silent if the target can't be reached that
 	// has not answered it.
 	written, silent atomic.Bool
@@ -179,6 +182,7 @@
 	}
 	var exchange *exchanger.Error
 	if errors.As(err, &exchange) {
+		attempt.trace = exchange.Trace
 		failure.Written, failure.Fresh = exchange.Written, exchange.FreshConnection
 		// A connection that this VM's side has ended, as nothing was acknowledged, says nothing about a
 		// crash.
@@ -191,6 +195,7 @@
 func (attempt *attempt) read(ctx context.Context, answer *exchanger.Answer) {
 	response := answer.Response
 	reply := platform.ReadReply(response)
+	attempt.trace, attempt.unidentified = answer.Trace, reply.ID == ""
 	attempt.handleSignals(reply)
 	if reply.ID == "" && !answer.FreshConnection {
 		// It may repeat an answer to an earlier request of the connection.
@@ -305,6 +310,7 @@
 	if attempt.repeated {
 		fields["repeated"] = true
 	}
+	attempt.logTrace(fields)
 	if attempt.lost || attempt.crashed {
 		if fingerprint, ok := dispatcher.fingerprint(attempt.job); ok {
 			fields["fingerprint"] = fingerprint
@@ -314,6 +320,25 @@
 	dispatcher.Log.WithFields(fields).Info("attempt-ended")
 }
 
+// logTrace adds what tells the answer to this attempt from one to an earlier request of the connection, or to
+// an earlier attempt.
+func (attempt *attempt) logTrace(fields logrus.Fields) {
+	trace := attempt.trace
+	if trace.Connection == 0 {
+		return
+	}
+	fields["target-connection"], fields["carried"] = trace.Connection, trace.Earlier
+	if trace.FirstByte > 0 {
+		fields["first-byte"] = trace.FirstByte.Round(time.Microsecond)
+	}
+	if trace.Discarded > 0 {
+		fields["discarded"] = trace.Discarded
+	}
+	if attempt.response != nil {
+		fields["target-status"], fields["identified"] = attempt.response.StatusCode, !attempt.unidentified
+	}
+}
+
 func (attempt *attempt) failure() placer.Failure {
 	return placer.Failure{Service: attempt.job.service, Outcome: attempt.verdict.Outcome, Suspicion: attempt.suspicionBefore}
 }
--- a/gateway/internal/dispatcher/faulty_target_test.go
+++ b/gateway/internal/dispatcher/faulty_target_test.go
@@ -99,3 +99,18 @@
 		})
 	}
 }
+
+// answerInTurn returns a function that sends one answer to each request of a connection and then closes it.
+func answerInTurn(answers ...string) func(connection net.Conn) {
+	return func(connection net.Conn) {
+		reader := bufio.NewReader(connection)
+		for _, answer := range answers {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			if _, err := io.WriteString(connection, answer); err != nil {
+				return
+			}
+		}
+	}
+}
--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -24,9 +24,12 @@
 	// raw is nil if the connection has no file descriptor.
 	raw     syscall.RawConn
 	address string
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	fresh   bool
+	// number is the connection's among those of the exchanger, and calls how many it has carried.
+	number uint64
+	calls  int
+	reader *bufio.Reader
+	writer *bufio.Writer
+	fresh  bool
 	// lastUsed is the time when the connection was put into the pool.
 	lastUsed time.Time
 	// keepAliveTimeout is how long the connection may stay idle according to
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,10 @@
 	// answered is true if at least one byte of an answer was received.
 	answered  bool
 	malformed bool
+	trace     Trace
+	begunAt   time.Time
+	// writtenAt is when writing ended, in nanoseconds since begunAt, 0 until then.
+	writtenAt atomic.Int64
 }
 
 // maxTimedBody is the size, in bytes, of the longest body for which Exchanger.UnackedTimeout applies. An
@@ -68,9 +73,17 @@
 	if err := writer.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
+	exchange.writtenAt.Store(int64(time.Since(exchange.begunAt)))
 	return nil
 }
 
+// traceFirstByte records when an answer began.
+func (exchange *exchange) traceFirstByte() {
+	if writtenAt := time.Duration(exchange.writtenAt.Load()); writtenAt > 0 {
+		exchange.trace.FirstByte = time.Since(exchange.begunAt) - writtenAt
+	}
+}
+
 // abortingBody closes the connection if reading the body fails, so that the
 // upstream can't mistake a partial body for the complete one.
 type abortingBody struct {
@@ -101,6 +114,7 @@
 			return nil, fmt.Errorf("wait for the answer: %w", err)
 		}
 		exchange.answered = true
+		exchange.traceFirstByte()
 		response, err := http.ReadResponse(connection.reader, exchange.call.Request)
 		if err != nil {
 			exchange.malformed = !isConnectionError(err)
@@ -117,6 +131,7 @@
 		if exchange.call.Matches == nil || exchange.call.Matches(response) {
 			return response, nil
 		}
+		exchange.trace.Discarded++
 		if err := discardMismatched(response); err != nil {
 			exchange.malformed = true
 			return nil, err
@@ -162,7 +177,7 @@
 	}
 	return &Error{
 		Written: exchange.connection.mayHaveWritten(), FreshConnection: exchange.connection.fresh,
-		Answered: exchange.answered, Malformed: exchange.malformed, Err: err,
+		Answered: exchange.answered, Malformed: exchange.malformed, Trace: exchange.trace, Err: err,
 	}
 }
 
@@ -204,6 +219,7 @@
 	Response *http.Response
 	// FreshConnection is true if the connection was opened for this call.
 	FreshConnection bool
+	Trace           Trace
 
 	exchange     *exchange
 	bodyComplete bool
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -31,6 +31,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,6 +59,8 @@
 	mutex  sync.Mutex
 	idle   idleConnections
 	closed bool
+	// dialed is the number of connections opened so far.
+	dialed atomic.Uint64
 }
 
 // Run closes connections that exceed the idle timeout, and closes the
@@ -124,6 +127,20 @@
 	BeforeWrite func() error
 }
 
+// Trace says over which connection a call went and when its answer began. It is what tells an answer to the
+// call from one to an earlier call on the connection.
+type Trace struct {
+	// Connection is the number of the connection among those of the exchanger, 0 if none was opened.
+	Connection uint64
+	// Earlier is the number of earlier calls on the connection.
+	Earlier int
+	// Discarded is the number of answers that Call.Matches rejected.
+	Discarded int
+	// FirstByte is the time from the end of writing the request to the first byte of the last answer that was
+	// read. It is 0 without an answer, or if that began before.
+	FirstByte time.Duration
+}
+
 // Error is the error of a failed call, with its progress.
 type Error struct {
 	// Written is false only if no byte of the request was written.
@@ -137,6 +154,7 @@
 	// switches protocols, follows too many other answers, or belongs to
 	// another request and can't be discarded.
 	Malformed bool
+	Trace     Trace
 	Err       error
 }
 
@@ -163,14 +181,16 @@
 			return nil, &Error{FreshConnection: connection.fresh, Err: err}
 		}
 	}
-	exchange := &exchange{exchanger: exchanger, connection: connection, call: call}
+	exchange := &exchange{exchanger: exchanger, connection: connection, call: call, begunAt: time.Now()}
+	exchange.trace = Trace{Connection: connection.number, Earlier: connection.calls}
+	connection.calls++
 	exchange.detachContext = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	exchange.send()
 	response, err := exchange.receive()
 	if err != nil {
 		return nil, exchange.fail(ctx, err)
 	}
-	answer := &Answer{Response: response, FreshConnection: connection.fresh, exchange: exchange}
+	answer := &Answer{Response: response, FreshConnection: connection.fresh, Trace: exchange.trace, exchange: exchange}
 	response.Body = &body{ReadCloser: response.Body, answer: answer}
 	return answer, nil
 }
--- a/shell/exchanger/pool.go
+++ b/shell/exchanger/pool.go
@@ -151,6 +151,7 @@
 		return nil, fmt.Errorf("connect to upstream: %w", err)
 	}
 	connection := newConnection(raw, address)
+	connection.number = exchanger.dialed.Add(1)
 	if exchanger.Dial == nil {
 		connection.unackedTimeout = exchanger.UnackedTimeout
 	}
