dispatcher: a request goes over each connection to an address once

Cause: which attempts need a new connection was decided by the target's ID, while kept connections, and so the late copies on them, belong to the address, which a target with another ID may have by then. Now the addresses that a request was sent to are remembered. Cost: a new connection for attempts after a 421 to another target of the same address, of which a request has two at most.

--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -52,6 +52,9 @@
 	// could not be reached.
 	tried       []string
 	unreachable []string
+	// addresses are those that an attempt was sent to: a connection is one to an address, whose target may
+	// have been replaced between two attempts.
+	addresses []string
 	attempts    int
 	// degraded is true if the service counted as degraded before an attempt.
 	degraded bool
@@ -232,8 +235,11 @@
 	handler.attempts++
 	handler.reached++
 	handler.inFlight++
-	repeated := slices.Contains(handler.tried, target.ID)
+	repeated := slices.Contains(handler.addresses, target.Address)
 	if !repeated {
+		handler.addresses = append(handler.addresses, target.Address)
+	}
+	if !slices.Contains(handler.tried, target.ID) {
 		handler.tried = append(handler.tried, target.ID)
 	}
 	attempt := &attempt{
