dispatcher: an answer that names no request is believed on a clean connection only

What callers could see: 503 with a promise for a booking that runs, where a refusal without an ID followed the answer to another request on a new connection; the body of another request, where a signed answer without an ID came late on a kept one; 502 in place of the answer that followed a stray refusal. Cause: an answer without an ID passed as the attempt's, on any connection, and only its word "not run" was discounted, on kept ones. Now it is the attempt's only on a new connection over which nothing else has come; elsewhere it is discarded like one with another ID, its signals with it, and the next answer is read.

The case of a refusal without an ID in TestLineOfAnAttemptDoesNotSayWhoseAnswerItWas asks for discarded=1 now, and a new one for the line on a new connection.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -52,6 +52,8 @@
 	response *http.Response
 	body     []byte
 	trace    exchanger.Trace
+	// clean is true while the connection can't have carried an answer to another request.
+	clean bool
 	// unidentified is true if the answer bears no ID of a request.
 	unidentified bool
 	verdict      assessor.Verdict
@@ -109,6 +111,7 @@
 		FreshOnly: attempt.repeated,
 		Connected: func(fresh bool) {
 			attempt.dialed.Store(true)
+			attempt.clean = fresh
 			if fresh {
 				attempt.dispatcher.recordConnected(attempt.target)
 			}
@@ -129,17 +132,18 @@
 	return call
 }
 
-// matches reports whether the answer may belong to this attempt. An answer without a
-// request ID matches, as targets that don't run a request may leave it out.
+// matches reports whether the answer belongs to this attempt. One without a request ID does only if nothing
+// else can have come over the connection.
 func (attempt *attempt) matches(response *http.Response) bool {
 	reply := platform.ReadReply(response)
-	matches := reply.ID == "" || reply.ID == attempt.job.metadata.ID
-	if !matches {
-		attempt.dispatcher.Log.WithFields(logrus.Fields{
-			"request": attempt.job.metadata.ID, "target": attempt.target.ID, "of-request": reply.ID,
-		}).Info("answer-mismatched")
-	}
-	return matches
+	if reply.ID == attempt.job.metadata.ID && reply.ID != "" || reply.ID == "" && attempt.clean {
+		return true
+	}
+	attempt.clean = false
+	attempt.dispatcher.Log.WithFields(logrus.Fields{
+		"request": attempt.job.metadata.ID, "target": attempt.target.ID, "of-request": reply.ID,
+	}).Info("answer-mismatched")
+	return false
 }
 
 func (attempt *attempt) instructions() platform.Attempt {
@@ -197,10 +201,6 @@
 	reply := platform.ReadReply(response)
 	attempt.trace, attempt.unidentified = answer.Trace, reply.ID == ""
 	attempt.handleSignals(reply)
-	if reply.ID == "" && !answer.FreshConnection {
-		// It may repeat an answer to an earlier request of the connection.
-		reply.NotRun, reply.OtherTarget = false, false
-	}
 	body, err := attempt.readBody(io.LimitReader(response.Body, maxAnswerBytes+1))
 	answer.Close()
 	if err != nil && ctx.Err() != nil {
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -55,7 +55,7 @@
 	// addresses are those that an attempt was sent to: a connection is one to an address, whose target may
 	// have been replaced between two attempts.
 	addresses []string
-	attempts    int
+	attempts  int
 	// degraded is true if the service counted as degraded before an attempt.
 	degraded bool
 	// reached is the number of attempts that may have reached a target.
--- a/gateway/internal/dispatcher/trace_test.go
+++ b/gateway/internal/dispatcher/trace_test.go
@@ -27,7 +27,7 @@
 		answer, line string
 	}{
 		"rejected":     {"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n", `carried=1 .*first-byte="?[0-9.]+[µm]?s"? identified=true .*reason=not-run .*target-connection=1 target-status=503`},
-		"unidentified": {"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", `carried=1 .*identified=false .*target-connection=1 target-status=503`},
+		"unidentified": {unidentifiedRefusal, `carried=1 discarded=1 .*target-connection=1`},
 		"discarded":    {"HTTP/1.1 503 X\r\nX-Attempt-Id: a0\r\nContent-Length: 0\r\n\r\n" + "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: a1\r\nContent-Length: 0\r\n\r\n", `carried=1 discarded=1 `},
 		"cut":          {"", `carried=1 .*reason=kept-connection-lost .*target-connection=1`},
 	} {
@@ -42,4 +42,13 @@
 			is.True(regexp.MustCompile(`attempt-ended.*` + test.line).Match(lines.Bytes()))
 		})
 	}
+	t.Run("unidentified on a new connection", func(t *testing.T) {
+		is := is.New(t)
+		vm := start(t)
+		vm.SetTargets([]placer.Target{{ID: "t0", Service: "s", Address: "target:1", DataCentre: "d", Slots: 4}})
+		lines := vm.lines()
+		vm.dialTo(answerInTurn(unidentifiedRefusal))
+		is.Equal(vm.book().Status, http.StatusServiceUnavailable)
+		is.True(regexp.MustCompile(`attempt-ended.* carried=0 .*identified=false .*reason=not-run .*target-connection=1 target-status=503`).Match(lines.Bytes()))
+	})
 }
