--- a/gateway/internal/dispatcher/unidentified_test.go
+++ b/gateway/internal/dispatcher/unidentified_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 
@@ -42,3 +43,16 @@
 		})
 	}
 }
+
+// A request without an ID can't be told from others, so that any late answer on a kept connection would be
+// taken for its own.
+func TestLateAnswerReachesARequestWithoutID(t *testing.T) {
+	is := is.New(t)
+	vm := start(t)
+	vm.SetTargets([]placer.Target{{ID: "t0", Service: "s", Address: "target:1", DataCentre: "d", Slots: 4}})
+	vm.dialTo(answerInTurn(identifiedSuccess, unidentifiedSuccess))
+	is.Equal(vm.book().Status, http.StatusOK)
+	request := call(http.MethodPost, "/book/1", "key")
+	delete(request.Request.Header, "X-Attempt-Id")
+	is.True(string(vm.Serve(context.Background(), request).Body) != "other")
+}
