assessor, forwarder, dispatcher: another VM's refusal is a promise only if it says so

What callers could see: 503 with a promise from a VM that passed a booking on, while the other VM's target runs it (REFUSED). Now a VM states `NotRun` in its answer; a refusal without that counts only if the request was sent to no target, which the answer says since requests are passed on. Older VMs ignore the field, and theirs is absent (TestAnswersBetweenVersionsAreMisread, both ways). While both versions run, bookings that an older VM refused after an attempt get 502, reads are sent again.

TestWordOfAnotherVMIsTakenForAPromise and TestRefusalOfAnOlderVMAfterAnAttemptIsBelieved fail with the old condition (503 for 502) and pass now. TestTargetsTriedByAnotherVMAreForgotten asks the same of VMs that state it.

--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -108,20 +108,36 @@
 	return placer.Unknown
 }
 
-// ClassifyForwarded returns the verdict on the answer of another VM to which a request was passed on:
-// one that a target gave, or one of its own. It has ended the connection without an answer to its
-// caller if aborted is true.
-func ClassifyForwarded(status int, fromTarget, aborted bool) Verdict {
+// Forwarded describes the answer of another VM to which a request was passed on.
+type Forwarded struct {
+	Status int
+	// FromTarget is true if a target gave the answer, and Abort if the VM has none.
+	FromTarget, Abort bool
+	// NotRun is true if the VM states that the request did not and will not run. VMs of the first versions
+	// never do.
+	NotRun bool
+	// Targets is the number of targets to which the VM sent the request.
+	Targets int
+}
+
+// ClassifyForwarded returns the verdict on the answer of another VM. A refusal that doesn't state that the
+// request did not run is believed only if it was sent to no target: the VM may have concluded it from less.
+func ClassifyForwarded(answer Forwarded) Verdict {
 	verdict := Verdict{Outcome: placer.Unknown, MayHaveRun: true}
+	refusal := answer.Status >= http.StatusBadRequest && answer.Status < http.StatusInternalServerError || answer.Status == http.StatusServiceUnavailable
 	switch {
-	case aborted:
+	case answer.Abort:
 		verdict.Reason = "peer-lost"
-	case fromTarget && status >= http.StatusInternalServerError:
+	case answer.FromTarget && impliesNotRun(answer.Status):
+		verdict.Reason = "status-misleading"
+	case answer.FromTarget && answer.Status >= http.StatusInternalServerError:
 		verdict.Reason, verdict.Deliver = "target-failed", IfLast
-	case fromTarget:
+	case answer.FromTarget:
 		verdict.Reason, verdict.Deliver = "answered", Always
-	case status < http.StatusInternalServerError || status == http.StatusServiceUnavailable:
+	case refusal && (answer.NotRun || answer.Targets == 0):
 		verdict.Reason, verdict.MayHaveRun = "peer-refused", false
+	case refusal:
+		verdict.Reason = "peer-refused-unproven"
 	default:
 		verdict.Reason = "peer-failed"
 	}
--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -82,7 +82,10 @@
 		if err != nil {
 			attempt.verdict = classifyForwardFailure(ctx, err)
 		} else {
-			attempt.verdict = assessor.ClassifyForwarded(attempt.forwarded.Status, attempt.forwarded.FromTarget, attempt.forwarded.Abort)
+			attempt.verdict = assessor.ClassifyForwarded(assessor.Forwarded{
+				Status: attempt.forwarded.Status, FromTarget: attempt.forwarded.FromTarget, Abort: attempt.forwarded.Abort,
+				NotRun: attempt.forwarded.NotRun, Targets: attempt.forwarded.Targets,
+			})
 		}
 	} else {
 		attempt.verdict = assessor.Verdict{Outcome: placer.Unknown, Reason: assessor.Withheld}
--- a/gateway/internal/dispatcher/delegate_test.go
+++ b/gateway/internal/dispatcher/delegate_test.go
@@ -262,7 +262,7 @@
 func TestTargetsTriedByAnotherVMAreForgotten(t *testing.T) {
 	is := is.New(t)
 	vm, peers := startIsolated(t, func(int) (receiver.Reply, error) {
-		return receiver.Reply{Status: http.StatusServiceUnavailable, Targets: 1}, nil
+		return receiver.Reply{Status: http.StatusServiceUnavailable, NotRun: true, Targets: 1}, nil
 	})
 	vm.book() // the route allows two targets; each other VM is given both, and tries one
 	asked, _ := peers.counts()
@@ -272,6 +272,20 @@
 	is.Equal(full.book().Targets, 1)
 }
 
+// A VM of the first versions may take a late copy for the answer of a target, so that a booking which it
+// refused after an attempt may run.
+func TestRefusalOfAnOlderVMAfterAnAttemptIsBelieved(t *testing.T) {
+	is := is.New(t)
+	vm, peers := startIsolated(t, func(int) (receiver.Reply, error) {
+		return receiver.Reply{Status: http.StatusServiceUnavailable, Targets: 1}, nil
+	})
+	is.Equal(vm.book().Status, http.StatusBadGateway)
+	asked, _ := peers.counts()
+	is.Equal(asked, 1)
+	is.True(start(t, serve(t, full)).book().NotRun) // what this VM tells others
+	is.True(!start(t, serve(t, abort)).book().NotRun)
+}
+
 // A VM with another version of the configuration must not serve for this one, whose callers would see
 // the versions change back and forth.
 func TestRequestIsServedByAnotherVersionAtAnotherVM(t *testing.T) {
--- a/gateway/internal/dispatcher/refusal.go
+++ b/gateway/internal/dispatcher/refusal.go
@@ -28,7 +28,8 @@
 	if refusal.retryAfter > 0 {
 		header["Retry-After"] = []string{strconv.FormatFloat(refusal.retryAfter.Seconds(), 'f', 3, 64)}
 	}
-	return receiver.Reply{Status: refusal.status, Header: header, Body: append(body, '\n')}
+	notRun := refusal.status < http.StatusInternalServerError || refusal.status == http.StatusServiceUnavailable
+	return receiver.Reply{Status: refusal.status, Header: header, Body: append(body, '\n'), NotRun: notRun}
 }
 
 // Refuse returns the answer to a request that the receiver rejects, for instance because
--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -110,6 +110,8 @@
 	Body       []byte
 	Abort      bool
 	FromTarget bool
+	// NotRun is true if the request did not and will not run. VMs up to f78941f don't say so.
+	NotRun bool
 	// Targets is the number of targets that the request was sent to.
 	Targets int
 	// OutOfReach is true if the VM can't reach the targets.
@@ -223,7 +225,7 @@
 	}
 	return receiver.Reply{
 		Status: received.Status, Header: received.Header, Body: received.Body, Abort: received.Abort, FromTarget: received.FromTarget,
-		Targets: received.Targets, OutOfReach: received.OutOfReach,
+		NotRun: received.NotRun, Targets: received.Targets, OutOfReach: received.OutOfReach,
 	}, nil
 }
 
@@ -277,7 +279,7 @@
 func (forwarder *Forwarder) answer(context echo.Context, answer receiver.Reply) error {
 	encoded, err := msgpack.Marshal(&reply{
 		Status: answer.Status, Header: answer.Header, Body: answer.Body, Abort: answer.Abort, FromTarget: answer.FromTarget,
-		Targets: answer.Targets, OutOfReach: answer.OutOfReach,
+		NotRun: answer.NotRun, Targets: answer.Targets, OutOfReach: answer.OutOfReach,
 	})
 	if err != nil {
 		return fmt.Errorf("encode answer: %w", err)
--- /dev/null
+++ b/gateway/internal/forwarder/version_test.go
@@ -0,0 +1,35 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// formerReply is the answer between VMs up to f78941f.
+type formerReply struct {
+	Status     int
+	Header     http.Header
+	Body       []byte
+	Abort      bool
+	FromTarget bool
+	Targets    int
+	OutOfReach bool
+}
+
+// During an upgrade VMs of both versions read each other's answers.
+func TestAnswersBetweenVersionsAreMisread(t *testing.T) {
+	is := is.New(t)
+	encoded, err := msgpack.Marshal(&reply{Status: 503, Body: []byte("b"), NotRun: true, Targets: 2, OutOfReach: true})
+	is.NoErr(err)
+	var former formerReply
+	is.NoErr(msgpack.Unmarshal(encoded, &former))
+	is.Equal(former, formerReply{Status: 503, Body: []byte("b"), Targets: 2, OutOfReach: true})
+	encoded, err = msgpack.Marshal(&former)
+	is.NoErr(err)
+	var received reply
+	is.NoErr(msgpack.Unmarshal(encoded, &received))
+	is.Equal(received, reply{Status: 503, Body: []byte("b"), Targets: 2, OutOfReach: true})
+}
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -67,6 +67,8 @@
 	Abort bool
 	// FromTarget is true if the answer is that of a target.
 	FromTarget bool
+	// NotRun is true if the request did not and will not run.
+	NotRun bool
 	// Targets is the number of targets that the request was sent to.
 	Targets int
 	// OutOfReach is true if another VM had passed the request on, and this one can't reach the targets
