starter, verifier, messenger: a VM that waits to join accepts no key of a restored store

Cause: a VM that starts after a restore waits up to 5 s before it joins, and serves meanwhile by the copy; claims of other VMs, which would make it withhold the copy, reach only a VM that has joined.

Now a VM on a store that was restored at some time accepts no key, and rejects none as unknown, until all VMs of its group have told it their claims or count as silent (1.7 s). It is not ready meanwhile anyway. Requests without a key are served as before. Weighed: to let it refuse all (the copy's routes are as good as on a VM that the store is hidden from).

--- a/core/keeper/keeper.go
+++ b/core/keeper/keeper.go
@@ -69,6 +69,9 @@
 	firstEra = 1
 )
 
+// Restored reports whether a store in the era has come back from a copy at some time.
+func Restored(era uint64) bool { return era > firstEra }
+
 // Delay returns how long a VM that has heard of a new era waits before it reads the table.
 // Random is from 0 to 1.
 func Delay(first bool, members int, random float64) time.Duration {
@@ -89,7 +92,7 @@
 // been written again. A VM that doesn't know of others would spend what is theirs.
 func (mark Mark) Wait(era uint64, now time.Duration) time.Duration {
 	switch {
-	case era <= firstEra:
+	case !Restored(era):
 		return 0
 	case mark.Era != era:
 		return SettleTime
--- a/core/verifier/verifier.go
+++ b/core/verifier/verifier.go
@@ -25,6 +25,9 @@
 	Behind bool
 	// StoreUnreachable is true while the store does not answer this VM.
 	StoreUnreachable bool
+	// Unconfirmed is true if the configuration may be that of an older copy of the store, and no other VM
+	// can have said so yet.
+	Unconfirmed bool
 }
 
 // Policy limits the use of a configuration by its age. A zero duration sets no limit.
@@ -54,13 +57,13 @@
 // MayTrustKeys reports whether the VM may accept keys: none that it accepts can have been
 // withdrawn for longer than Withdrawal.
 func (policy Policy) MayTrustKeys(freshness Freshness) bool {
-	return policy.MayServe(freshness) && within(freshness.Age, policy.Withdrawal)
+	return !freshness.Unconfirmed && policy.MayServe(freshness) && within(freshness.Age, policy.Withdrawal)
 }
 
 // MayRejectUnknown reports whether the VM may answer that a route or key doesn't exist;
 // a newer configuration may have added it.
 func (policy Policy) MayRejectUnknown(freshness Freshness) bool {
-	return within(freshness.Age, policy.Propagation) && within(freshness.Age, policy.Withdrawal)
+	return !freshness.Unconfirmed && within(freshness.Age, policy.Propagation) && within(freshness.Age, policy.Withdrawal)
 }
 
 func within(age, bound time.Duration) bool { return bound == 0 || age < bound }
--- a/core/verifier/verifier_test.go
+++ b/core/verifier/verifier_test.go
@@ -15,6 +15,7 @@
 		name              string
 		age               time.Duration
 		behind, lost      bool
+		unconfirmed       bool
 		serve, keys, deny bool
 	}{
 		{name: "fresh", age: time.Second, serve: true, keys: true, deny: true},
@@ -27,10 +28,11 @@
 		{name: "store unreachable, after the grace", age: 8 * time.Second, behind: true, lost: true},
 		{name: "store unreachable for hours", age: time.Hour, behind: true, lost: true},
 		{name: "a transfer takes hours", age: time.Hour, behind: true},
+		{name: "the copy may lack a change", age: time.Second, unconfirmed: true, serve: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			freshness := verifier.Freshness{Age: test.age, Behind: test.behind, StoreUnreachable: test.lost}
+			freshness := verifier.Freshness{Age: test.age, Behind: test.behind, StoreUnreachable: test.lost, Unconfirmed: test.unconfirmed}
 			is.Equal(policy.MayServe(freshness), test.serve)
 			is.Equal(policy.MayTrustKeys(freshness), test.keys)
 			is.Equal(policy.MayRejectUnknown(freshness), test.deny)
--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -97,6 +97,9 @@
 	// Forwarder, if set, passes requests on to other VMs, which Candidates returns.
 	Forwarder  Forwarder
 	Candidates func() []delegator.Candidate
+	// Unconfirmed, if set, reports whether the configuration may be that of an older copy of the store, which
+	// no other VM can have said yet.
+	Unconfirmed func() bool
 	// Group, if set, says how much of the group's rates this VM may spend. Otherwise that is what the last
 	// call of SetShare says.
 	Group Group
@@ -205,7 +208,10 @@
 // freshness returns how current the configuration is.
 func (dispatcher *Dispatcher) freshness() verifier.Freshness {
 	tracker := dispatcher.Tracker
-	return verifier.Freshness{Age: dispatcher.Clock() - tracker.AsOf(), Behind: tracker.Behind(), StoreUnreachable: tracker.StoreUnreachable()}
+	return verifier.Freshness{
+		Age: dispatcher.Clock() - tracker.AsOf(), Behind: tracker.Behind(), StoreUnreachable: tracker.StoreUnreachable(),
+		Unconfirmed: dispatcher.Unconfirmed != nil && dispatcher.Unconfirmed(),
+	}
 }
 
 // MayServe reports whether the configuration is fresh enough to handle requests.
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -531,6 +531,9 @@
 		freshness := dispatcher.freshness()
 		fields["age"] = freshness.Age.Round(time.Millisecond)
 		fields["behind"], fields["store-unreachable"] = freshness.Behind, freshness.StoreUnreachable
+		if freshness.Unconfirmed {
+			fields["unconfirmed"] = true
+		}
 	}
 	dispatcher.Log.WithFields(fields).WithField("request", requestID(call)).Info("request-refused")
 }
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -108,8 +108,10 @@
 	// behind are the keys known last of the VMs that may not know the one in use.
 	behind map[netip.AddrPort][]byte
 	// heardEra is the newest era of the store that a message has named.
-	heardEra    uint64
-	leaving     bool
+	heardEra uint64
+	leaving  bool
+	// introduced is true once the VMs of the fleet are known.
+	introduced  bool
 	pendingAsks map[uint64]pendingAsk
 }
 
@@ -125,6 +127,8 @@
 	askedAt time.Duration
 	// storeUnreachable is true while the store does not answer the peer.
 	storeUnreachable bool
+	// claimed is true once claims have come from the peer.
+	claimed bool
 }
 
 // Open binds the address. Call it before all other methods.
@@ -212,6 +216,7 @@
 	for _, claim := range message.Claims {
 		messenger.OnClaim(claim)
 	}
+	messenger.recordClaims(from.Name)
 }
 
 // answerHello answers a hello. A VM of the group gets the claims of this VM, as it must learn
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -32,6 +32,9 @@
 			messenger.send(peer.Address, messenger.newMessage(true, nil))
 		}
 	}
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	messenger.introduced = true
 }
 
 func (messenger *Messenger) addContact(from Peer) {
@@ -107,6 +110,23 @@
 	}
 }
 
+// recordClaims records that claims of a VM have been handled.
+func (messenger *Messenger) recordClaims(name string) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	if known := messenger.peers[name]; known != nil {
+		known.claimed = true
+	}
+}
+
+// ClaimsKnown reports whether claims of all VMs of the group have come that are not silent. It is false before
+// the first call of AddPeers.
+func (messenger *Messenger) ClaimsKnown() bool {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	return messenger.introduced && !slices.ContainsFunc(messenger.group, func(peer *peer) bool { return !peer.claimed && !peer.silent })
+}
+
 // detectSilence marks the peers of the group from which no message came for
 // silenceTimeout.
 func (messenger *Messenger) detectSilence() {
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -22,6 +22,12 @@
 // joined reports whether the VM has joined the fleet.
 func (messages *messages) joined() bool { return messages.messenger.Load() != nil }
 
+// claimsKnown reports whether the VM has joined the fleet and knows the claims of its group.
+func (messages *messages) claimsKnown() bool {
+	messenger := messages.messenger.Load()
+	return messenger != nil && messenger.ClaimsKnown()
+}
+
 // SendToGroup sends events to the group.
 func (messages *messages) SendToGroup(events ...messenger.Event) {
 	if messenger := messages.messenger.Load(); messenger != nil {
--- a/gateway/internal/starter/restore_test.go
+++ b/gateway/internal/starter/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -106,3 +108,29 @@
 	fleet.run("vm-2")
 	fleet.waitUntil("the VM joins with all others", func() bool { return fleet.vms[2].logged.has("joined 3") })
 }
+
+// A VM that waits to join after a restore hears nothing of what the copy lacks: it must not serve a key that was
+// withdrawn since the copy.
+func TestVMThatWaitsToJoinServesAWithdrawnKeyOfTheCopy(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	snapshot := fleet.store.Snapshot()
+	fleet.configure(2, "other")
+	fleet.waitUntil("the withdrawn key is rejected", func() bool { return fleet.vms[0].status(t, "key") == http.StatusUnauthorized })
+	fleet.store.Restore(snapshot)
+	vm := fleet.launch("vm-1")
+	fleet.waitUntil("the VM listens", func() bool {
+		connection, err := net.Dial("tcp", vm.settings.Callers)
+		if err == nil {
+			_ = connection.Close()
+		}
+		return err == nil
+	})
+	for !vm.logged.has("joined 2") {
+		is.Equal(vm.status(t, "key"), http.StatusServiceUnavailable)
+		is.Equal(vm.status(t, "unknown"), http.StatusServiceUnavailable) // the copy may lack it
+	}
+	fleet.configure(2, "other")
+	fleet.waitUntil("the VM serves", func() bool { return vm.ready() && vm.status(t, "other") == http.StatusOK })
+	is.Equal(vm.status(t, "key"), http.StatusUnauthorized)
+}
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -21,6 +21,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/indexer"
+	"godwitramp.example/core/keeper"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/throttler"
 	"godwitramp.example/core/verifier"
@@ -132,7 +133,8 @@
 		Candidates: starter.messages.Candidates, Group: starter.messages,
 		Locality: placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions:  settings.Regions, Clock: timer.Now, Log: starter.Log,
-		Policy: policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
+		Unconfirmed: func() bool { return !starter.messages.claimsKnown() && keeper.Restored(starter.store.Era()) },
+		Policy:      policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
 		OnBlocksChange: starter.requestBlocksWrite, WritesBlocks: func() bool { return starter.messages.Rank() == 0 },
 		MaxAnswerBytes: int64(answerMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
 	}
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -124,6 +124,12 @@
 }
 
 func (fleet *fleet) run(name string) {
+	vm := fleet.launch(name)
+	fleet.waitUntil("the VM is ready", vm.ready)
+}
+
+// launch starts a VM and returns at once.
+func (fleet *fleet) launch(name string) *vm {
 	t := fleet.t
 	settings := loader.Settings{
 		Name: name, Region: "r", DataCentre: "d", Regions: map[string]string{"d": "r"},
@@ -153,7 +159,7 @@
 		<-vm.stopped
 	})
 	fleet.vms = append(fleet.vms, vm)
-	fleet.waitUntil("the VM is ready", vm.ready)
+	return vm
 }
 
 // waitUntil waits for a condition. The timeout only keeps a failing test from hanging.
