messenger: a VM that starts later doesn't make its group refuse keys

Found by reading: ClaimsKnown became false again whenever a VM joined the group, until its first claims, so that on a store that was once restored all VMs of the group refused keys for that moment. What a VM knows about the time before its own start stays known now. The last check of TestVMThatJoinsActsBeforeItsGroupHasAnswered failed before and passes now.

--- a/gateway/internal/messenger/claims_known_test.go
+++ b/gateway/internal/messenger/claims_known_test.go
@@ -35,4 +35,6 @@
 	now = silenceTimeout + time.Millisecond
 	messenger.detectSilence()
 	is.True(messenger.ClaimsKnown())
+	messenger.receive(message{From: "c", DataCentre: "d", Address: "127.0.0.1:3"}) // one that starts later
+	is.True(messenger.ClaimsKnown())
 }
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -110,9 +110,9 @@
 	// heardEra is the newest era of the store that a message has named.
 	heardEra uint64
 	leaving  bool
-	// introduced is true once the VMs of the fleet are known.
-	introduced  bool
-	pendingAsks map[uint64]pendingAsk
+	// introduced is true once the VMs of the fleet are known, and claimsKnown once their claims were.
+	introduced, claimsKnown bool
+	pendingAsks             map[uint64]pendingAsk
 }
 
 // peer is the state of another VM of the data centre.
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -119,12 +119,15 @@
 	}
 }
 
-// ClaimsKnown reports whether claims of all VMs of the group have come that are not silent. It is false before
-// the first call of AddPeers.
+// ClaimsKnown reports whether there was a time, after the first call of AddPeers, at which claims of all VMs of
+// the group had come that were not silent.
 func (messenger *Messenger) ClaimsKnown() bool {
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
-	return messenger.introduced && !slices.ContainsFunc(messenger.group, func(peer *peer) bool { return !peer.claimed && !peer.silent })
+	if !messenger.claimsKnown && messenger.introduced {
+		messenger.claimsKnown = !slices.ContainsFunc(messenger.group, func(peer *peer) bool { return !peer.claimed && !peer.silent })
+	}
+	return messenger.claimsKnown
 }
 
 // detectSilence marks the peers of the group from which no message came for
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -133,7 +133,7 @@
 		Candidates: starter.messages.Candidates, Group: starter.messages,
 		Locality: placer.Locality{Region: settings.Region, DataCentre: settings.DataCentre},
 		Regions:  settings.Regions, Clock: timer.Now, Log: starter.Log,
-		Unconfirmed: func() bool { return !starter.messages.claimsKnown() && keeper.Restored(starter.store.Era()) },
+		Unconfirmed: func() bool { return keeper.Restored(starter.store.Era()) && !starter.messages.claimsKnown() },
 		Policy:      policyOf(settings), Started: starter.started, FleetKey: starter.messages.key,
 		OnBlocksChange: starter.requestBlocksWrite, WritesBlocks: func() bool { return starter.messages.Rank() == 0 },
 		MaxAnswerBytes: int64(answerMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
