receiver: lines of refused and undelivered requests name them

What operators saw: for a 408, 400, 413 or 503 of the receiver a line with the status and the reason, and nothing that ties it to a request or a connection, so that with the ID of a booking nobody could tell whether the 408 was its answer or that of the request behind it; none at all for 503 because of too many connections; answer-undelivered and panic-recovered without an ID.

Now request-malformed has the connection, the requests that were ahead unanswered, the ID of the one before it (`previous`), and ID and path where the head was read; answer-undelivered and the receiver's panic-recovered have ID and path; connection-refused is new. IDs and paths are cut at 256 bytes, queries are left out.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +60,8 @@
 	// newest is the last request handed to the handler, nil once its answer leaves the
 	// connection open.
 	newest *Call
+	// previous is the ID of the last request handed to the handler, for logs.
+	previous string
 	// reading is true while a request is being read.
 	reading bool
 	// closing is true once the answer that closes the connection is about to be written. No
@@ -87,6 +90,9 @@
 	defer group.Wait()
 	defer cancel()
 	if connection.overLimit {
+		connection.receiver.Log.WithFields(logrus.Fields{
+			"connection": connection.number, "status": http.StatusServiceUnavailable, "reason": "too-many-connections",
+		}).Info("connection-refused")
 		connection.write(connection.receiver.Handler.Refuse(http.StatusServiceUnavailable, "too-many-connections"), nil, true)
 		connection.linger()
 		return
@@ -106,7 +112,7 @@
 			return
 		}
 		if err != nil {
-			connection.refuse(ctx, turn, err)
+			connection.refuse(ctx, turn, call, err)
 			return
 		}
 		call.Turn = turn
@@ -142,7 +148,7 @@
 		return false
 	}
 	call.Connection, call.Accepted, call.Ahead = connection.number, connection.accepted, connection.pending
-	connection.newest = call
+	connection.newest, connection.previous = call, connection.receiver.requestID(call)
 	connection.pending++
 	connection.receiver.inFlight.Add(1)
 	return true
@@ -199,8 +205,8 @@
 	}
 	if ctx.Err() != nil {
 		if !reply.Abort {
-			connection.receiver.Log.WithFields(logrus.Fields{
-				"connection": call.Connection, "ahead": call.Ahead, "status": reply.Status, "path": call.Request.URL.Path,
+			connection.log(call).WithFields(logrus.Fields{
+				"ahead": call.Ahead, "status": reply.Status,
 				"ready-for": time.Since(ready).Round(time.Millisecond), "leaving": connection.receiver.leaving.Load(),
 			}).Info("answer-undelivered")
 		}
@@ -225,7 +231,7 @@
 // connection ends without an answer.
 func (connection *connection) handle(call *Call) Reply {
 	reply := Reply{Abort: true}
-	recoverer.Do(connection.receiver.Log.WithField("path", call.Request.URL.Path), func() {
+	recoverer.Do(connection.log(call), func() {
 		reply = connection.receiver.Handler.Serve(connection.calls, call)
 	})
 	return reply
@@ -273,19 +279,33 @@
 	_, _ = io.Copy(io.Discard, connection.reader) // not parsed as requests
 }
 
-// refuse answers a request that could not be read, once the earlier ones are answered.
-func (connection *connection) refuse(ctx context.Context, turn <-chan struct{}, err error) {
+// log returns the log with the fields that name a request. The call is nil if its head was not read.
+func (connection *connection) log(call *Call) *logrus.Entry {
+	fields := logrus.Fields{"connection": connection.number}
+	if call != nil {
+		path, _, _ := strings.Cut(call.Target, "?") // the query may contain secrets
+		fields["request"], fields["path"] = connection.receiver.requestID(call), bounded(path)
+	}
+	return connection.receiver.Log.WithFields(fields)
+}
+
+// refuse answers a request that could not be read, once the earlier ones are answered. The call is nil if the
+// head was not read either.
+func (connection *connection) refuse(ctx context.Context, turn <-chan struct{}, call *Call, err error) {
 	var malformed *requestError
 	if !errors.As(err, &malformed) {
 		connection.lingerIfClosed()
 		return
 	}
+	connection.mutex.Lock()
+	ahead, previous := connection.pending, connection.previous
+	connection.mutex.Unlock()
 	if connection.awaitTurn(ctx, turn) != nil {
 		connection.lingerIfClosed() // an answer may have closed the connection meanwhile
 		return
 	}
-	connection.receiver.Log.WithFields(map[string]any{
-		"status": malformed.status, "reason": malformed.reason,
+	connection.log(call).WithFields(logrus.Fields{
+		"status": malformed.status, "reason": malformed.reason, "ahead": ahead, "previous": previous,
 	}).Info("request-malformed")
 	if connection.write(connection.receiver.Handler.Refuse(malformed.status, malformed.reason), nil, true) {
 		connection.linger()
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -102,7 +102,9 @@
 	// Patience, if set, returns how long a caller waits for its answer by the headers of its
 	// request, or 0 if they don't say so. A body that isn't complete by then is refused.
 	Patience func(header http.Header) time.Duration
-	Log      *logrus.Entry
+	// RequestID, if set, returns the ID of a request by its headers, for logs.
+	RequestID func(header http.Header) string
+	Log       *logrus.Entry
 
 	leaving  atomic.Bool
 	inFlight atomic.Int64
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -55,7 +55,8 @@
 // errClosing is the error of a request that begins while the closing answer is being written.
 var errClosing = errors.New("connection is closing")
 
-// read reads one request. An error is a *requestError if the caller can be answered.
+// read reads one request. An error is a *requestError if the caller can be answered. The call is then not nil
+// if the head was read.
 func (connection *connection) read(ctx context.Context, turn <-chan struct{}) (*Call, error) {
 	connection.mutex.Lock()
 	connection.setIdleDeadline()
@@ -82,7 +83,7 @@
 	deadline := call.Received.Add(connection.receiver.bodyTimeout(request.Header))
 	connection.extendReadDeadline(deadline)
 	if call.Body, err = connection.readBody(ctx, turn, request, limits.BodyBytes, deadline); err != nil {
-		return nil, err
+		return call, err
 	}
 	request.Body = http.NoBody
 	return call, nil
@@ -225,6 +226,19 @@
 	return connection.readCountedBody(request.ContentLength, chunked, limit)
 }
 
+// maxLoggedBytes limits the text of a caller in a line of the log.
+const maxLoggedBytes = 256
+
+func bounded(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
+// requestID returns the ID of a request for logs, "" if it has none.
+func (receiver *Receiver) requestID(call *Call) string {
+	if receiver.RequestID == nil {
+		return ""
+	}
+	return bounded(receiver.RequestID(call.Request.Header))
+}
+
 // bodyTimeout returns the time within which the body of a request has to be complete.
 func (receiver *Receiver) bodyTimeout(header http.Header) time.Duration {
 	if receiver.Patience != nil {
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -159,6 +159,7 @@
 		MaxConnections: int(callerDescriptorShare * float64(settings.Descriptors)),
 		MaxBodyBytes:   int64(bodyMemoryShare * float64(settings.MemoryMB) * (1 << 20)),
 		Patience:       patience,
+		RequestID:      requestID,
 		Log:            starter.Log,
 	}
 }
@@ -172,6 +173,15 @@
 	return request.Remaining
 }
 
+// requestID returns the ID of a request, "" if it has none.
+func requestID(header http.Header) string {
+	request, err := platform.ReadRequest(header)
+	if err != nil {
+		return "" // the request is refused once it has been read
+	}
+	return request.ID
+}
+
 func policyOf(settings loader.Settings) dispatcher.Policy {
 	return dispatcher.Policy{
 		Rates: throttler.Tolerance{
