forwarder: a booking that another VM got never counts as not written

Brought about over sockets: a write that fails after any part of the request (steps of one byte to a sixteenth, over a kept connection); a connection that is closed, reset or ended in the answer after the other VM read the whole request, new and kept; an answer with other bytes or another status than the VM's own.

Written is exact to the record: it was false up to 4,123 of 6,395 bytes taken, where the other VM could read none of it, and true from the first whole record on. The operating system never takes all bytes and reports an error, which TLS would report as nothing taken. The comment of exchanger.Error says it so now. No fault was found.

Planted: Written as "answered" fails 4 of the 16 lost connections and TestLostAnswerCountsAsNotRun, an answer that can't be read as "not written" 10; a failed write that always counts as written fails TestWriteBetweenVMsThatFailsCountsAsNotWritten.

--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -5,7 +5,8 @@
 // be dead if the method is idempotent or the request has an Idempotency-Key.
 // Here each call of Do writes the request at most once, to one connection, and
 // an error says whether any byte was written. Writes are tracked below all
-// buffers, so Written is false only if the operating system accepted no byte.
+// buffers, so Written is false only if the operating system accepted no byte. Over
+// TLS it may have accepted a part of a record, which the upstream can't read.
 //
 // A connection is reused only if the request was written and the answer read
 // completely, the context had not ended, and no further bytes were received. An
@@ -143,7 +144,7 @@
 
 // Error is the error of a failed call, with its progress.
 type Error struct {
-	// Written is false only if no byte of the request was written.
+	// Written is false only if no byte of the request was written, or over TLS, no whole record.
 	Written bool
 	// FreshConnection is true if the connection was opened for this call, or
 	// no connection could be opened.
