forwarder: an answer between VMs names its request

Targets' answers are told by their IDs; between VMs nothing told them, so that a late copy of a refusal on a kept connection was taken for the answer to the next booking, which the other VM runs: 503 with a promise. Now each request has a number, which the answer repeats; another one is an error after which the request may have run. VMs of the versions before send none and are believed as before.

It can't happen with what the VMs are today: net/http answers each request of a connection once, and ends the connection after a panic or a body that was not read; a connection whose answer was not read whole, or whose call was cancelled, is closed.

TestAnswersBetweenVersionsAreMisread and TestRequestsBetweenVersionsAreMisread hold for both versions in both directions.

--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -66,6 +66,8 @@
 	Log      *logrus.Entry
 
 	inFlight atomic.Int64
+	// sent is the number of requests that were passed on.
+	sent atomic.Uint64
 	// peers sends requests to other VMs.
 	peers exchanger.Exchanger
 	// messages reads requests and answers of other VMs.
@@ -82,6 +84,8 @@
 
 // request is a request that is passed on.
 type request struct {
+	// ID is another one for each request of a forwarder, never 0. VMs of the first versions don't set it.
+	ID                         uint64
 	From, Method, Target, Host string
 	Header                     http.Header
 	Body                       []byte
@@ -105,6 +109,8 @@
 
 // reply is the answer to a request.
 type reply struct {
+	// ID is that of the request. VMs of the first versions don't repeat it.
+	ID         uint64
 	Status     int
 	Header     http.Header
 	Body       []byte
@@ -189,11 +195,13 @@
 	}
 }
 
+var errOtherAnswer = errors.New("the answer is to another request")
+
 // Forward passes a request on to the VM at an address, and returns its answer. An error is an
 // *exchanger.Error; the request may have run if that says that something was written.
 func (forwarder *Forwarder) Forward(ctx context.Context, address string, call *receiver.Call, conditions Conditions) (receiver.Reply, error) {
 	message := request{
-		From: forwarder.Name, Method: call.Request.Method, Target: call.Target, Host: call.Request.Host, Header: call.Request.Header,
+		ID: forwarder.sent.Add(1), From: forwarder.Name, Method: call.Request.Method, Target: call.Target, Host: call.Request.Host, Header: call.Request.Header,
 		Body: call.Body, Remaining: conditions.Remaining, Configuration: conditions.Configuration, Targets: conditions.Targets,
 	}
 	encoded, err := msgpack.Marshal(&message)
@@ -218,6 +226,9 @@
 	if err == nil {
 		err = msgpack.Unmarshal(body, &received)
 	}
+	if err == nil && received.ID != 0 && received.ID != message.ID {
+		err = errOtherAnswer
+	}
 	if err != nil {
 		return receiver.Reply{}, &exchanger.Error{
 			Written: true, FreshConnection: answer.FreshConnection, Answered: true, Malformed: true, Err: fmt.Errorf("read answer of VM: %w", err),
@@ -234,7 +245,7 @@
 	body, release, err := forwarder.messages.ReadAll(io.LimitReader(context.Request().Body, maxMessageBytes))
 	defer release()
 	if errors.Is(err, bufferer.ErrTooLarge) {
-		return forwarder.answer(context, forwarder.Handler.Refuse(http.StatusServiceUnavailable, "bodies-too-large"))
+		return forwarder.answer(context, 0, forwarder.Handler.Refuse(http.StatusServiceUnavailable, "bodies-too-large"))
 	}
 	if err != nil {
 		forwarder.Log.WithError(err).WithField("bytes", len(body)).Warn("forwarded-request-cut")
@@ -252,7 +263,7 @@
 	}
 	ctx, done := forwarder.begin(context.Request().Context())
 	defer done()
-	return forwarder.answer(context, forwarder.Handler.Serve(ctx, call))
+	return forwarder.answer(context, received.ID, forwarder.Handler.Serve(ctx, call))
 }
 
 // call returns the request as if it had come from a caller.
@@ -276,9 +287,10 @@
 	}, nil
 }
 
-func (forwarder *Forwarder) answer(context echo.Context, answer receiver.Reply) error {
+// answer sends the answer to a request with an ID, 0 if that could not be read.
+func (forwarder *Forwarder) answer(context echo.Context, id uint64, answer receiver.Reply) error {
 	encoded, err := msgpack.Marshal(&reply{
-		Status: answer.Status, Header: answer.Header, Body: answer.Body, Abort: answer.Abort, FromTarget: answer.FromTarget,
+		ID: id, Status: answer.Status, Header: answer.Header, Body: answer.Body, Abort: answer.Abort, FromTarget: answer.FromTarget,
 		NotRun: answer.NotRun, Targets: answer.Targets, OutOfReach: answer.OutOfReach,
 	})
 	if err != nil {
--- a/gateway/internal/forwarder/version_test.go
+++ b/gateway/internal/forwarder/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
@@ -22,7 +23,7 @@
 // During an upgrade VMs of both versions read each other's answers.
 func TestAnswersBetweenVersionsAreMisread(t *testing.T) {
 	is := is.New(t)
-	encoded, err := msgpack.Marshal(&reply{Status: 503, Body: []byte("b"), NotRun: true, Targets: 2, OutOfReach: true})
+	encoded, err := msgpack.Marshal(&reply{ID: 7, Status: 503, Body: []byte("b"), NotRun: true, Targets: 2, OutOfReach: true})
 	is.NoErr(err)
 	var former formerReply
 	is.NoErr(msgpack.Unmarshal(encoded, &former))
@@ -33,3 +34,29 @@
 	is.NoErr(msgpack.Unmarshal(encoded, &received))
 	is.Equal(received, reply{Status: 503, Body: []byte("b"), Targets: 2, OutOfReach: true})
 }
+
+// formerRequest is the request between VMs before it had an ID.
+type formerRequest struct {
+	From, Method, Target, Host string
+	Header                     http.Header
+	Body                       []byte
+	Remaining                  time.Duration
+	Configuration              uint64
+	Targets                    int
+}
+
+func TestRequestsBetweenVersionsAreMisread(t *testing.T) {
+	is := is.New(t)
+	sent := request{ID: 7, From: "f", Method: "POST", Target: "/a", Host: "h", Body: []byte("b"), Remaining: time.Second, Configuration: 3, Targets: 2}
+	encoded, err := msgpack.Marshal(&sent)
+	is.NoErr(err)
+	var former formerRequest
+	is.NoErr(msgpack.Unmarshal(encoded, &former))
+	is.Equal(former, formerRequest{From: "f", Method: "POST", Target: "/a", Host: "h", Body: []byte("b"), Remaining: time.Second, Configuration: 3, Targets: 2})
+	encoded, err = msgpack.Marshal(&former)
+	is.NoErr(err)
+	var received request
+	is.NoErr(msgpack.Unmarshal(encoded, &received))
+	sent.ID = 0
+	is.Equal(received, sent)
+}
--- a/gateway/internal/forwarder/written_test.go
+++ b/gateway/internal/forwarder/written_test.go
@@ -274,3 +274,26 @@
 		}
 	}
 }
+
+// A late copy of an answer to an earlier request of the connection must not be taken for that to a booking which
+// runs.
+func TestAnswerToAnEarlierRequestOfAVMIsTakenForTheBookings(t *testing.T) {
+	is := is.New(t)
+	from, address := startPeer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		first, _ := readBooking(reader)
+		refusal := answerOf(reply{ID: first.ID, Status: http.StatusServiceUnavailable, NotRun: true})
+		_, _ = io.WriteString(conn, refusal)
+		if second, ok := readBooking(reader); ok {
+			_, _ = io.WriteString(conn, refusal+answerOf(reply{ID: second.ID, Status: http.StatusOK, FromTarget: true}))
+		}
+	})
+	forward := func() (receiver.Reply, error) {
+		return from.Forward(context.Background(), address, booking("b"), Conditions{Targets: 1, Remaining: time.Minute})
+	}
+	reply, err := forward()
+	is.NoErr(err)
+	is.True(reply.NotRun)
+	_, err = forward()
+	var failure *exchanger.Error
+	is.True(errors.As(err, &failure) && failure.Written)
+}
