forwarder: a panic on a request of another VM leaves a line

What operators saw: a booking that another VM passed on and on which the code failed left nothing on the VM that failed: net/http recovered and wrote to its error log, which goes to the level of debugging. Callers got 502 (peer-lost), which is right, as it may have run: no promise was broken. Now it is recovered as a caller's request is, with `from`, the ID and the count of panics, and the VM that passed it on is told that there is no answer.

--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -37,6 +37,7 @@
 	"godwitramp.example/shell/bufferer"
 	"godwitramp.example/shell/certifier"
 	"godwitramp.example/shell/exchanger"
+	"godwitramp.example/shell/recoverer"
 )
 
 const (
@@ -263,7 +264,18 @@
 	}
 	ctx, done := forwarder.begin(context.Request().Context())
 	defer done()
-	return forwarder.answer(context, received.ID, forwarder.Handler.Serve(ctx, call))
+	return forwarder.answer(context, received.ID, forwarder.serve(ctx, call))
+}
+
+// serve returns the answer to a call. If the handler panics, the request may have run.
+func (forwarder *Forwarder) serve(ctx context.Context, call *receiver.Call) receiver.Reply {
+	answer := receiver.Reply{Abort: true}
+	log := forwarder.Log.WithField("from", call.From)
+	if metadata, err := platform.ReadRequest(call.Request.Header); err == nil {
+		log = log.WithField("request", metadata.ID)
+	}
+	recoverer.Do(log, func() { answer = forwarder.Handler.Serve(ctx, call) })
+	return answer
 }
 
 // call returns the request as if it had come from a caller.
--- a/gateway/internal/forwarder/written_test.go
+++ b/gateway/internal/forwarder/written_test.go
@@ -36,11 +36,11 @@
 
 func (*served) Refuse(status int, _ string) receiver.Reply { return receiver.Reply{Status: status} }
 
-// startPair runs a VM and returns another one that passes requests on to it.
-func startPair(t *testing.T, handler receiver.Handler) (from, to *Forwarder) {
+// startPair runs a VM and returns another one that passes requests on to it. Both write their lines to lines.
+func startPair(t *testing.T, handler receiver.Handler, lines io.Writer) (from, to *Forwarder) {
 	t.Helper()
 	log := logrus.New()
-	log.SetOutput(io.Discard)
+	log.SetOutput(lines)
 	vm := func(name string) *Forwarder {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -131,7 +131,7 @@
 	handler := &served{serve: func(context.Context, *receiver.Call) receiver.Reply {
 		return receiver.Reply{Status: http.StatusOK, FromTarget: true}
 	}}
-	from, to := startPair(t, handler)
+	from, to := startPair(t, handler, io.Discard)
 	var conn *shortConn
 	from.peers.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
 		config, err := from.tlsConfig()
