dispatcher: a panic that repeats ends one request, not the VM

What callers could see: the connections of all requests of a VM cut, if the code fails on an attempt and again while the outcome of the failed attempt is recorded, as a fault in the recording itself does: abandon ran outside the recoverer, and the process ended. Its requests got no answer, so that no promise was broken. Now the request gets 502, as it may have run, and both panics leave lines.

--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -254,7 +254,7 @@
 	go func() {
 		log := handler.dispatcher.Log.WithField("request", handler.job.metadata.ID)
 		if recoverer.Do(log, send) {
-			attempt.abandon()
+			recoverer.Do(log, attempt.abandon)
 		}
 		handler.results <- attempt
 	}()
