faker, soak: targets send stray answers of all kinds, and start again behind their addresses

Cause: the soak played late copies of rejections with status 503 and an ID only, each over a connection that ended with the answer.

Connections stay open.

--- a/soak/internal/planner/planner.go
+++ b/soak/internal/planner/planner.go
@@ -51,6 +51,8 @@
 	TargetTruncates Kind = "target-cuts-answers"
 	TargetRepeats   Kind = "target-repeats-answers"
 	TargetCopies    Kind = "targets-copy-rejections"
+	TargetsStray    Kind = "targets-send-strays"
+	TargetsRestart  Kind = "targets-restart"
 	TargetLimits    Kind = "target-names-limit"
 	TargetLeaves    Kind = "target-leaves"
 	TargetCrashes   Kind = "target-crash"
@@ -160,6 +162,7 @@
 	faults = append(faults, plan.limits()...)
 	faults = append(faults, plan.crashes()...)
 	faults = append(faults, plan.copies()...)
+	faults = append(faults, plan.strays()...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -193,12 +196,15 @@
 // firstRestoreSeed is the first seed under which the store is restored from older copies,
 // firstLimitSeed the first of those under which targets name limits instead, and firstCrashSeed of
 // those under which requests crash targets. From firstSilenceSeed on such targets fall silent, and targets send
-// late copies of rejections. Lower seeds have no such faults.
+// late copies of rejections. Lower seeds have no such faults. Under those from firstStraySeed to lastStraySeed
+// targets besides send stray answers of all kinds, and start again behind their addresses.
 const (
 	firstRestoreSeed = 1000
 	firstLimitSeed   = 2000
 	firstCrashSeed   = 3000
 	firstSilenceSeed = 10000
+	firstStraySeed   = 11000
+	lastStraySeed    = 11999
 )
 
 // Silences reports whether targets that crash fall silent.
@@ -269,6 +275,37 @@
 	return faults
 }
 
+// Strays reports whether targets send stray answers.
+func (plan Plan) Strays() bool { return plan.Seed >= firstStraySeed && plan.Seed <= lastStraySeed }
+
+const (
+	// meanStrayGap is the mean time between the times in which all targets send stray answers, and
+	// meanTargetRestartGap that between two times at which all targets of a service start again.
+	meanStrayGap         = 4 * time.Second
+	meanTargetRestartGap = 3 * time.Second
+)
+
+// strays returns the times in which targets send stray answers and those at which they start again. They are
+// drawn apart from all other faults.
+func (plan Plan) strays() []Fault {
+	if !plan.Strays() {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(plan.Seed, 5))
+	var faults []Fault
+	for at := time.Duration(random.Int64N(int64(meanStrayGap))); at < plan.Duration; at += maxCopyTime + time.Duration(random.ExpFloat64()*float64(meanStrayGap)) {
+		duration := minCopyTime + time.Duration(random.Int64N(int64(maxCopyTime-minCopyTime)))
+		faults = append(faults, Fault{Kind: TargetsStray, At: at, Duration: min(duration, plan.Duration-at)})
+	}
+	for at := time.Duration(random.Int64N(int64(meanTargetRestartGap))); at < plan.Duration; at += time.Duration(random.ExpFloat64() * float64(meanTargetRestartGap)) {
+		faults = append(faults, Fault{Kind: TargetsRestart, At: at, Subject: random.IntN(services)})
+	}
+	return faults
+}
+
+// services is the number of services of the targets, which have them in rotation.
+const services = 3
+
 // Changes and faults of VMs that begin around a restore.
 var (
 	changes         = []Kind{WithdrawKey, MoveRoute, AddRoute, ForgeTarget, ForgeTarget}
--- a/soak/internal/planner/planner_test.go
+++ b/soak/internal/planner/planner_test.go
@@ -90,3 +90,19 @@
 		is.True(kinds[planner.CrashingRequest] > 0)
 	}
 }
+
+// Guards against seeds of the range without stray answers or restarts of targets, and against others with them.
+func TestStraysComeUnderARangeOfSeeds(t *testing.T) {
+	is := is.New(t)
+	for _, seed := range []uint64{3001, 10004, 10999, 11000, 11999, 12000, 20001} {
+		plan := planner.Plan{Seed: seed, Duration: time.Minute, VMs: 12, Targets: 9}
+		kinds := make(map[planner.Kind]int)
+		for _, fault := range plan.Faults() {
+			kinds[fault.Kind]++
+			is.True(fault.At+fault.Duration <= plan.Duration)
+		}
+		is.Equal(plan.Strays(), seed >= 11000 && seed <= 11999)
+		is.Equal(kinds[planner.TargetsStray] > 0, plan.Strays())
+		is.Equal(kinds[planner.TargetsRestart] > 0, plan.Strays())
+	}
+}
--- a/soak/internal/runner/endpoint.go
+++ b/soak/internal/runner/endpoint.go
@@ -26,6 +26,8 @@
 	entryTimeout = 3 * time.Second
 	// addressReuseDelay is how long after a crash another target gets the address.
 	addressReuseDelay = 2 * time.Second
+	// restartTime is how long a target is down that starts again under another ID.
+	restartTime = 200 * time.Millisecond
 	// crashedTime is how long a target is down after a request has crashed it.
 	crashedTime = 2 * time.Second
 	// leavingServeTime is how long a leaving target continues to serve, long enough to
@@ -90,7 +92,8 @@
 	}
 	target.Crash = sync.OnceFunc(func() { endpoint.crashAtOnce(ctx, target) })
 	target.HidesCrashes = endpoint.runner.Plan.Silences()
-	server := &http.Server{Handler: target, ReadHeaderTimeout: time.Minute}
+	target.CopiesMisdirected = endpoint.runner.Plan.Strays()
+	server := &http.Server{Handler: target, ReadHeaderTimeout: time.Minute, ConnContext: faker.KeepConnection}
 	endpoint.target, endpoint.server, endpoint.listener, endpoint.startedAt = target, server, listener, time.Now()
 	endpoint.mutex.Unlock()
 	endpoint.link.SetDown(false)
--- a/soak/internal/runner/faults.go
+++ b/soak/internal/runner/faults.go
@@ -105,6 +105,15 @@
 	}
 }
 
+// injectAll sets faults of all targets for the duration.
+func (runner *Runner) injectAll(ctx context.Context, faults faker.TargetFaults, duration time.Duration) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, endpoint := range runner.endpoints {
+		group.Go(func() { endpoint.injectFaults(ctx, faults, duration) })
+	}
+}
+
 func (runner *Runner) injectStoreFaults(ctx context.Context, faults faker.Faults, duration time.Duration) {
 	defer runner.beginDisturbance(auditor.Store)()
 	runner.store.SetFaults(faults)
@@ -189,10 +198,15 @@
 		random := rand.New(rand.NewPCG(runner.Plan.Seed, uint64(fault.Subject)))
 		(&caller{runner: runner, index: crashingCallers + fault.Subject, random: random}).sendCrashing(ctx, fault)
 	case planner.TargetCopies:
+		runner.injectAll(ctx, faker.TargetFaults{Copies: true}, fault.Duration)
+	case planner.TargetsStray:
+		runner.injectAll(ctx, faker.TargetFaults{Strays: true}, fault.Duration)
+	case planner.TargetsRestart:
 		var group sync.WaitGroup
 		defer group.Wait()
-		for _, endpoint := range runner.endpoints {
-			group.Go(func() { endpoint.injectFaults(ctx, faker.TargetFaults{Copies: true}, fault.Duration) })
+		for i := fault.Subject; i < len(runner.endpoints); i += len(services) {
+			endpoint := runner.endpoints[i]
+			group.Go(func() { endpoint.crash(ctx, restartTime, endpoint.current().Service) })
 		}
 	case planner.CallersGiveUp:
 		runner.giveUp.add(1)
