auditor, faker: a violation of a refusal tells its causes apart

Cause: the line of a violation said only which VM had refused a request that has run. That of true-refusals, at-most-once and of answers to other requests now has the process of the VM that answered and each arrival: target, sender with its process, begin and end relative to the answer, run, refused, status, left.

Ruled out by tests on mistakes in a record: that the check misses 408, 421 or 429, a request that runs after the refusal, or one that its target refuses after it has run; it counted each of them before as well.

--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -120,6 +120,17 @@
 	for _, violation := range []violation{
 		{"request ran twice", "at-most-once", func(record *auditor.Record) { addArrival(record, 1, "t-other") }},
 		{"refused request ran", "true-refusals", func(record *auditor.Record) { setLocalAnswer(&record.Calls[1], 503) }},
+		{"request that timed out ran", "true-refusals", func(record *auditor.Record) { setLocalAnswer(&record.Calls[1], 408) }},
+		{"misdirected request ran", "true-refusals", func(record *auditor.Record) { setLocalAnswer(&record.Calls[1], 421) }},
+		{"request over its rate ran", "true-refusals", func(record *auditor.Record) { setLocalAnswer(&record.Calls[1], 429) }},
+		{"refused request ran later", "true-refusals", func(record *auditor.Record) {
+			setLocalAnswer(&record.Calls[1], 503)
+			record.Arrivals[1].Begun, record.Arrivals[1].Ended = record.Calls[1].Ended.Add(200*time.Millisecond), record.Calls[1].Ended.Add(300*time.Millisecond)
+		}},
+		{"request ran that its target refused", "true-refusals", func(record *auditor.Record) {
+			setLocalAnswer(&record.Calls[1], 503)
+			record.Arrivals[1].Status, record.Arrivals[1].Refused = 503, true
+		}},
 		{"body of no target", "whole-answers", func(record *auditor.Record) { record.Calls[0].Answer.Genuine = false }},
 		{"unsigned success", "whole-answers", func(record *auditor.Record) { record.Calls[0].Answer.Signed = false }},
 		{"answer to another request", "whole-answers", func(record *auditor.Record) { record.Calls[0].Answer.ID = "c2" }},
@@ -248,6 +259,46 @@
 	}
 }
 
+// The text of a violation must tell a copy that was believed, a target that runs what it refuses, a late run
+// and the word of another VM from each other.
+func TestViolationOfARefusalTellsItsCauses(t *testing.T) {
+	for _, cause := range []struct {
+		name, text string
+		apply      func(*auditor.Record)
+	}{
+		{"copy believed", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
+			"t-jobs of vm/1 began -105ms and ended -5ms: run=true refused=false status=200 left=false", func(*auditor.Record) {}},
+		{"rejected before", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
+			"t-other of vm/1 began -108ms and ended -106ms: run=false refused=true status=429 left=false; " +
+			"t-jobs of vm/1 began -105ms and ended -5ms: run=true refused=false status=200 left=false", func(record *auditor.Record) {
+			arrival := addArrival(record, 1, "t-other")
+			arrival.Run, arrival.Refused, arrival.Status = false, true, 429
+			arrival.Begun, arrival.Ended = arrival.Begun.Add(-3*time.Millisecond), arrival.Begun.Add(-time.Millisecond)
+		}},
+		{"target's word", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
+			"t-jobs of vm/1 began -105ms and ended -5ms: run=true refused=true status=503 left=false", func(record *auditor.Record) {
+			record.Arrivals[1].Refused, record.Arrivals[1].Status = true, 503
+		}},
+		{"late run", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
+			"t-jobs of vm/1 began +20ms and ended +30ms: run=true refused=false status=200 left=true", func(record *auditor.Record) {
+			arrival := &record.Arrivals[1]
+			arrival.Begun, arrival.Ended, arrival.Left = record.Calls[1].Ended.Add(20*time.Millisecond), record.Calls[1].Ended.Add(30*time.Millisecond), true
+		}},
+		{"other VM's word", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
+			"t-jobs of vm-2/4 began -105ms and ended -5ms: run=true refused=false status=200 left=false", func(record *auditor.Record) {
+			record.Forwards = []auditor.Forward{{ID: "c1", TargetID: "t-jobs", VM: "vm-2", Start: 4}}
+		}},
+	} {
+		t.Run(cause.name, func(t *testing.T) {
+			is := is.New(t)
+			record := validRecord()
+			setLocalAnswer(&record.Calls[1], 503)
+			cause.apply(&record)
+			is.Equal(record.Audit().Violations, []auditor.Violation{{Promise: "true-refusals", ID: "c1", Detail: cause.text}})
+		})
+	}
+}
+
 // Guards against reports of failures that an injected fault explains: within the
 // settle time after a disturbance the check is suspended, after it the check applies.
 func TestDisturbanceSuspendsChecks(t *testing.T) {
--- a/soak/internal/auditor/record.go
+++ b/soak/internal/auditor/record.go
@@ -213,6 +213,9 @@
 		arrival := &audit.Arrivals[i]
 		audit.arrivals[arrival.ID] = append(audit.arrivals[arrival.ID], arrival)
 	}
+	for _, arrivals := range audit.arrivals {
+		slices.SortStableFunc(arrivals, func(a, b *faker.Arrival) int { return a.Begun.Compare(b.Begun) })
+	}
 	for _, oracle := range oracles {
 		oracle.check(audit, oracle.promise)
 	}
--- a/soak/internal/auditor/requests.go
+++ b/soak/internal/auditor/requests.go
@@ -41,11 +41,27 @@
 		}
 		audit.report.Checked[promise]++
 		if count := countRuns(audit.arrivals[id]); count > 1 {
-			audit.addViolation(promise, id, "ran %d times", count)
+			audit.addViolation(promise, id, "ran %d times%s", count, audit.history(call))
 		}
 	}
 }
 
+// history describes the answer to a call and the request's arrivals, with times relative to the answer. A VM
+// is followed by the number of its process.
+func (audit *audit) history(call *Call) string {
+	text := fmt.Sprintf(": answered by %s/%d after %s", call.VM, call.Start, call.Ended.Sub(call.Sent).Round(time.Millisecond))
+	for _, arrival := range audit.arrivals[call.ID] {
+		sender := "an unknown VM"
+		if from, _ := audit.senderOf(arrival); from.vm != "" {
+			sender = fmt.Sprintf("%s/%d", from.vm, from.start)
+		}
+		text += fmt.Sprintf("; %s of %s began %+dms and ended %+dms: run=%t refused=%t status=%d left=%t", arrival.TargetID, sender,
+			arrival.Begun.Sub(call.Ended).Milliseconds(), arrival.Ended.Sub(call.Ended).Milliseconds(),
+			arrival.Run, arrival.Refused, arrival.Status, arrival.Left)
+	}
+	return text
+}
+
 // refusedNotRun checks that a request that is not idempotent did not run if the
 // caller got status 408, 421, 429 or 503.
 func (audit *audit) refusedNotRun(promise string) {
@@ -56,7 +72,7 @@
 		}
 		audit.report.Checked[promise]++
 		if countRuns(audit.arrivals[id]) > 0 {
-			audit.addViolation(promise, id, "%s answered %d and the request has run", call.VM, call.Answer.Status)
+			audit.addViolation(promise, id, "%s answered %d and the request has run%s", call.VM, call.Answer.Status, audit.history(call))
 		}
 	}
 }
@@ -74,7 +90,7 @@
 			audit.addViolation(promise, id, "%s answered %d with a body that no target sent", call.VM, answer.Status)
 		}
 		if answer.ID != "" && answer.ID != id {
-			audit.addViolation(promise, id, "%s returned the answer to request %q", call.VM, answer.ID)
+			audit.addViolation(promise, id, "%s returned the answer to request %q%s", call.VM, answer.ID, audit.history(call))
 		}
 	}
 }
