--- a/soak/internal/auditor/auditor_test.go
+++ b/soak/internal/auditor/auditor_test.go
@@ -267,25 +267,25 @@
 		apply      func(*auditor.Record)
 	}{
 		{"copy believed", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
-			"t-jobs of vm/1 began -105ms and ended -5ms: run=true refused=false status=200 left=false", func(*auditor.Record) {}},
+			"t-jobs of vm/1 began -105.0ms and ended -5.0ms: run=true refused=false status=200 left=false", func(*auditor.Record) {}},
 		{"rejected before", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
-			"t-other of vm/1 began -108ms and ended -106ms: run=false refused=true status=429 left=false; " +
-			"t-jobs of vm/1 began -105ms and ended -5ms: run=true refused=false status=200 left=false", func(record *auditor.Record) {
+			"t-other of vm/1 began -108.0ms and ended -106.0ms: run=false refused=true status=429 left=false; " +
+			"t-jobs of vm/1 began -105.0ms and ended -5.0ms: run=true refused=false status=200 left=false", func(record *auditor.Record) {
 			arrival := addArrival(record, 1, "t-other")
 			arrival.Run, arrival.Refused, arrival.Status = false, true, 429
 			arrival.Begun, arrival.Ended = arrival.Begun.Add(-3*time.Millisecond), arrival.Begun.Add(-time.Millisecond)
 		}},
 		{"target's word", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
-			"t-jobs of vm/1 began -105ms and ended -5ms: run=true refused=true status=503 left=false", func(record *auditor.Record) {
+			"t-jobs of vm/1 began -105.0ms and ended -5.0ms: run=true refused=true status=503 left=false", func(record *auditor.Record) {
 			record.Arrivals[1].Refused, record.Arrivals[1].Status = true, 503
 		}},
 		{"late run", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
-			"t-jobs of vm/1 began +20ms and ended +30ms: run=true refused=false status=200 left=true", func(record *auditor.Record) {
+			"t-jobs of vm/1 began +20.0ms and ended +30.0ms: run=true refused=false status=200 left=true", func(record *auditor.Record) {
 			arrival := &record.Arrivals[1]
 			arrival.Begun, arrival.Ended, arrival.Left = record.Calls[1].Ended.Add(20*time.Millisecond), record.Calls[1].Ended.Add(30*time.Millisecond), true
 		}},
 		{"other VM's word", "vm answered 503 and the request has run: answered by vm/1 after 110ms; " +
-			"t-jobs of vm-2/4 began -105ms and ended -5ms: run=true refused=false status=200 left=false", func(record *auditor.Record) {
+			"t-jobs of vm-2/4 began -105.0ms and ended -5.0ms: run=true refused=false status=200 left=false", func(record *auditor.Record) {
 			record.Forwards = []auditor.Forward{{ID: "c1", TargetID: "t-jobs", VM: "vm-2", Start: 4}}
 		}},
 	} {
--- a/soak/internal/auditor/requests.go
+++ b/soak/internal/auditor/requests.go
@@ -55,8 +55,8 @@
 		if from, _ := audit.senderOf(arrival); from.vm != "" {
 			sender = fmt.Sprintf("%s/%d", from.vm, from.start)
 		}
-		text += fmt.Sprintf("; %s of %s began %+dms and ended %+dms: run=%t refused=%t status=%d left=%t", arrival.TargetID, sender,
-			arrival.Begun.Sub(call.Ended).Milliseconds(), arrival.Ended.Sub(call.Ended).Milliseconds(),
+		text += fmt.Sprintf("; %s of %s began %+.1fms and ended %+.1fms: run=%t refused=%t status=%d left=%t", arrival.TargetID, sender,
+			float64(arrival.Begun.Sub(call.Ended).Microseconds())/1000, float64(arrival.Ended.Sub(call.Ended).Microseconds())/1000,
 			arrival.Run, arrival.Refused, arrival.Status, arrival.Left)
 	}
 	return text
