auditor: a violation of crashing-requests names its senders

It now has each late send with the VM, its process and the time after the third crash. What counts as late is as before.

--- a/soak/internal/auditor/crashes.go
+++ b/soak/internal/auditor/crashes.go
@@ -1,6 +1,7 @@
 package auditor
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -26,7 +27,7 @@
 	}
 	for path, arrivals := range byPath {
 		slices.SortFunc(arrivals, func(a, b *faker.Arrival) int { return a.Ended.Compare(b.Ended) })
-		crashes, late := 0, 0
+		crashes, late, senders := 0, 0, ""
 		var last time.Time
 		for _, arrival := range arrivals {
 			if arrival.Crashed && crashes < crashesAllowed {
@@ -37,11 +38,12 @@
 			if crashes == crashesAllowed && arrival.Begun.After(last.Add(audit.Bounds.SettleTime)) && call != nil &&
 				audit.undisturbed(arrival.Begun, arrival.Begun, call.VM, from.vm) {
 				late++
+				senders += fmt.Sprintf(" %s/%d after %s", from.vm, from.start, arrival.Begun.Sub(last).Round(time.Millisecond))
 			}
 		}
 		if late > lateSendsAllowed {
-			audit.addViolation(promise, arrivals[len(arrivals)-1].ID, "%s was sent %d times later than %s after it had crashed %d targets",
-				path, late, audit.Bounds.SettleTime, crashesAllowed)
+			audit.addViolation(promise, arrivals[len(arrivals)-1].ID, "%s was sent %d times later than %s after it had crashed %d targets, by%s",
+				path, late, audit.Bounds.SettleTime, crashesAllowed, senders)
 		}
 	}
 }
