forwarder, exchanger: a copy of a rejection without an ID is no answer to the next attempt

What callers saw: 504 "not-run" for a POST that its upstream had run, and a GET that ran twice (REFUSED, in `entry`). Cause: an upstream rejected the request with `Godwitramp-Outcome: not-run` and no `Godwitramp-Request-Id`, the request went to it again on the kept connection after the backoff, and a copy of the rejection came while it ran. An answer that names no request passed as the attempt's.

A connection over which a not-run without an ID has come is closed, so that no copy of it can come during another call. Upstreams that give the ID pay nothing, others a new connection for each rejection.

Ruled out: that the copy came before the request was written (it is written after the request was read).

--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -55,6 +55,11 @@
 	})
 	attempt.answer, attempt.err = handler.forwarder.Exchanger.Do(attempt.ctx, call)
 	attempt.ended = time.Now()
+	if attempt.err == nil {
+		// A later not-run without an ID on the connection could be a copy of this one.
+		response := attempt.answer.Response
+		attempt.answer.NoReuse = saidNotRun(response) && len(response.Header[RequestIDHeader]) == 0
+	}
 	if !slowTimer.Stop() {
 		<-reported
 	}
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -220,6 +220,8 @@
 	// FreshConnection is true if the connection was opened for this call.
 	FreshConnection bool
 	Trace           Trace
+	// NoReuse, set before Close, keeps the connection from being used again.
+	NoReuse bool
 
 	exchange     *exchange
 	bodyComplete bool
@@ -240,7 +242,7 @@
 	exchange := answer.exchange
 	response := answer.Response
 	complete := answer.bodyComplete || response.Body.(*body).empty()
-	reusable := complete && !response.Close && !exchange.call.Request.Close &&
+	reusable := complete && !answer.NoReuse && !response.Close && !exchange.call.Request.Close &&
 		exchange.requestSent() && exchange.connection.reader.Buffered() == 0
 	if reusable && exchange.detachContext() {
 		exchange.connection.keepAliveTimeout = keepAliveTimeout(response.Header)
