forwarder: a copy with the ID of an earlier attempt doesn't end the next one

What callers saw: 502 "unknown" though the answer followed. Cause: an answer with the ID of another attempt failed the attempt at once, also on a kept connection, where it is a copy of the answer before.

On a kept connection such answers are discarded, with what they say of leaving or Retry-After (their first copy said it), and the next one is read. An answer without an ID behind a discarded one proves nothing: the body of a copy that a HEAD request can't tell from the next answer would be taken for it. A connection over which something was discarded is closed after the call. On a new connection the ID of another can't be a copy's, and fails the attempt at once as before. An attempt that gets nothing but others' answers fails as wrong-answer at its deadline, and counts against the target.

Cost: a POST on a kept connection to a target that begins to cross all answers waits for its deadline, once a connection; it got 502 at once.

--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -56,15 +57,41 @@
 	attempt.answer, attempt.err = handler.forwarder.Exchanger.Do(attempt.ctx, call)
 	attempt.ended = time.Now()
 	if attempt.err == nil {
-		// A later not-run without an ID on the connection could be a copy of this one.
-		response := attempt.answer.Response
-		attempt.answer.NoReuse = saidNotRun(response) && len(response.Header[RequestIDHeader]) == 0
+		attempt.answer.NoReuse = attempt.mayBeFollowed()
 	}
 	if !slowTimer.Stop() {
 		<-reported
 	}
 }
 
+// matches reports whether an answer may be this attempt's. Another attempt's is a copy that came late only if
+// the connection has carried one.
+func (attempt *attempt) matches(response *http.Response) bool {
+	return !attempt.reused.Load() || !attempt.namesAnother(response)
+}
+
+// namesAnother reports whether an answer has the ID of another attempt.
+func (attempt *attempt) namesAnother(response *http.Response) bool {
+	return slices.ContainsFunc(response.Header[RequestIDHeader], func(id string) bool { return id != attempt.id })
+}
+
+// named reports whether an answer has an ID.
+func named(response *http.Response) bool { return len(response.Header[RequestIDHeader]) > 0 }
+
+// isAnothers reports whether the attempt got an answer to another one. One without an ID may be if others' came
+// before it.
+func (attempt *attempt) isAnothers() bool {
+	response := attempt.answer.Response
+	return attempt.namesAnother(response) || !named(response) && attempt.answer.Trace.Discarded > 0
+}
+
+// mayBeFollowed reports whether an answer that comes later on the connection could be taken for one to another
+// attempt, as could a copy of a not-run without an ID.
+func (attempt *attempt) mayBeFollowed() bool {
+	response := attempt.answer.Response
+	return attempt.answer.Trace.Discarded > 0 || saidNotRun(response) && !named(response)
+}
+
 // result is what the end of an attempt means for its target and for the request.
 type result struct {
 	kind     router.ResultKind
@@ -87,11 +114,9 @@
 	}
 	response := attempt.answer.Response
 	result := result{delivery: retrier.Attempt{Written: true}, freshConnection: attempt.answer.FreshConnection}
-	for _, id := range response.Header[RequestIDHeader] {
-		if id != attempt.id {
-			result.kind = router.WrongAnswer
-			return result
-		}
+	if attempt.isAnothers() {
+		result.kind = router.WrongAnswer
+		return result
 	}
 	result.retryAfter = retryAfter(response.Header)
 	result.leaving = announcesLeaving(response)
@@ -122,6 +147,8 @@
 		result.kind = router.Cancelled
 	case attempt.lostToOlder || errors.Is(caller.Err(), context.Canceled):
 		result.kind = router.Cancelled
+	case failure.Trace.Discarded > 0:
+		result.kind = router.WrongAnswer
 	case attempt.lostToNewer && !failure.FreshConnection:
 		result.kind = router.ConnectionLost
 	case attempt.lostToNewer || attempt.ctx.Err() != nil:
--- a/entry/internal/forwarder/copies_test.go
+++ b/entry/internal/forwarder/copies_test.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"godwitramp.example/core/router"
 	"godwitramp.example/entry/internal/forwarder"
 )
 
@@ -33,7 +35,8 @@
 }
 
 // play returns a forwarder that delivers all requests to the function. It runs those that the function counts.
-func (fleet *fleet) play(serve func(delivery)) *forwarder.Forwarder {
+func (fleet *fleet) play(t *testing.T, serve func(delivery)) *forwarder.Forwarder {
+	t.Cleanup(func() { time.Sleep(time.Minute) }) // the target's runs end
 	sender := fleet.forwarder()
 	sender.Exchanger.Dial = func(context.Context, string, string) (net.Conn, error) {
 		clientConn, serverConn := net.Pipe()
@@ -65,7 +68,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				fleet := &fleet{faults: []fault{healthy}}
-				sender := fleet.play(func(delivery delivery) {
+				sender := fleet.play(t, func(delivery delivery) {
 					if delivery.number == 1 {
 						delivery.write(rejection)
 						return
@@ -85,3 +88,97 @@
 		})
 	}
 }
+
+func (delivery delivery) id() string { return delivery.request.Header.Get(forwarder.RequestIDHeader) }
+
+// withID adds an ID to an answer.
+func withID(answer, id string) string {
+	return strings.Replace(answer, "\r\n", "\r\n"+forwarder.RequestIDHeader+": "+id+"\r\n", 1)
+}
+
+// A target that names requests answers twice; the second answer comes during the next call on the connection.
+func TestCopyOfNamedAnswerTakesThePlaceOfTheTrueOne(t *testing.T) {
+	for name, first := range map[string]string{"rejection": rejection, "success": unnamed("other\n"), "leaving": leavingAnswer} {
+		for _, method := range []string{"POST", "GET"} {
+			t.Run(name+" "+method, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					fleet := &fleet{faults: []fault{healthy}}
+					copied := ""
+					sender := fleet.play(t, func(delivery delivery) {
+						if delivery.number == 1 {
+							copied = withID(first, delivery.id())
+							delivery.write(copied)
+							return
+						}
+						fleet.count(delivery.request, 0)
+						if delivery.onConnection > 1 {
+							delivery.write(copied)
+						}
+						time.Sleep(200 * time.Millisecond)
+						delivery.write(withID(unnamed("whole\n"), delivery.id()))
+					})
+					if first != rejection {
+						sender.Forward(httptest.NewRecorder(), httptest.NewRequest(method, "/x", nil), forwarder.Job{Service: fleet.service(), RequestID: "other"})
+					}
+					answer := fleet.forward(t, sender, httptest.NewRequest(method, "/x", nil))
+					body, err := io.ReadAll(answer.Body)
+					is.NoErr(err)
+					t.Logf("%d %q, %d runs", answer.StatusCode, answer.Header.Get(forwarder.OutcomeHeader), fleet.runs)
+					is.Equal(answer.StatusCode, 200)
+					is.Equal(string(body), "whole\n")
+					is.Equal(fleet.runs, 1)
+				})
+			})
+		}
+	}
+}
+
+const leavingAnswer = "HTTP/1.1 200 OK\r\nGodwitramp-Leaving: yes\r\nContent-Length: 6\r\n\r\nother\n"
+
+// A target answers the first request, and from then on with the IDs of others.
+func TestCrossedAnswersOnAKeptConnectionAreNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{healthy}}
+		sender := fleet.play(t, func(delivery delivery) {
+			fleet.count(delivery.request, 0)
+			id := delivery.id()
+			if delivery.number > 1 {
+				id = "crossed"
+			}
+			delivery.write(withID(unnamed("other\n"), id))
+		})
+		sender.Forward(httptest.NewRecorder(), httptest.NewRequest("POST", "/x", nil), forwarder.Job{Service: fleet.service(), RequestID: "other"})
+		answer := fleet.forward(t, sender, httptest.NewRequest("POST", "/x", nil))
+		is.Equal(answer.StatusCode, 502)
+		is.Equal(answer.Header.Get(forwarder.OutcomeHeader), "unknown")
+		is.Equal(fleet.results[1].Kind, router.WrongAnswer)
+	})
+}
+
+// A HEAD request can't tell the body of another request's answer from the next answer.
+func TestBodyOfACopyIsTakenForAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{healthy}}
+		copied := ""
+		sender := fleet.play(t, func(delivery delivery) {
+			fleet.count(delivery.request, 0)
+			if delivery.number == 1 {
+				copied = withID(unnamed(rejection), delivery.id())
+				delivery.write(copied)
+				return
+			}
+			if delivery.onConnection > 1 {
+				delivery.write(copied)
+			}
+			delivery.write(withID(unnamed(""), delivery.id()))
+		})
+		sender.Forward(httptest.NewRecorder(), httptest.NewRequest("GET", "/x", nil), forwarder.Job{Service: fleet.service(), RequestID: "other"})
+		answer := fleet.forward(t, sender, httptest.NewRequest("HEAD", "/x", nil))
+		is.Equal(fleet.runs, 2)
+		is.Equal(answer.StatusCode, 502)
+		is.Equal(answer.Header.Get(forwarder.OutcomeHeader), "unknown")
+	})
+}
--- a/entry/internal/forwarder/handler.go
+++ b/entry/internal/forwarder/handler.go
@@ -201,6 +201,7 @@
 	call := exchanger.Call{
 		Address: attempt.target.Address.String(), Request: request,
 		Streamed: handler.body.streamed(), StopBody: handler.body.stopReading, FreshOnly: handler.freshOnly,
+		Matches: attempt.matches,
 		BeforeWrite: func() error {
 			handler.setDeadline(request.Header)
 			return handler.recheck()
