forwarder: a connection that carried another's answer is closed

What callers saw: the answer to another request, where a target's first answer on a connection named another attempt and the true one followed without an ID. Cause: the attempt failed as wrong-answer, but the connection went back to the pool if the answer had been read to its end.

--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -89,7 +89,7 @@
 // attempt, as could a copy of a not-run without an ID.
 func (attempt *attempt) mayBeFollowed() bool {
 	response := attempt.answer.Response
-	return attempt.answer.Trace.Discarded > 0 || saidNotRun(response) && !named(response)
+	return attempt.answer.Trace.Discarded > 0 || attempt.namesAnother(response) || saidNotRun(response) && !named(response)
 }
 
 // result is what the end of an attempt means for its target and for the request.
--- a/entry/internal/forwarder/copies_test.go
+++ b/entry/internal/forwarder/copies_test.go
@@ -182,3 +182,26 @@
 		is.Equal(answer.Header.Get(forwarder.OutcomeHeader), "unknown")
 	})
 }
+
+// The true answer follows another's during the next call, unless the connection is closed.
+func TestAnswerBehindAnothersReachesTheNextRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{healthy}}
+		sender := fleet.play(t, func(delivery delivery) {
+			fleet.count(delivery.request, 0)
+			if delivery.number == 1 {
+				delivery.write(withID(unnamed("crossed\n"), "crossed"))
+				return
+			}
+			if delivery.onConnection > 1 {
+				delivery.write(unnamed("other\n"))
+			}
+			delivery.write(unnamed("whole\n"))
+		})
+		sender.Forward(httptest.NewRecorder(), httptest.NewRequest("POST", "/x", nil), forwarder.Job{Service: fleet.service(), RequestID: "other"})
+		body, err := io.ReadAll(fleet.forward(t, sender, httptest.NewRequest("POST", "/x", nil)).Body)
+		is.NoErr(err)
+		is.Equal(string(body), "whole\n")
+	})
+}
