forwarder, exchanger: a rejection without an ID may be the one of the request before

What callers saw: a booking that ran twice (TWICE; with no target left for the second attempt, a false "not-run"). Cause: a target that names no request answers one twice, the copy is taken for the answer to the next request, and from then on each answer comes one call late; a not-run among them was believed of a request that runs. Closing connections over which a not-run has come doesn't help, as none has.

A not-run without an ID is believed only on a connection whose earlier answers all had one, such as a new connection: on it there is no answer that could come late without an ID. Otherwise the request may have run: a POST gets the target's answer with "unknown" and without Retry-After, a read is sent elsewhere or after the backoff, from the budget of failed requests. What the answer says of leaving and Retry-After holds for the target, as the connection is to the same process.

TestUnnamedRejectionOfTheRequestBeforeIsBelieved: 200 after 2 runs of the POST in 5 of 5 runs before, 503 "unknown" after 1 in 20 of 20 after. TestUnnamedRejectionOfAReadIsNotRetried fails (503 for 200) with the backoff kept for proven rejections.

Cost: targets that name no request in any answer and reject a POST on a kept connection get it no second time; it was tried again before. Those that give the ID, or leave it out of rejections only, lose nothing; TestRequestGetsFreedSlotBeforeRetryAfter has such a target and passes unchanged.

--- a/entry/internal/forwarder/answer.go
+++ b/entry/internal/forwarder/answer.go
@@ -127,9 +127,12 @@
 	if response.StatusCode == http.StatusNoContent {
 		header.Del("Content-Length")
 	}
-	if result.delivery.SaidNotRun {
+	if result.saidNotRun {
 		handler.record.Outcome = handler.outcome()
 		header.Set(OutcomeHeader, string(handler.record.Outcome))
+		if !handler.mayRetry() {
+			header.Del("Retry-After")
+		}
 	}
 	if result.kind == router.Shed && result.retryAfter == 0 && handler.mayRetry() {
 		header.Set("Retry-After", "1")
--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -58,6 +58,7 @@
 	attempt.ended = time.Now()
 	if attempt.err == nil {
 		attempt.answer.NoReuse = attempt.mayBeFollowed()
+		attempt.answer.Unnamed = !named(attempt.answer.Response)
 	}
 	if !slowTimer.Stop() {
 		<-reported
@@ -96,6 +97,8 @@
 type result struct {
 	kind     router.ResultKind
 	delivery retrier.Attempt
+	// saidNotRun is true if the answer says that the request did not run, whether or not that is proven.
+	saidNotRun bool
 	// retryAfter is the Retry-After of the answer, or 0.
 	retryAfter time.Duration
 	// leaving is true if the upstream announced that it is about to stop.
@@ -125,7 +128,9 @@
 	switch {
 	case saidNotRun(response):
 		result.kind = router.Shed
-		result.delivery.SaidNotRun = true
+		result.saidNotRun = true
+		// Without an ID it may be the late answer to an earlier request that was answered without one.
+		result.delivery.SaidNotRun = named(response) || attempt.answer.Trace.Unnamed == 0
 	case shedding && result.retryAfter > 0:
 		result.kind = router.Shed
 	case status >= http.StatusInternalServerError:
--- a/entry/internal/forwarder/capacity.go
+++ b/entry/internal/forwarder/capacity.go
@@ -110,7 +110,8 @@
 // once, and returns the next attempt, or nil if there is none. It reports false if the
 // request may not wait; the caller must then finish the given attempt.
 func (handler *handler) retryAfterBackoff(attempt *attempt, result result, buffered *bufferedAnswer) (next *attempt, backedOff bool) {
-	if result.kind != router.Shed || !result.delivery.SaidNotRun || !handler.policy.Replayable || handler.ctx.Err() != nil {
+	mayRetry := result.saidNotRun && handler.policy.Replayable && handler.policy.MayRetry(result.delivery)
+	if result.kind != router.Shed || !mayRetry || handler.ctx.Err() != nil {
 		return nil, false
 	}
 	if result.retryAfter > router.MinRetryAfter {
--- a/entry/internal/forwarder/copies_test.go
+++ b/entry/internal/forwarder/copies_test.go
@@ -205,3 +205,47 @@
 		is.Equal(string(body), "whole\n")
 	})
 }
+
+// A target that names no request answers the first one twice; the answers to the next two come one call late.
+func TestUnnamedRejectionOfTheRequestBeforeIsBelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{healthy}}
+		answers := []string{unnamed("first\n"), unnamed("first\n"), strings.Replace(rejection, "\r\n", "\r\nRetry-After: 1\r\n", 1)}
+		sender := fleet.play(t, func(delivery delivery) {
+			if delivery.number > 2 {
+				fleet.count(delivery.request, 0)
+			}
+			delivery.write(answers[delivery.onConnection-1])
+		})
+		for range 2 {
+			sender.Forward(httptest.NewRecorder(), httptest.NewRequest("POST", "/x", nil), forwarder.Job{Service: fleet.service(), RequestID: "other"})
+		}
+		answer := fleet.forward(t, sender, httptest.NewRequest("POST", "/x", nil))
+		t.Logf("%d %q, %d runs", answer.StatusCode, answer.Header.Get(forwarder.OutcomeHeader), fleet.runs)
+		is.Equal(fleet.runs, 1)
+		is.Equal(answer.StatusCode, 503)
+		is.Equal(answer.Header.Get(forwarder.OutcomeHeader), "unknown")
+		is.Equal(answer.Header.Get("Retry-After"), "")
+	})
+}
+
+// A full target that names no request rejects two on a connection that has carried an answer.
+func TestUnnamedRejectionOfAReadIsNotRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fleet := &fleet{faults: []fault{healthy}}
+		sender := fleet.play(t, func(delivery delivery) {
+			if delivery.number == 2 || delivery.number == 3 {
+				delivery.write(rejection)
+				return
+			}
+			fleet.count(delivery.request, 0)
+			delivery.write(unnamed("whole\n"))
+		})
+		sender.Forward(httptest.NewRecorder(), httptest.NewRequest("GET", "/x", nil), forwarder.Job{Service: fleet.service(), RequestID: "other"})
+		answer := fleet.forward(t, sender, httptest.NewRequest("GET", "/x", nil))
+		is.Equal(answer.StatusCode, 200)
+		is.Equal(fleet.runs, 2)
+	})
+}
--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -27,9 +27,11 @@
 	// number is the connection's among those of the exchanger, and calls how many it has carried.
 	number uint64
 	calls  int
-	reader *bufio.Reader
-	writer *bufio.Writer
-	fresh  bool
+	// unnamed is the number of calls whose answer didn't name them.
+	unnamed int
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	fresh   bool
 	// lastUsed is the time when the connection was put into the pool.
 	lastUsed time.Time
 	// keepAliveTimeout is how long the connection may stay idle according to
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -222,6 +222,8 @@
 	Trace           Trace
 	// NoReuse, set before Close, keeps the connection from being used again.
 	NoReuse bool
+	// Unnamed, set before Close, is counted in Trace.Unnamed of later calls.
+	Unnamed bool
 
 	exchange     *exchange
 	bodyComplete bool
@@ -246,6 +248,9 @@
 		exchange.requestSent() && exchange.connection.reader.Buffered() == 0
 	if reusable && exchange.detachContext() {
 		exchange.connection.keepAliveTimeout = keepAliveTimeout(response.Header)
+		if answer.Unnamed {
+			exchange.connection.unnamed++
+		}
 		exchange.exchanger.putIdle(exchange.connection)
 		return
 	}
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -134,6 +134,9 @@
 	Connection uint64
 	// Earlier is the number of earlier calls on the connection.
 	Earlier int
+	// Unnamed is the number of these whose answer didn't name them, by Answer.Unnamed: a late one could be to any
+	// call of the connection.
+	Unnamed int
 	// Discarded is the number of answers that Call.Matches rejected.
 	Discarded int
 	// FirstByte is the time from the end of writing the request to the first byte of the last answer that was
@@ -182,7 +185,7 @@
 		}
 	}
 	exchange := &exchange{exchanger: exchanger, connection: connection, call: call, begunAt: time.Now()}
-	exchange.trace = Trace{Connection: connection.number, Earlier: connection.calls}
+	exchange.trace = Trace{Connection: connection.number, Earlier: connection.calls, Unnamed: connection.unnamed}
 	connection.calls++
 	exchange.detachContext = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	exchange.send()
--- a/shell/exchanger/exchanger_test.go
+++ b/shell/exchanger/exchanger_test.go
@@ -190,6 +190,30 @@
 	}
 }
 
+// What a caller says of an answer holds for the later calls on the connection.
+func TestUnnamedAnswersAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sender, connections := newExchanger(func(_ int, conn net.Conn) {
+			defer func() { _ = conn.Close() }()
+			for reader := bufio.NewReader(conn); readRequest(reader); {
+				_, _ = io.WriteString(conn, okAnswer)
+			}
+		})
+		defer sender.Close()
+		for i, call := range []struct{ unnamed, noReuse bool }{{false, false}, {true, false}, {false, false}, {true, true}, {false, false}} {
+			answer, err := sender.Do(t.Context(), exchanger.Call{Address: "a", Request: request("GET", "")})
+			is.NoErr(err)
+			is.Equal(answer.Trace.Unnamed, []int{0, 0, 1, 1, 0}[i])
+			answer.Unnamed, answer.NoReuse = call.unnamed, call.noReuse
+			_, err = io.Copy(io.Discard, answer.Response.Body)
+			is.NoErr(err)
+			answer.Close()
+		}
+		is.Equal(*connections, 2)
+	})
+}
+
 func TestEndlessHeaderIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
