forwarder: a line for each attempt that failed or was rejected

An upstream's record of a request that was refused "not-run" and ran could not be led back to a cause: `entry` wrote no line on attempts.

--- a/entry/internal/forwarder/copies_test.go
+++ b/entry/internal/forwarder/copies_test.go
@@ -44,6 +44,7 @@
 			defer func() { _ = serverConn.Close() }()
 			reader := bufio.NewReader(serverConn)
 			for onConnection := 1; ; onConnection++ {
+				time.Sleep(time.Millisecond) // so long does a write take
 				request, err := http.ReadRequest(reader)
 				if err != nil {
 					return
--- a/entry/internal/forwarder/forwarder.go
+++ b/entry/internal/forwarder/forwarder.go
@@ -22,6 +22,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"godwitramp.example/core/configurator"
 	"godwitramp.example/core/router"
 	"godwitramp.example/shell/exchanger"
@@ -76,6 +78,8 @@
 	Exchanger *exchanger.Exchanger
 	// Report is called at the end of each request unless it is nil.
 	Report func(Record)
+	// Log, if set, gets a line for each attempt that failed.
+	Log *logrus.Entry
 	// GivenUp, if set, ends shortly before the VM does. Requests that have no answer by then get one
 	// of this VM, as they would otherwise be cut.
 	GivenUp context.Context
--- a/entry/internal/forwarder/handler.go
+++ b/entry/internal/forwarder/handler.go
@@ -231,9 +231,10 @@
 	handler.reportAttempt(attempt, result)
 }
 
-// reportAttempt reports the result of an attempt to the picker.
+// reportAttempt reports the result of an attempt to the picker and the log.
 func (handler *handler) reportAttempt(attempt *attempt, result result) {
 	attempt.cancel()
+	handler.logAttempt(attempt, result)
 	if result.kind == router.ConnectionLost && !result.freshConnection {
 		handler.forwarder.Exchanger.CloseIdle(attempt.target.Address.String())
 	}
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -160,6 +160,7 @@
 			Exchanger: sender,
 			Report:    starter.recordForwarded,
 			GivenUp:   starter.givenUp,
+			Log:       starter.Log,
 		},
 		Log: starter.Log, Leaving: starter.leaving.Load, ReportRefusal: starter.recordRefused,
 	}
