forwarder: a request whose body stops half way is not answered 200

What callers saw: `200 OK` without a body for a POST that its target may not have run, if the target was lost, answered nonsense, or the VM stopped while a body of more than 64 KiB was still coming, and if that stopped coming. The connection stayed open, and the rest of the body was read as the next request (UNASKED, and a crossed answer behind a balancer that reuses it).

Cause: an attempt that ends before the body stops the reading of the body with a deadline in the past. net/http ends the request's context when a read fails, whatever the reason, and the forwarder took that for a caller that had gone, for whom it writes nothing; net/http then writes 200. The deadline of the request did the same.

A read that ran into a deadline is no sign that the caller has gone, and one that was stopped is no failure of the body. Such requests get 408, 502 or 504 with their outcome, and the connection is closed behind every refusal of a body that is not read to its end. Lost targets count as lost again, not as cancelled; early answers and 408 no longer count as abandoned.

Ruled out: bodies up to 64 KiB (read whole before); malformed and too large ones (400 and 413 "unknown", before and after).

--- a/entry/internal/forwarder/answer.go
+++ b/entry/internal/forwarder/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -47,6 +46,7 @@
 	buffered.buffer.Reset()
 	if _, err := buffered.buffer.ReadFrom(response.Body); err != nil {
 		buffered.release()
+		attempt.answer.Close()
 		attempt.err = fmt.Errorf("read answer: %w", err)
 		result.kind = handler.classifyBodyError(attempt)
 		return nil
@@ -54,12 +54,12 @@
 	return buffered
 }
 
-// classifyBodyError classifies a failure to read the body of an answer.
+// classifyBodyError classifies a failure to read the body of an answer that is closed.
 func (handler *handler) classifyBodyError(attempt *attempt) router.ResultKind {
 	switch {
-	case errors.Is(handler.request.Context().Err(), context.Canceled):
+	case handler.callerGone():
 		return router.Cancelled
-	case attempt.ctx.Err() != nil:
+	case attempt.contextEnded():
 		return router.TimedOut
 	default:
 		return router.Truncated
--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -37,6 +37,9 @@
 	answer *exchanger.Answer
 	err    error
 	ended  time.Time
+	// stoppedBody is true if the attempt failed while the body was still being read. Stopping that ends the
+	// context.
+	stoppedBody bool
 	// reused is true once the attempt has a connection that was used before.
 	reused atomic.Bool
 	// reportedSlow is true if the picker counted the wait for the answer as evidence
@@ -65,6 +68,15 @@
 	}
 }
 
+// stopBody ends the reading of the caller's body.
+func (attempt *attempt) stopBody(body *requestBody) {
+	attempt.stoppedBody = attempt.ctx.Err() == nil
+	body.stopReading()
+}
+
+// contextEnded reports whether the end of the context ended the attempt.
+func (attempt *attempt) contextEnded() bool { return attempt.ctx.Err() != nil && !attempt.stoppedBody }
+
 // matches reports whether an answer may be this attempt's. Another attempt's is a copy that came late only if
 // the connection has carried one.
 func (attempt *attempt) matches(response *http.Response) bool {
@@ -111,9 +123,9 @@
 	return attempt.err == nil && result.kind != router.WrongAnswer
 }
 
-func (attempt *attempt) classify(caller context.Context) result {
+func (attempt *attempt) classify(callerGone bool) result {
 	if attempt.err != nil {
-		return attempt.classifyError(caller)
+		return attempt.classifyError(callerGone)
 	}
 	response := attempt.answer.Response
 	result := result{delivery: retrier.Attempt{Written: true}, freshConnection: attempt.answer.FreshConnection}
@@ -141,7 +153,7 @@
 	return result
 }
 
-func (attempt *attempt) classifyError(caller context.Context) result {
+func (attempt *attempt) classifyError(callerGone bool) result {
 	var failure *exchanger.Error
 	if !errors.As(attempt.err, &failure) {
 		return result{kind: router.ConnectionLost, delivery: retrier.Attempt{Written: true}}
@@ -150,13 +162,13 @@
 	switch {
 	case errors.Is(attempt.err, errKeyWithdrawn):
 		result.kind = router.Cancelled
-	case attempt.lostToOlder || errors.Is(caller.Err(), context.Canceled):
+	case attempt.lostToOlder || callerGone:
 		result.kind = router.Cancelled
 	case failure.Trace.Discarded > 0:
 		result.kind = router.WrongAnswer
 	case attempt.lostToNewer && !failure.FreshConnection:
 		result.kind = router.ConnectionLost
-	case attempt.lostToNewer || attempt.ctx.Err() != nil:
+	case attempt.lostToNewer || attempt.contextEnded():
 		result.kind = router.TimedOut
 	case failure.Malformed:
 		result.kind = router.WrongAnswer
--- a/entry/internal/forwarder/body.go
+++ b/entry/internal/forwarder/body.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,11 +33,14 @@
 	length int64
 	// reserved is this body's part of the bytes that all requests buffer.
 	reserved int64
-	// err is the error that reading the rest ended with. It may be read only while no
-	// attempt is in flight.
-	err        error
-	controller *http.ResponseController
-	stopped    bool
+	// failure is what reading the rest failed with. It is nil if reading was only stopped before the deadline.
+	failure atomic.Pointer[error]
+	// interrupted is true if a read ran into a deadline. The request's context then ends, though the caller may
+	// still be there.
+	interrupted atomic.Bool
+	stopped     atomic.Bool
+	controller  *http.ResponseController
+	deadline    time.Time
 }
 
 // readBody buffers the body up to maxBufferedBodyBytes.
@@ -51,8 +55,8 @@
 		return errBuffersFull
 	}
 	controller := http.NewResponseController(handler.writer)
-	deadline, _ := handler.ctx.Deadline()
-	_ = controller.SetReadDeadline(deadline)
+	handler.body.deadline, _ = handler.ctx.Deadline()
+	_ = controller.SetReadDeadline(handler.body.deadline)
 	buffered := bufferPool.Get().(*bytes.Buffer)
 	buffered.Reset()
 	handler.body.buffered = buffered
@@ -63,10 +67,11 @@
 		return nil
 	}
 	if err != nil {
+		handler.body.interrupted.Store(errors.Is(err, os.ErrDeadlineExceeded))
 		return fmt.Errorf("read body: %w", err)
 	}
 	_ = controller.EnableFullDuplex()
-	handler.body.rest = &errorRecordingReader{ReadCloser: request.Body, err: &handler.body.err}
+	handler.body.rest = &errorRecordingReader{ReadCloser: request.Body, body: &handler.body}
 	handler.body.controller = controller
 	return nil
 }
@@ -96,25 +101,34 @@
 	return io.NopCloser(io.MultiReader(buffered, body.rest))
 }
 
-// errorRecordingReader stores the error, other than io.EOF, that a body ended with.
+// errorRecordingReader records the error, other than io.EOF, that a body ended with.
 type errorRecordingReader struct {
 	io.ReadCloser
-	err *error
+	body *requestBody
 }
 
 // Read reads from the caller's body.
 func (reader *errorRecordingReader) Read(data []byte) (int, error) {
 	n, err := reader.ReadCloser.Read(data)
 	if err != nil && !errors.Is(err, io.EOF) {
-		*reader.err = err
+		reader.body.recordFailure(err)
 	}
 	return n, err
 }
 
+func (body *requestBody) recordFailure(err error) {
+	interrupted := errors.Is(err, os.ErrDeadlineExceeded)
+	if interrupted {
+		body.interrupted.Store(true)
+	}
+	if !interrupted || !body.stopped.Load() || !time.Now().Before(body.deadline) {
+		body.failure.Store(&err)
+	}
+}
+
 // stopReading makes a blocked read from the caller's connection return.
 func (body *requestBody) stopReading() {
-	if body.controller != nil && !body.stopped {
-		body.stopped = true
+	if body.controller != nil && !body.stopped.Swap(true) {
 		_ = body.controller.SetReadDeadline(time.Unix(1, 0))
 	}
 }
--- a/entry/internal/forwarder/handler.go
+++ b/entry/internal/forwarder/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -60,8 +61,8 @@
 			return
 		}
 		attempt = handler.awaitAnswer(attempt, delay)
-		result := attempt.classify(handler.request.Context())
-		if attempt.err != nil && handler.body.err != nil {
+		result := attempt.classify(handler.callerGone())
+		if attempt.err != nil && handler.body.failure.Load() != nil {
 			result.kind = router.Cancelled // the caller's body failed, not the target
 		}
 		var buffered *bufferedAnswer
@@ -85,6 +86,11 @@
 	}
 }
 
+// callerGone reports whether the caller has disconnected. While the body is being read it must not be called.
+func (handler *handler) callerGone() bool {
+	return errors.Is(handler.request.Context().Err(), context.Canceled) && !handler.body.interrupted.Load()
+}
+
 // idempotent reports whether the request may run more than once.
 func idempotent(method string, route *configurator.Route) bool {
 	policy := configurator.RetryIdempotentMethods
@@ -200,7 +206,7 @@
 	request := handler.outgoingRequest(attempt.target, attempt.id)
 	call := exchanger.Call{
 		Address: attempt.target.Address.String(), Request: request,
-		Streamed: handler.body.streamed(), StopBody: handler.body.stopReading, FreshOnly: handler.freshOnly,
+		Streamed: handler.body.streamed(), StopBody: func() { attempt.stopBody(&handler.body) }, FreshOnly: handler.freshOnly,
 		Matches: attempt.matches,
 		BeforeWrite: func() error {
 			handler.setDeadline(request.Header)
--- a/entry/internal/forwarder/race.go
+++ b/entry/internal/forwarder/race.go
@@ -21,7 +21,7 @@
 // decided reports whether the result of the ended attempt counts: it is good, or no
 // other attempt is in flight. If so, it cancels the other attempts and reports them.
 func (race *race) decided(ended *attempt) bool {
-	result := ended.classify(race.handler.request.Context())
+	result := ended.classify(race.handler.callerGone())
 	good := result.kind == router.Good
 	if !good && len(race.inFlight) > 1 {
 		race.remove(ended)
@@ -40,7 +40,7 @@
 	}
 	for range len(race.inFlight) - 1 {
 		loser := <-race.done
-		result := loser.classify(race.handler.request.Context())
+		result := loser.classify(race.handler.callerGone())
 		if result.kind == router.ConnectionLost && !result.freshConnection {
 			race.handler.service.refund()
 		}
--- a/entry/internal/forwarder/refusal.go
+++ b/entry/internal/forwarder/refusal.go
@@ -1,9 +1,7 @@
 package forwarder
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"math"
 	"net/http"
 	"strconv"
@@ -80,8 +78,8 @@
 	switch {
 	case withdrawn:
 		handler.refuse(http.StatusUnauthorized, handler.outcome(), "key-unknown", "the key is unknown or withdrawn", 0)
-	case handler.body.err != nil && handler.request.Context().Err() == nil:
-		handler.refuseBody(handler.body.err)
+	case handler.body.failure.Load() != nil && !handler.callerGone():
+		handler.refuseBody(*handler.body.failure.Load())
 	case result.kind == router.Cancelled:
 		handler.record.Outcome = handler.outcome() // the caller has disconnected
 	case result.kind == router.TimedOut:
@@ -99,7 +97,7 @@
 
 // refuseNoTarget refuses a request that no target can take.
 func (handler *handler) refuseNoTarget() {
-	if handler.request.Context().Err() != nil {
+	if handler.callerGone() {
 		handler.record.Outcome = handler.outcome() // the caller has disconnected
 		return
 	}
@@ -111,6 +109,9 @@
 	handler.record.Status = status
 	handler.record.Outcome = outcome
 	handler.record.Complete = true
+	if handler.body.streamed() {
+		CloseAfterAnswer(handler.writer)
+	}
 	refuse(handler.writer, handler.job, status, outcome, reason, message, retryAfter)
 }
 
@@ -133,6 +134,6 @@
 	}
 	handler.record.Attempts = handler.attempts
 	handler.record.Latency = time.Since(handler.started)
-	handler.record.CallerGone = errors.Is(handler.request.Context().Err(), context.Canceled)
+	handler.record.CallerGone = handler.callerGone()
 	handler.forwarder.Report(handler.record)
 }
