server: a caller that sends no more gets no invented 200

What callers saw: `200 OK` without a body for a request that was cancelled, if they closed the sending side of their connection after it and waited for the answer. Cause: net/http reports that as the end of the request's context, as if the caller had gone; nothing was written then, and net/http answers 200 for a handler that returns without an answer.

A request that ends without an answer now ends its connection. That the request is cancelled stays: net/http doesn't tell a caller that sends no more from one that has gone.

--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -87,6 +87,9 @@
 	router.HideBanner = true
 	serve := func(context echo.Context) error {
 		server.serve(context.Response(), context.Request())
+		if !context.Response().Committed {
+			panic(http.ErrAbortHandler) // net/http would answer 200
+		}
 		return nil
 	}
 	router.Any("/*", serve)
