forwarder: a further attempt may read the rest of the body

Nothing had been written, and the request was sent again, but the first attempt had stopped the reading of the body.

A further attempt lets it be read again. It is made only if nothing was written, so that no byte of the rest was read.

--- a/entry/internal/forwarder/body.go
+++ b/entry/internal/forwarder/body.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// resumeReading lets a further attempt read the caller's body, which the one before hasn't begun to read.
+func (body *requestBody) resumeReading() {
+	if !body.interrupted.Load() && body.stopped.Swap(false) {
+		_ = body.controller.SetReadDeadline(body.deadline)
+	}
+}
+
 // releaseBody releases the buffer. No attempt may use the body afterwards.
 func (handler *handler) releaseBody() {
 	body := &handler.body
--- a/entry/internal/forwarder/handler.go
+++ b/entry/internal/forwarder/handler.go
@@ -203,6 +203,7 @@
 }
 
 func (handler *handler) newCall(attempt *attempt) exchanger.Call {
+	handler.body.resumeReading()
 	request := handler.outgoingRequest(attempt.target, attempt.id)
 	call := exchanger.Call{
 		Address: attempt.target.Address.String(), Request: request,
--- a/entry/internal/server/halfway_test.go
+++ b/entry/internal/server/halfway_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -92,3 +93,30 @@
 		is.Equal(strings.Count(string(answer), "HTTP/1.1 "), 1)
 	})
 }
+
+// A kept connection turns out to be closed when a request with a body is sent over it, half of which has come.
+func TestRetryOfARequestWithoutItsWholeBodyFails(t *testing.T) {
+	upstream := func(conn net.Conn, reader *bufio.Reader) {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+	withFixture(t, upstream, func(is *is.I, fixture *fixture) {
+		is.True(strings.HasPrefix(fixture.exchange(get("/r", "X-Api-Key: "+key)), "HTTP/1.1 200 OK"))
+		conn := fixture.connect()
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			_, _ = io.WriteString(conn, "POST /r HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 80000\r\nX-Api-Key: "+key+"\r\n\r\n"+strings.Repeat("x", 70_000))
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(conn, strings.Repeat("x", 10_000))
+		}()
+		answer, _ := io.ReadAll(conn)
+		_ = conn.Close()
+		<-written
+		is.True(strings.HasSuffix(string(answer), "\r\n\r\nok"))
+	})
+}
