--- a/entry/internal/server/invented_test.go
+++ b/entry/internal/server/invented_test.go
@@ -38,3 +38,13 @@
 		is.Equal(string(answer), "")
 	})
 }
+
+// What a target says of itself in a trailer is no word of the system's.
+func TestOutcomeInATrailerReachesTheCaller(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum, Godwitramp-Outcome\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\nGodwitramp-Outcome: not-run\r\n\r\n"
+	withFixture(t, answerWith(answer), func(is *is.I, fixture *fixture) {
+		got := fixture.exchange(get("/r", "X-Api-Key: "+key))
+		is.True(strings.HasSuffix(got, "X-Sum: 7\r\n\r\n"))
+		is.True(!strings.Contains(got, "not-run"))
+	})
+}
