--- a/entry/internal/forwarder/attempt.go
+++ b/entry/internal/forwarder/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,9 @@
 	answer *exchanger.Answer
 	err    error
 	ended  time.Time
+	// stoppedBody is true if the attempt failed while the body was still being read. Stopping that ends the
+	// context.
+	stoppedBody bool
 	// reused is true once the attempt has a connection that was used before.
 	reused atomic.Bool
 	// reportedSlow is true if the picker counted the wait for the answer as evidence
@@ -55,15 +59,58 @@
 	})
 	attempt.answer, attempt.err = handler.forwarder.Exchanger.Do(attempt.ctx, call)
 	attempt.ended = time.Now()
+	if attempt.err == nil {
+		attempt.answer.NoReuse = attempt.mayBeFollowed()
+		attempt.answer.Unnamed = !named(attempt.answer.Response)
+	}
 	if !slowTimer.Stop() {
 		<-reported
 	}
 }
 
+// stopBody ends the reading of the caller's body.
+func (attempt *attempt) stopBody(body *requestBody) {
+	attempt.stoppedBody = attempt.ctx.Err() == nil
+	body.stopReading()
+}
+
+// contextEnded reports whether the end of the context ended the attempt.
+func (attempt *attempt) contextEnded() bool { return attempt.ctx.Err() != nil && !attempt.stoppedBody }
+
+// matches reports whether an answer may be this attempt's. Another attempt's is a copy that came late only if
+// the connection has carried one.
+func (attempt *attempt) matches(response *http.Response) bool {
+	return !attempt.reused.Load() || !attempt.namesAnother(response)
+}
+
+// namesAnother reports whether an answer has the ID of another attempt.
+func (attempt *attempt) namesAnother(response *http.Response) bool {
+	return slices.ContainsFunc(response.Header[RequestIDHeader], func(id string) bool { return id != attempt.id })
+}
+
+// named reports whether an answer has an ID.
+func named(response *http.Response) bool { return len(response.Header[RequestIDHeader]) > 0 }
+
+// isAnothers reports whether the attempt got an answer to another one. One without an ID may be if others' came
+// before it.
+func (attempt *attempt) isAnothers() bool {
+	response := attempt.answer.Response
+	return attempt.namesAnother(response) || !named(response) && attempt.answer.Trace.Discarded > 0
+}
+
+// mayBeFollowed reports whether an answer that comes later on the connection could be taken for one to another
+// attempt, as could a copy of a not-run without an ID.
+func (attempt *attempt) mayBeFollowed() bool {
+	response := attempt.answer.Response
+	return attempt.answer.Trace.Discarded > 0 || attempt.namesAnother(response) || saidNotRun(response) && !named(response)
+}
+
 // result is what the end of an attempt means for its target and for the request.
 type result struct {
 	kind     router.ResultKind
 	delivery retrier.Attempt
+	// saidNotRun is true if the answer says that the request did not run, whether or not that is proven.
+	saidNotRun bool
 	// retryAfter is the Retry-After of the answer, or 0.
 	retryAfter time.Duration
 	// leaving is true if the upstream announced that it is about to stop.
@@ -76,17 +123,15 @@
 	return attempt.err == nil && result.kind != router.WrongAnswer
 }
 
-func (attempt *attempt) classify(caller context.Context) result {
+func (attempt *attempt) classify(callerGone bool) result {
 	if attempt.err != nil {
-		return attempt.classifyError(caller)
+		return attempt.classifyError(callerGone)
 	}
 	response := attempt.answer.Response
 	result := result{delivery: retrier.Attempt{Written: true}, freshConnection: attempt.answer.FreshConnection}
-	for _, id := range response.Header[RequestIDHeader] {
-		if id != attempt.id {
-			result.kind = router.WrongAnswer
-			return result
-		}
+	if attempt.isAnothers() {
+		result.kind = router.WrongAnswer
+		return result
 	}
 	result.retryAfter = retryAfter(response.Header)
 	result.leaving = announcesLeaving(response)
@@ -95,7 +140,9 @@
 	switch {
 	case saidNotRun(response):
 		result.kind = router.Shed
-		result.delivery.SaidNotRun = true
+		result.saidNotRun = true
+		// Without an ID it may be the late answer to an earlier request that was answered without one.
+		result.delivery.SaidNotRun = named(response) || attempt.answer.Trace.Unnamed == 0
 	case shedding && result.retryAfter > 0:
 		result.kind = router.Shed
 	case status >= http.StatusInternalServerError:
@@ -106,7 +153,7 @@
 	return result
 }
 
-func (attempt *attempt) classifyError(caller context.Context) result {
+func (attempt *attempt) classifyError(callerGone bool) result {
 	var failure *exchanger.Error
 	if !errors.As(attempt.err, &failure) {
 		return result{kind: router.ConnectionLost, delivery: retrier.Attempt{Written: true}}
@@ -115,11 +162,13 @@
 	switch {
 	case errors.Is(attempt.err, errKeyWithdrawn):
 		result.kind = router.Cancelled
-	case attempt.lostToOlder || errors.Is(caller.Err(), context.Canceled):
+	case attempt.lostToOlder || callerGone:
 		result.kind = router.Cancelled
+	case failure.Trace.Discarded > 0:
+		result.kind = router.WrongAnswer
 	case attempt.lostToNewer && !failure.FreshConnection:
 		result.kind = router.ConnectionLost
-	case attempt.lostToNewer || attempt.ctx.Err() != nil:
+	case attempt.lostToNewer || attempt.contextEnded():
 		result.kind = router.TimedOut
 	case failure.Malformed:
 		result.kind = router.WrongAnswer
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -220,6 +220,10 @@
 	// FreshConnection is true if the connection was opened for this call.
 	FreshConnection bool
 	Trace           Trace
+	// NoReuse, set before Close, keeps the connection from being used again.
+	NoReuse bool
+	// Unnamed, set before Close, is counted in Trace.Unnamed of later calls.
+	Unnamed bool
 
 	exchange     *exchange
 	bodyComplete bool
@@ -240,10 +244,13 @@
 	exchange := answer.exchange
 	response := answer.Response
 	complete := answer.bodyComplete || response.Body.(*body).empty()
-	reusable := complete && !response.Close && !exchange.call.Request.Close &&
+	reusable := complete && !answer.NoReuse && !response.Close && !exchange.call.Request.Close &&
 		exchange.requestSent() && exchange.connection.reader.Buffered() == 0
 	if reusable && exchange.detachContext() {
 		exchange.connection.keepAliveTimeout = keepAliveTimeout(response.Header)
+		if answer.Unnamed {
+			exchange.connection.unnamed++
+		}
 		exchange.exchanger.putIdle(exchange.connection)
 		return
 	}
