forwarder: the line of another's answer doesn't say that it named the attempt

`identified` was true for an answer with the ID of another attempt on a new connection. The new case of TestLineOfAnAttemptDoesNotSayWhoseAnswerItWas failed before and passed 10 of 10 runs after.

--- a/entry/internal/forwarder/trace.go
+++ b/entry/internal/forwarder/trace.go
@@ -41,7 +41,7 @@
 		fields["first-byte"] = trace.FirstByte.Round(time.Microsecond)
 	}
 	if attempt.answer != nil {
-		fields["target-status"], fields["identified"] = attempt.answer.Response.StatusCode, !attempt.answer.Unnamed
+		fields["target-status"], fields["identified"] = attempt.answer.Response.StatusCode, !attempt.answer.Unnamed && result.kind != router.WrongAnswer
 	}
 	event := "attempt-ended"
 	if trace.Discarded > 0 || result.kind == router.WrongAnswer || result.saidNotRun && result.delivery.MayHaveRun() {
--- a/entry/internal/forwarder/trace_test.go
+++ b/entry/internal/forwarder/trace_test.go
@@ -31,6 +31,7 @@
 		"rejected on a new connection": {nil, plain(rejection), `event=attempt-ended .*carried=0 carried-unidentified=0 .*identified=false may-have-run=false .*reason=not-run `},
 		"rejected without proof":       {plain(unnamed("")), plain(rejection), `event=answer-mismatched .*carried=1 carried-unidentified=1 discarded=0 .*identified=false may-have-run=true .*reason=not-run `},
 		"behind another's answer":      {identified(unnamed("")), behind, `event=answer-mismatched .*carried=1 .*discarded=1 .*identified=true may-have-run=true`},
+		"another's answer":             {nil, plain(withID(unnamed("other\n"), "other-1")), `event=answer-mismatched .*carried=0 .*discarded=0 .*identified=false may-have-run=true .*reason=wrong-answer `},
 		"cut":                          {plain(unnamed("")), plain(""), `event=attempt-ended .*carried=1 .*may-have-run=true .*reason=connection-lost .*target-connection=1`},
 	} {
 		t.Run(name, func(t *testing.T) {
