exchanger, dispatcher: a connection carries each request ID once

What callers could see: a caller that is refused and sends its request again under the same ID gets 503 with a promise from the late copy of the first rejection, while the target runs it; two requests with one ID, of whatever callers, can get each other's bodies. Cause: each request remembered where it had been sent, but answers are known by an ID that callers choose, and a connection did not know which IDs it had carried. Now it does: `Call.Tag` excludes connections that have carried a call with the same tag, so that late copies of the same request need no rule of their own; another kept connection to the target may be used. After 256 calls a connection is closed, so that the hashes take 2 KB at most.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -107,9 +107,8 @@
 	request := attempt.request()
 	call := exchanger.Call{
 		Address: attempt.target.Address, Request: request,
-		// All attempts of a request have one ID, so that a late copy of an earlier answer would match. One to
-		// any request would match if the caller gave no ID.
-		FreshOnly: attempt.repeated || attempt.job.metadata.ID == "",
+		// Any late answer would match if the caller gave no ID.
+		Tag: attempt.job.metadata.ID, FreshOnly: attempt.job.metadata.ID == "",
 		Connected: func(fresh bool) {
 			attempt.dialed.Store(true)
 			attempt.clean = fresh
--- /dev/null
+++ b/gateway/internal/dispatcher/foreign_answer_test.go
@@ -0,0 +1,69 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"godwitramp.example/core/placer"
+)
+
+const signedFor = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: %s\r\nContent-Length: 4\r\n\r\n%s"
+
+// A caller that is refused and sends its request again under the same ID, or another caller with that ID, goes
+// over the connection that carried the first one: a late copy of the first rejection must be no promise.
+func TestCopyOfRejectionReachesTheNextRequestWithItsID(t *testing.T) {
+	is := is.New(t)
+	vm := start(t)
+	vm.SetTargets([]placer.Target{{ID: "t0", Service: "s", Address: "target:1", DataCentre: "d", Slots: 4}})
+	var ran atomic.Int64
+	vm.dialTo(func(connection net.Conn) {
+		reader := bufio.NewReader(connection)
+		rejection := fmt.Sprintf(notRun, "a1")
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, rejection)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		ran.Add(1)
+		_, _ = io.WriteString(connection, rejection) // the copy
+		time.Sleep(20 * time.Millisecond)
+		_, _ = fmt.Fprintf(connection, signedFor, "a1", "done")
+	})
+	is.Equal(vm.book().Status, http.StatusServiceUnavailable)
+	time.Sleep(200 * time.Millisecond) // the target is left alone after a rejection
+	status := vm.book().Status
+	if ran.Load() > 0 {
+		is.True(status != http.StatusServiceUnavailable)
+	}
+}
+
+// The same with answers of two callers: one must not get the body of the other.
+func TestCopyOfAnswerReachesAnotherCallerWithItsID(t *testing.T) {
+	is := is.New(t)
+	vm := start(t)
+	vm.SetTargets([]placer.Target{{ID: "t0", Service: "s", Address: "target:1", DataCentre: "d", Slots: 4}})
+	var requests atomic.Int64
+	vm.dialTo(func(connection net.Conn) {
+		reader := bufio.NewReader(connection)
+		for earlier := ""; ; {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			answer := fmt.Sprintf(signedFor, "a1", fmt.Sprintf("no %d", requests.Add(1)))
+			_, _ = io.WriteString(connection, earlier+answer)
+			earlier = answer
+		}
+	})
+	is.Equal(string(vm.book().Body), "no 1")
+	is.Equal(string(vm.read().Body), "no 2")
+}
--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,6 +29,8 @@
 	// number is the connection's among those of the exchanger, and calls how many it has carried.
 	number uint64
 	calls  int
+	// tags are hashes of the tags of the calls.
+	tags []uint64
 	// unnamed is the number of calls whose answer didn't name them.
 	unnamed int
 	reader  *bufio.Reader
@@ -47,6 +51,22 @@
 	readBudget int64
 }
 
+// maxTags is the number of calls with a tag that a connection carries.
+const maxTags = 256
+
+var tagSeed = maphash.MakeSeed()
+
+func (connection *connection) addTag(tag string) {
+	if tag != "" {
+		connection.tags = append(connection.tags, maphash.String(tagSeed, tag))
+	}
+}
+
+// carried reports whether a call with the tag may have gone over the connection.
+func (connection *connection) carried(tag string) bool {
+	return tag != "" && slices.Contains(connection.tags, maphash.String(tagSeed, tag))
+}
+
 // unlimited is the read budget while the body of an answer is read.
 const unlimited = -1
 
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -113,6 +113,9 @@
 	StopBody func()
 	// FreshOnly requires a new connection.
 	FreshOnly bool
+	// Tag, unless empty, excludes connections that have carried a call with the same tag. It is what Matches
+	// knows the answers by: a late copy of one to the earlier call could not be told.
+	Tag string
 	// MaxIdleTime, unless zero, excludes connections that have been idle for
 	// longer.
 	MaxIdleTime time.Duration
@@ -179,14 +182,15 @@
 	if call.Connected != nil {
 		call.Connected(connection.fresh)
 	}
+	trace := Trace{Connection: connection.number, Earlier: connection.calls, Unnamed: connection.unnamed}
 	if call.BeforeWrite != nil {
 		if err := call.BeforeWrite(); err != nil {
 			exchanger.putUnused(connection)
 			return nil, &Error{FreshConnection: connection.fresh, Err: err}
 		}
 	}
-	exchange := &exchange{exchanger: exchanger, connection: connection, call: call, begunAt: time.Now()}
-	exchange.trace = Trace{Connection: connection.number, Earlier: connection.calls, Unnamed: connection.unnamed}
+	exchange := &exchange{exchanger: exchanger, connection: connection, call: call, trace: trace, begunAt: time.Now()}
+	connection.addTag(call.Tag)
 	connection.calls++
 	exchange.detachContext = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	exchange.send()
@@ -205,7 +209,7 @@
 		if call.MaxIdleTime > 0 {
 			maxIdleTime = min(maxIdleTime, call.MaxIdleTime)
 		}
-		if connection := exchanger.takeIdle(call.Address, maxIdleTime); connection != nil {
+		if connection := exchanger.takeIdle(call.Address, call.Tag, maxIdleTime); connection != nil {
 			connection.reset()
 			return connection, nil
 		}
--- a/shell/exchanger/pool.go
+++ b/shell/exchanger/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
@@ -16,10 +17,10 @@
 type idleConnections map[string][]*connection
 
 // takeIdle returns a healthy connection to the address that has been idle for
-// less than maxIdleTime, or nil. It closes the unusable ones that it finds.
-func (exchanger *Exchanger) takeIdle(address string, maxIdleTime time.Duration) *connection {
+// less than maxIdleTime and has not carried the tag, or nil. It closes the unusable ones that it finds.
+func (exchanger *Exchanger) takeIdle(address, tag string, maxIdleTime time.Duration) *connection {
 	for {
-		connection := exchanger.popIdle(address)
+		connection := exchanger.popIdle(address, tag)
 		if connection == nil {
 			return nil
 		}
@@ -34,27 +35,32 @@
 	}
 }
 
-// popIdle removes and returns the most recently used connection, or returns
-// nil.
-func (exchanger *Exchanger) popIdle(address string) *connection {
+// popIdle removes and returns the most recently used connection that has not carried the tag, or returns nil.
+func (exchanger *Exchanger) popIdle(address, tag string) *connection {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	idle := exchanger.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
-	last := idle[len(idle)-1]
-	idle[len(idle)-1] = nil
-	exchanger.idle[address] = idle[:len(idle)-1]
-	if len(idle) == 1 {
-		delete(exchanger.idle, address)
+	for i, connection := range slices.Backward(idle) {
+		if connection.carried(tag) {
+			continue
+		}
+		if idle = slices.Delete(idle, i, i+1); len(idle) == 0 {
+			delete(exchanger.idle, address)
+		} else {
+			exchanger.idle[address] = idle
+		}
+		return connection
 	}
-	return last
+	return nil
 }
 
 // putIdle adds a connection to the pool. If the address has its maximum of
-// idle connections, the least recently used one is closed.
+// idle connections, the least recently used one is closed. A connection that holds maxTags is closed too.
 func (exchanger *Exchanger) putIdle(connection *connection) {
+	if len(connection.tags) >= maxTags {
+		_ = connection.Close()
+		return
+	}
 	connection.fresh = false
 	connection.lastUsed = time.Now()
 	exchanger.mutex.Lock()
