exchanger: what has come before the request is no answer to it

What callers could see: 503 with a promise for a booking that runs, where a target sent a refusal without an ID on a new connection before the request was written. The line could not tell it: first-byte was 3 to 11 us for bytes that had come 20 ms before. Now the connection is looked at right before the first byte is written, a new one too: if it has ended or anything has come, nothing is written, which is then certain, and the attempt may go elsewhere. Not over TLS between VMs, whose records may come at any time.

What comes between the look and the write, microseconds, still passes.

--- a/gateway/internal/dispatcher/foreign_answer_test.go
+++ b/gateway/internal/dispatcher/foreign_answer_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -67,3 +69,62 @@
 	is.Equal(string(vm.book().Body), "no 1")
 	is.Equal(string(vm.read().Body), "no 2")
 }
+
+// listen makes the VM's connections go to a socket, whose connections are handled by a function.
+func (vm *vm) listen(handle func(connection net.Conn)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		vm.t.Fatal(err)
+	}
+	vm.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = connection.Close() }()
+				handle(connection)
+			}()
+		}
+	}()
+	vm.SetTargets([]placer.Target{{ID: "t0", Service: "s", Address: listener.Addr().String(), DataCentre: "d", Slots: 4}})
+	vm.Exchanger.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		time.Sleep(20 * time.Millisecond) // what the target sends at once has come
+		return connection, err
+	}
+}
+
+// An answer that has come before the request was written can't be about it.
+func TestRefusalBeforeTheRequestIsNoPromise(t *testing.T) {
+	is := is.New(t)
+	vm := start(t)
+	var ran atomic.Int64
+	vm.listen(func(connection net.Conn) {
+		_, _ = io.WriteString(connection, unidentifiedRefusal)
+		if _, err := http.ReadRequest(bufio.NewReader(connection)); err == nil {
+			ran.Add(1)
+			_, _ = fmt.Fprintf(connection, signedFor, "a1", "done")
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	status := vm.book().Status
+	time.Sleep(20 * time.Millisecond)
+	is.True(ran.Load() == 0 || status != http.StatusServiceUnavailable)
+}
+
+// The line must tell an answer that began before the request from one that followed it.
+func TestLineOfAnAnswerBeforeTheRequestLooksLikeAnyOther(t *testing.T) {
+	is := is.New(t)
+	vm := start(t)
+	vm.listen(func(connection net.Conn) {
+		_, _ = io.WriteString(connection, unidentifiedRefusal)
+		_, _ = http.ReadRequest(bufio.NewReader(connection))
+		time.Sleep(50 * time.Millisecond)
+	})
+	lines := vm.lines()
+	vm.book()
+	is.True(!regexp.MustCompile(`attempt-ended.*first-byte=`).Match(lines.Bytes()))
+}
--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -36,6 +36,8 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	fresh   bool
+	// tls is true if the connection is one of TLS.
+	tls bool
 	// lastUsed is the time when the connection was put into the pool.
 	lastUsed time.Time
 	// keepAliveTimeout is how long the connection may stay idle according to
@@ -76,6 +78,7 @@
 	connection.writer = bufio.NewWriterSize(connection, bufferBytes)
 	socket := raw
 	if layered, ok := raw.(interface{ NetConn() net.Conn }); ok { // TLS
+		connection.tls = true
 		socket = layered.NetConn()
 	}
 	if syscallConn, ok := socket.(syscall.Conn); ok {
@@ -124,6 +127,10 @@
 	return n, err
 }
 
+// quiet reports whether the connection is still open and nothing has come over it that would pass for the
+// answer to a request which isn't written yet. Over TLS records of the protocol may have come.
+func (connection *connection) quiet() bool { return connection.tls || connection.healthy() }
+
 // healthy reports whether an idle connection is still open and has no unread
 // bytes. Unread bytes would belong to no request.
 func (connection *connection) healthy() bool {
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -189,6 +189,10 @@
 			return nil, &Error{FreshConnection: connection.fresh, Err: err}
 		}
 	}
+	if !connection.quiet() {
+		_ = connection.Close()
+		return nil, &Error{FreshConnection: connection.fresh, Trace: trace, Err: errNotQuiet}
+	}
 	exchange := &exchange{exchanger: exchanger, connection: connection, call: call, trace: trace, begunAt: time.Now()}
 	connection.addTag(call.Tag)
 	connection.calls++
@@ -257,6 +261,8 @@
 	exchanger.putIdle(connection)
 }
 
+var errNotQuiet = errors.New("upstream has closed the connection, or sent bytes, before the request")
+
 var errTooManyAnswers = errors.New("too many interim (1xx) or mismatched answers")
 
 var errUnexpectedUpgrade = errors.New("upstream switched protocols without an Upgrade request")
