exchanger: the body of a late answer is no answer to HEAD

A late answer to another request was discarded by the framing of the present one: after HEAD, its body was read as the next answer, and could hold a refusal with the ID of the request. Such an exchange ends in an error now, after which the request may have run.

--- a/gateway/internal/dispatcher/foreign_answer_test.go
+++ b/gateway/internal/dispatcher/foreign_answer_test.go
@@ -128,3 +128,19 @@
 	vm.book()
 	is.True(!regexp.MustCompile(`attempt-ended.*first-byte=`).Match(lines.Bytes()))
 }
+
+// The answer to another request is discarded by the framing of the present one: after HEAD, the body of a late
+// answer is read as the next answer, and may name this request.
+func TestBodyOfALateAnswerAnswersHEAD(t *testing.T) {
+	is := is.New(t)
+	vm := start(t)
+	vm.SetTargets([]placer.Target{{ID: "t0", Service: "s", Address: "target:1", DataCentre: "d", Slots: 4}})
+	body := "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: h1\r\n\r\n"
+	late := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: a1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	vm.dialTo(answerInTurn(fmt.Sprintf(signedFor, "a1", "done"), late+"HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: h1\r\nContent-Length: 4\r\n\r\n"))
+	is.Equal(vm.book().Status, http.StatusOK)
+	request := call(http.MethodHead, "/book/1", "key")
+	request.Request.Header["X-Attempt-Id"] = []string{"h1"}
+	reply := vm.Serve(context.Background(), request)
+	is.True(reply.Status != http.StatusServiceUnavailable) // of the body of another answer
+}
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -132,7 +132,12 @@
 			return response, nil
 		}
 		exchange.trace.Discarded++
-		if err := discardMismatched(response); err != nil {
+		if exchange.call.Request.Method == http.MethodHead {
+			err = errMismatchedAnswer // whether it has a body can't be told
+		} else {
+			err = discardMismatched(response)
+		}
+		if err != nil {
 			exchange.malformed = true
 			return nil, err
 		}
