--- a/gateway/internal/dispatcher/foreign_answer_test.go
+++ b/gateway/internal/dispatcher/foreign_answer_test.go
@@ -129,6 +129,21 @@
 	is.True(!regexp.MustCompile(`attempt-ended.*first-byte=`).Match(lines.Bytes()))
 }
 
+// An answer that names two requests is not known to be this one's.
+func TestAnswerThatNamesTwoRequestsIsNoPromise(t *testing.T) {
+	for _, ids := range [][2]string{{"a1", "a0"}, {"a0", "a1"}} {
+		t.Run(ids[0], func(t *testing.T) {
+			is := is.New(t)
+			vm := start(t)
+			vm.SetTargets([]placer.Target{{ID: "t0", Service: "s", Address: "target:1", DataCentre: "d", Slots: 4}})
+			vm.dialTo(answerInTurn(foreignSuccess,
+				"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+ids[0]+"\r\nX-Attempt-Id: "+ids[1]+"\r\nContent-Length: 0\r\n\r\n"))
+			is.Equal(vm.bookAs("a0").Status, http.StatusOK)
+			is.True(vm.book().Status != http.StatusServiceUnavailable)
+		})
+	}
+}
+
 // The answer to another request is discarded by the framing of the present one: after HEAD, the body of a late
 // answer is read as the next answer, and may name this request.
 func TestBodyOfALateAnswerAnswersHEAD(t *testing.T) {
