--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -100,7 +100,7 @@
 	log.WithFields(logrus.Fields{
 		"request": attempt.job.metadata.ID, "attempt": attempt.number, "peer": attempt.peer, "service": attempt.job.service,
 		"reason": attempt.verdict.Reason, "status": attempt.forwarded.Status, "duration": latency.Round(time.Millisecond),
-		"may-have-run": attempt.verdict.MayHaveRun, "targets": attempt.forwarded.Targets,
+		"may-have-run": attempt.verdict.MayHaveRun, "targets": attempt.forwarded.Targets, "not-run": attempt.forwarded.NotRun,
 	}).Info("attempt-forwarded")
 }
 
--- a/gateway/internal/forwarder/forwarder_test.go
+++ b/gateway/internal/forwarder/forwarder_test.go
@@ -82,7 +82,7 @@
 	other := start(t, "key", func(_ context.Context, call *receiver.Call) receiver.Reply {
 		served = call
 		return receiver.Reply{
-			Status: http.StatusCreated, Header: http.Header{"X-Response-Signature": {"s"}, "Empty": {""}}, Body: call.Body, FromTarget: true,
+			Status: http.StatusCreated, Header: http.Header{"X-Response-Signature": {"s"}, "Empty": {""}}, Body: call.Body, FromTarget: true, NotRun: true,
 		}
 	})
 	vm := start(t, "key", unused)
@@ -93,6 +93,7 @@
 		is.Equal(reply.Header, http.Header{"X-Response-Signature": {"s"}, "Empty": {""}})
 		is.True(bytes.Equal(reply.Body, body))
 		is.True(reply.FromTarget)
+		is.True(reply.NotRun)
 		is.Equal(served.Target, "/jobs/a%2Fb?x=1")
 		is.Equal(served.Request.URL.Path, "/jobs/a/b")
 		is.Equal(served.Request.Host, "a.example")
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -186,7 +186,7 @@
 	if call.BeforeWrite != nil {
 		if err := call.BeforeWrite(); err != nil {
 			exchanger.putUnused(connection)
-			return nil, &Error{FreshConnection: connection.fresh, Err: err}
+			return nil, &Error{FreshConnection: connection.fresh, Trace: trace, Err: err}
 		}
 	}
 	if !connection.quiet() {
