Revert "upstream: the stand-in names the request in rejections and errors too"

With it the smoke test and the failures no longer played a rejection that names no request, which is the harder case for `entry` (found by the review).

--- a/standin/internal/upstream/upstream.go
+++ b/standin/internal/upstream/upstream.go
@@ -152,7 +152,6 @@
 	faults := upstream.faultsFor(r.RemoteAddr)
 	inFlight := upstream.inFlight.Add(1)
 	defer upstream.inFlight.Add(-1)
-	w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
 	if faults.Shed || inFlight > int64(upstream.Slots) {
 		w.Header().Set("Retry-After", "1")
 		w.Header().Set(outcomeHeader, "not-run")
@@ -212,9 +211,11 @@
 		http.Error(w, "internal error", http.StatusInternalServerError)
 		return
 	}
+	id := r.Header.Get(requestIDHeader)
 	if faults.Crossed {
-		w.Header().Set(requestIDHeader, "crossed")
+		id = "crossed"
 	}
+	w.Header().Set(requestIDHeader, id)
 	w.Header().Set("Upstream-Target", upstream.Name)
 	body := fmt.Sprintf("%s %s answered by %s\n", r.Method, r.URL.Path, upstream.Name)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
