dispatcher: a booking whose time is over isn't said to wait for its turn

What operators saw: request-answered with 503 and turn-did-not-come for bookings with nothing ahead of them, after a pause of their VM: the line names the wrong cause, of which there are many on a connection. Now the turn goes first, and a request whose time is over is answered before it costs a token of its organisation's rate.

--- a/gateway/internal/dispatcher/dispatcher.go
+++ b/gateway/internal/dispatcher/dispatcher.go
@@ -249,6 +249,11 @@
 
 // await waits until the channel is closed. It returns false if the context ends first.
 func await(ctx context.Context, channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+	}
 	select {
 	case <-channel:
 		return true
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -133,6 +133,9 @@
 		}
 		return handler.refuse(refusal{status: http.StatusServiceUnavailable, reason: "turn-did-not-come", retryAfter: otherVMRetryAfter})
 	}
+	if ctx.Err() != nil {
+		return handler.expire(ctx)
+	}
 	if !handler.dispatcher.askStop(handler.job, drainer.Policy.Fits) { // it may have waited for its turn
 		return handler.refuse(refusalStopping)
 	}
--- a/gateway/internal/dispatcher/written_test.go
+++ b/gateway/internal/dispatcher/written_test.go
@@ -212,3 +212,15 @@
 	is.True(taken.Load() > 0)
 	is.Equal(reply.Status, http.StatusBadGateway)
 }
+
+// A booking with nothing ahead of it whose time is over when the VM gets to it, as after a pause of the process,
+// must not be said to have waited for its turn.
+func TestExpiredBookingIsSaidToWaitForItsTurn(t *testing.T) {
+	is := is.New(t)
+	vm := startOne(t)
+	for range 50 {
+		booking := shortBooking()
+		booking.Received = time.Now().Add(-time.Second)
+		is.Equal(string(vm.Serve(context.Background(), booking).Body), `{"reason":"timed-out-unsent"}`+"\n")
+	}
+}
