--- a/soak/main.go
+++ b/soak/main.go
@@ -127,6 +127,11 @@
 		plan.Seed, plan.VMs, plan.Targets, faults, len(result.Faults), len(result.Calls), result.Arrivals, len(result.Violations))
 	_, _ = fmt.Fprintln(out, "answers:", formatCounts(answers))
 	_, _ = fmt.Fprintln(out, "checked:", formatCounts(result.Checked))
+	broken := make(map[string]int)
+	for _, violation := range result.Violations {
+		broken[violation.Promise]++
+	}
+	_, _ = fmt.Fprintln(out, "violations:", formatCounts(broken))
 	for _, violation := range result.Violations[:min(len(result.Violations), printedViolations)] {
 		_, _ = fmt.Fprintf(out, "broken: seed=%d %s\n", plan.Seed, violation)
 	}
