--- a/gateway/internal/dispatcher/written_test.go
+++ b/gateway/internal/dispatcher/written_test.go
@@ -80,7 +80,7 @@
 			t.Run(fmt.Sprint(name, ", kept ", kept), func(t *testing.T) {
 				is := is.New(t)
 				vm := startOne(t)
-				var ran atomic.Bool
+				ran := make(chan struct{})
 				vm.dialTo(func(connection net.Conn) {
 					reader := bufio.NewReader(connection)
 					if kept {
@@ -97,7 +97,7 @@
 					if _, err := io.Copy(io.Discard, request.Body); err != nil {
 						return
 					}
-					ran.Store(true)
+					close(ran)
 					_, _ = io.WriteString(connection, test.late)
 					if test.open {
 						_, _ = reader.ReadByte()
@@ -107,7 +107,11 @@
 					is.Equal(vm.bookAs("b1").Status, http.StatusOK)
 				}
 				reply := vm.Serve(context.Background(), shortBooking())
-				is.True(ran.Load())
+				select {
+				case <-ran:
+				case <-time.After(30 * time.Second): // only keeps a failing test from hanging
+					t.Fatal("the request has not run")
+				}
 				is.True(!promises(reply.Status))
 				is.True(!reply.NotRun)
 			})
