--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -44,7 +44,7 @@
 	// targets is the number of targets to which that VM may send the request.
 	targets int
 	number  int
-	// repeated is true if the request was sent to the target's address before.
+	// repeated is true if the request was sent to the target's address before. It is only logged.
 	repeated bool
 	// forwarded is the answer of that VM.
 	forwarded receiver.Reply
--- a/gateway/internal/dispatcher/run.go
+++ b/gateway/internal/dispatcher/run.go
@@ -52,8 +52,7 @@
 	// could not be reached.
 	tried       []string
 	unreachable []string
-	// addresses are those that an attempt was sent to: a connection is one to an address, whose target may
-	// have been replaced between two attempts.
+	// addresses are those that an attempt was sent to, for the log. Targets may be replaced behind them.
 	addresses []string
 	attempts  int
 	// degraded is true if the service counted as degraded before an attempt.
