--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,7 +23,7 @@
 	failed = 2
 )
 
-var cases = map[string]func(*stage, bool) (int, error){"uploads": uploads}
+var cases = map[string]func(*stage, bool) (int, error){"uploads": uploads, "replaced": replaced}
 
 func main() {
 	name := flag.String("case", "", "the case to play")
--- a/review/standin-2/stage.go
+++ b/review/standin-2/stage.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -52,14 +53,15 @@
 // listen listens on a free port of the loopback address.
 func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
 
-// freePort returns a TCP and UDP port that was free a moment ago.
+// freePort returns a TCP and UDP port that was free a moment ago. It is below the ports that the system picks for
+// connections, so that a process finds it free again when it is started again.
 func freePort() (string, error) {
-	for range 20 {
-		listener, err := listen()
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(16000))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
 		if err == nil {
@@ -133,6 +135,8 @@
 	name                         string
 	callers, readiness, settings string
 	memoryMB                     int
+	values                       map[string]string
+	zones                        [][2]string
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -194,14 +198,7 @@
 	for name, value := range machine.bounds {
 		values["Bounds."+name] = value
 	}
-	text, err := stage.render(values, zones)
-	if err != nil {
-		return nil, err
-	}
-	added.settings = filepath.Join(stage.folder, name+".ini")
-	if err := os.WriteFile(added.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
+	added.settings, added.values, added.zones = filepath.Join(stage.folder, name+".ini"), values, zones
 	stage.vms = append(stage.vms, added)
 	return added, added.start()
 }
@@ -209,6 +206,14 @@
 func (vm *vm) start() error {
 	vm.mutex.Lock()
 	defer vm.mutex.Unlock()
+	text, err := vm.stage.render(vm.values, vm.zones)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(vm.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	vm.values["Bootstrap"] = "false" // at the next start
 	log, err := os.OpenFile(filepath.Join(vm.stage.folder, vm.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -313,8 +318,13 @@
 
 // awaitReady waits until all machines are ready.
 func (stage *stage) awaitReady(limit time.Duration) error {
+	return stage.awaitReadyOf(stage.vms, limit)
+}
+
+// awaitReadyOf waits until the machines are ready.
+func (stage *stage) awaitReadyOf(vms []*vm, limit time.Duration) error {
 	until := time.Now().Add(limit)
-	for _, vm := range stage.vms {
+	for _, vm := range vms {
 		for !vm.ready() {
 			if time.Now().After(until) {
 				return fmt.Errorf("%s isn't ready", vm.name)
