--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,7 +23,7 @@
 	failed = 2
 )
 
-var cases = map[string]func(*stage, bool) (int, error){"uploads": uploads, "replaced": replaced}
+var cases = map[string]func(*stage, bool) (int, error){"uploads": uploads, "replaced": replaced, "foreign": foreign, "midway": midway, "sends-on": sendsOn}
 
 func main() {
 	name := flag.String("case", "", "the case to play")
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -41,3 +41,16 @@
 		Attempts: 2, Priority: priority, Shares: []indexer.Share{{Service: service, Weight: 1}},
 	}
 }
+
+// The figures of the site tidewater-previews-grown.
+var (
+	tidewaterZones   = [][2]string{{"bne-north", "brisbane"}, {"bne-south", "brisbane"}}
+	tidewaterMachine = machine{
+		zone: "bne-north", region: "brisbane", memoryMB: 536, descriptors: 8192,
+		bounds: map[string]string{
+			"ConfigPropagation": "3000ms", "StretchMax": "5000ms", "Drain": "3000ms", "Revocation": "5000ms", "GracePeriod": "6s",
+			"RetryBudgetRatio": "0.2", "RetryBudgetExtra": "206", "BudgetWindow": "10s",
+			"QuotaWindow": "5s", "QuotaOvershoot": "0.1", "QuotaTolerance": "20", "FloorShare": "0.7",
+		},
+	}
+)
