--- a/review/standin-2/foreign.go
+++ b/review/standin-2/foreign.go
@@ -84,9 +84,11 @@
 			case <-ticker.C:
 			}
 			callers.Go(func() {
-				caller := &caller{address: stage.vms[i%len(stage.vms)].callers}
+				machine := stage.vms[i%len(stage.vms)]
+				caller := &caller{address: machine.callers}
 				defer caller.close()
 				result := caller.send(faker.Request{Host: host, Method: "POST", Path: "/job-book/2f", Body: "tank", ID: newID(), Key: key, Remaining: 2500 * time.Millisecond})
+				result.vm = machine.name
 				mutex.Lock()
 				outcomes = append(outcomes, result)
 				mutex.Unlock()
@@ -107,6 +109,7 @@
 	}
 	close(stop)
 	callers.Wait()
+	stage.noteRequests(outcomes)
 	ran := stage.ran()
 	late := 0
 	ends := make(map[string]int)
--- a/review/standin-2/midway.go
+++ b/review/standin-2/midway.go
@@ -152,6 +152,7 @@
 	stage.note("2 machines are ready")
 	var mutex sync.Mutex
 	ends := make(map[string]int)
+	var outcomes []outcome
 	var callers sync.WaitGroup
 	stop := make(chan struct{})
 	callers.Go(func() { // bookings beside
@@ -162,14 +163,17 @@
 			case <-time.After(50 * time.Millisecond):
 			}
 			callers.Go(func() {
-				caller := &caller{address: stage.vms[i%2].callers}
+				machine := stage.vms[i%2]
+				caller := &caller{address: machine.callers}
 				defer caller.close()
 				result := caller.send(faker.Request{Host: host, Method: "POST", Path: "/job-book/2f", Body: "tank", ID: newID(), Key: key, Remaining: 2500 * time.Millisecond})
 				end := "no answer"
 				if result.err == nil {
 					end = strconv.Itoa(result.answer.Status)
 				}
+				result.vm = machine.name
 				mutex.Lock()
+				outcomes = append(outcomes, result)
 				ends[end]++
 				mutex.Unlock()
 			})
@@ -185,12 +189,17 @@
 		caller := &caller{address: stage.vms[i%2].callers}
 		result := caller.send(faker.Request{Host: host, Method: "GET", Path: path, ID: newID(), Key: key, Remaining: 2 * time.Second})
 		caller.close()
+		result.vm = stage.vms[i%2].name
+		mutex.Lock()
+		outcomes = append(outcomes, result)
+		mutex.Unlock()
 		sent = append(sent, result.request.ID)
 		stage.note("caller: request %s got status %d, %v", result.request.ID, result.answer.Status, result.err)
 		time.Sleep(time.Until(result.sent.Add(culpritEvery)))
 	}
 	close(stop)
 	callers.Wait()
+	stage.noteRequests(outcomes)
 	ran := stage.ran()
 	type run struct {
 		faker.Arrival
--- a/review/standin-2/replaced.go
+++ b/review/standin-2/replaced.go
@@ -61,10 +61,10 @@
 		return failed, err
 	}
 	stage.note("%d machines in %d zones are ready; the tenant has %.0f requests a second and asks for %d", len(serving), replacedZones, tenantRate, usualRate)
-	address := func(place int) string {
+	at := func(place int) *vm {
 		mutex.Lock()
 		defer mutex.Unlock()
-		return serving[place].callers
+		return serving[place]
 	}
 	var outcomes []outcome
 	var callers sync.WaitGroup
@@ -79,9 +79,11 @@
 			case <-ticker.C:
 			}
 			callers.Go(func() {
-				caller := &caller{address: address(i % len(serving))}
+				machine := at(i % len(serving))
+				caller := &caller{address: machine.callers}
 				defer caller.close()
 				result := caller.send(faker.Request{Host: host, Method: "GET", Path: "/due-list/2f", ID: newID(), Key: key, Remaining: 2 * time.Second})
+				result.vm = machine.name
 				mutex.Lock()
 				outcomes = append(outcomes, result)
 				mutex.Unlock()
@@ -125,6 +127,7 @@
 	time.Sleep(recovery + afterRecovery)
 	close(stop)
 	callers.Wait()
+	stage.noteRequests(outcomes)
 	served, asked := stage.share(outcomes, before.Add(-beforeFault), before)
 	stage.note("before the final fault: %d of %d served", served, asked)
 	servedLater, askedLater := stage.share(outcomes, back.Add(recovery), time.Now())
--- a/review/standin-2/sendson.go
+++ b/review/standin-2/sendson.go
@@ -215,6 +215,11 @@
 	time.Sleep(time.Until(termAt.Add(grace)))
 	close(stop)
 	callers.Wait()
+	all := make([]outcome, 0, len(results))
+	for _, result := range results {
+		all = append(all, result.outcome)
+	}
+	stage.noteRequests(all)
 	ran := stage.ran()
 	cut, whole, late, other := 0, 0, 0, make(map[string]int)
 	for _, result := range results {
--- a/review/standin-2/stage.go
+++ b/review/standin-2/stage.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -129,6 +130,27 @@
 	return byID
 }
 
+// noteRequests writes a line for each request: when it was sent, to which machine, how it ended, and where it arrived.
+func (stage *stage) noteRequests(outcomes []outcome) {
+	ran := stage.ran()
+	outcomes = slices.Clone(outcomes)
+	slices.SortFunc(outcomes, func(a, b outcome) int { return a.sent.Compare(b.sent) })
+	stage.mutex.Lock()
+	defer stage.mutex.Unlock()
+	fmt.Fprintln(stage.record, "requests: ID, sent (s), machine, answer, ended (s); arrivals: target, begun to ended (s), whether it ran, status")
+	for _, result := range outcomes {
+		answer := strconv.Itoa(result.answer.Status)
+		if result.err != nil {
+			answer = "none"
+		}
+		fmt.Fprintf(stage.record, "%s %.3f %s %s %.3f;", result.request.ID, result.sent.Sub(stage.began).Seconds(), result.vm, answer, result.ended.Sub(stage.began).Seconds())
+		for _, arrival := range ran[result.request.ID] {
+			fmt.Fprintf(stage.record, " %s %.3f to %.3f ran=%t %d", arrival.TargetID, arrival.Begun.Sub(stage.began).Seconds(), arrival.Ended.Sub(stage.began).Seconds(), arrival.Run, arrival.Status)
+		}
+		fmt.Fprintln(stage.record)
+	}
+}
+
 // vm is a machine that runs the gateway. The platform starts its process again when it has ended.
 type vm struct {
 	stage                        *stage
--- a/review/standin-2/uploads.go
+++ b/review/standin-2/uploads.go
@@ -162,6 +162,7 @@
 	for _, vm := range stage.vms {
 		stage.note("%s: peak %d MB of %d MB; killed for its memory %d times", vm.name, vm.peakKB>>10, vm.memoryMB, len(vm.overs))
 	}
+	stage.noteRequests(reads.outcomes)
 	stage.note("%d of %d reads served; LOST %d times, three are allowed", served, len(reads.outcomes), lost)
 	if lost > 3 {
 		return broken, nil
