receiver: answers that callers still read aren't cut by the end of their connection

Cause: a connection counted as idle, or as ready to be closed, once the system had taken the answer. Some 300 kB of it may wait there while the caller reads. If the connection is closed meanwhile and the caller sends anything more, the system resets it and drops the rest. All ends of a connection had it, not only the stop.

Ruled out: that the bytes waited at the caller's side. It read on for 0.8 s after the reset, so that what its system had was kept; what was lost was on the VM's side. Closing only the sending side of idle connections and reading on would have kept the answers too, but then a booking that crosses the close is read by a process that discards it, and its caller may not send it again; so idle connections stay open instead.

The idle timeout starts, and a stop closes an idle connection, once all is delivered. What comes over it before is read and answered as ever: late in a stop by 503 with Connection: close. A closing connection is read until the caller closes it, or has got everything and was quiet for 0.5 s. A caller that takes nothing for 10 s is left; a stop still ends within its grace. An idle connection costs one more wake-up and one call an idle timeout.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"godwitramp.example/shell/lingerer"
 	"godwitramp.example/shell/recoverer"
 )
 
@@ -28,9 +28,11 @@
 	// second, is a quarter of the slowest link of a VM.
 	writeTimeout = 10 * time.Second
 	minWriteRate = 10e6 / 8 / 4
-	// lingerTimeout is how long a closing connection is still read. Unread bytes would
-	// reset the connection, and the caller could lose the last answer.
+	// lingerTimeout is how long a closing connection is still read once the caller has got everything and sends
+	// nothing more. Unread bytes would reset the connection.
 	lingerTimeout = 500 * time.Millisecond
+	// idleChecks is how often per idle timeout an idle connection is checked for undelivered answers.
+	idleChecks = 8
 	// The defaults apply to limits that the configuration doesn't set, or while none is
 	// known.
 	defaultIdleTimeout   = 15 * time.Second
@@ -64,10 +66,16 @@
 	previous string
 	// reading is true while a request is being read.
 	reading bool
+	// idleSince is when the connection became idle, or when its last answer was last seen undelivered.
+	idleSince time.Time
+	// evicted is true once closeIdle has ended the wait for a request.
+	evicted bool
+	// progress is that of the delivery while the connection is idle.
+	progress lingerer.Progress
 	// closing is true once the answer that closes the connection is about to be written. No
 	// request is handled from then on.
 	closing bool
-	// closed is true once that answer has been written.
+	// closed is true once that answer has been written, or has turned out to be missing.
 	closed bool
 }
 
@@ -84,7 +92,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	defer context.AfterFunc(ctx, func() { connection.giveUp(context.Canceled) })()
 	// The end of the parent context also ends a blocked read of the next request.
-	defer context.AfterFunc(parent, func() { _ = connection.raw.Close() })()
+	defer context.AfterFunc(parent, connection.end)()
 	var group sync.WaitGroup
 	defer func() { _ = connection.raw.Close() }()
 	defer group.Wait()
@@ -104,6 +112,7 @@
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
+			connection.lingerIfClosed()
 			return
 		}
 		call, err := connection.read(ctx, turn)
@@ -134,6 +143,14 @@
 	}
 }
 
+// end closes the connection, whatever happens on it.
+func (connection *connection) end() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.logCut("vm-stopped")
+	_ = connection.raw.Close()
+}
+
 // beginRequest counts a request that has been read, and removes the read deadline. It returns
 // false if the request must not be handled, as its answer could not be written: an answer
 // before it closes the connection.
@@ -154,14 +171,14 @@
 	return true
 }
 
-// closes reports whether the answer to the call closes the connection. While the VM stops,
+// closes reports whether the answer to the call, or its absence, closes the connection. While the VM stops,
 // the answer to the newest call does.
 func (connection *connection) closes(reply Reply, call *Call) bool {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	newest := connection.newest == call
 	stops := newest && connection.receiver.leaving.Load()
-	connection.closing = connection.closing || reply.Close || call.Request.Close || stops
+	connection.closing = connection.closing || reply.Close || reply.Abort || call.Request.Close || stops
 	if newest && !connection.closing {
 		connection.newest = nil
 	}
@@ -179,17 +196,54 @@
 	connection.setIdleDeadline()
 }
 
+// idle reports whether no request is being read or handled and the connection isn't closing.
+func (connection *connection) idle() bool {
+	return connection.pending == 0 && !connection.reading && !connection.closing
+}
+
 func (connection *connection) setIdleDeadline() {
-	if connection.pending == 0 && !connection.reading && !connection.closing {
-		_ = connection.raw.SetReadDeadline(time.Now().Add(connection.receiver.limits().IdleTimeout))
+	if connection.idle() {
+		connection.idleSince, connection.evicted = time.Now(), false
+		_ = connection.raw.SetReadDeadline(connection.idleSince.Add(connection.receiver.limits().IdleTimeout / idleChecks))
 	}
 }
 
-// closeIdle closes the connection unless a request is being read or handled, or it is closing.
+// stayIdle reports whether the connection goes on waiting for a request after a read deadline has passed, and sets
+// the next one. The idle timeout starts when the caller has got its answers: if the connection was closed earlier, its
+// next request would reset it, and drop the rest of them.
+func (connection *connection) stayIdle() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if !connection.idle() || connection.evicted {
+		return false
+	}
+	now, timeout := time.Now(), connection.receiver.limits().IdleTimeout
+	if connection.delivering(now) {
+		connection.idleSince = now
+		_ = connection.raw.SetReadDeadline(now.Add(timeout / idleChecks))
+		return true
+	}
+	if end := connection.idleSince.Add(timeout); now.Before(end) {
+		_ = connection.raw.SetReadDeadline(end)
+		return true
+	}
+	connection.logCut("caller-stalled")
+	return false
+}
+
+// delivering reports whether the caller hasn't got all that was written, and takes some of it within writeTimeout.
+func (connection *connection) delivering(now time.Time) bool {
+	undelivered := lingerer.Undelivered(connection.raw)
+	return !connection.progress.Stalled(undelivered, now, writeTimeout) && undelivered > 0
+}
+
+// closeIdle closes the connection unless a request is being read or handled, answers are being delivered, or it is
+// closing.
 func (connection *connection) closeIdle() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if connection.pending == 0 && !connection.reading && !connection.closing {
+	if connection.idle() && !connection.delivering(time.Now()) {
+		connection.evicted = true
 		_ = connection.raw.SetReadDeadline(time.Unix(1, 0))
 	}
 }
@@ -213,7 +267,7 @@
 		return
 	}
 	closes := connection.closes(reply, call)
-	if reply.Abort || !connection.write(reply, call.Request, closes) {
+	if !reply.Abort && !connection.write(reply, call.Request, closes) {
 		cancel()
 		_ = connection.raw.Close()
 		return
@@ -266,17 +320,26 @@
 	}
 }
 
-// linger closes the connection for writing, and reads until the caller closes it or
-// lingerTimeout has passed.
+// linger closes the connection for writing, and reads until the caller closes it or has got all answers.
 func (connection *connection) linger() {
-	if closer, ok := connection.raw.(interface{ CloseWrite() error }); ok {
-		_ = closer.CloseWrite()
-	}
 	connection.mutex.Lock()
 	connection.closing = true // closeIdle leaves it lingering
-	_ = connection.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
 	connection.mutex.Unlock()
-	_, _ = io.Copy(io.Discard, connection.reader) // not parsed as requests
+	lingerer := &lingerer.Lingerer{QuietTimeout: lingerTimeout, StallTimeout: writeTimeout}
+	if delivered := lingerer.Linger(connection.raw); !delivered {
+		connection.mutex.Lock()
+		defer connection.mutex.Unlock()
+		connection.logCut("caller-stalled")
+	}
+}
+
+// logCut logs if the connection is closed before the caller has got all answers. The mutex is held.
+func (connection *connection) logCut(reason string) {
+	if undelivered := lingerer.Undelivered(connection.raw); undelivered > 0 {
+		connection.log(nil).WithFields(logrus.Fields{
+			"reason": reason, "undelivered": undelivered, "previous": connection.previous, "leaving": connection.receiver.leaving.Load(),
+		}).Info("delivery-cut")
+	}
 }
 
 // log returns the log with the fields that name a request. The call is nil if its head was not read.
--- a/gateway/internal/receiver/random_test.go
+++ b/gateway/internal/receiver/random_test.go
@@ -27,6 +27,8 @@
 // slowHandler answers after random times, and records the requests by their connection.
 type slowHandler struct {
 	millisecond time.Duration
+	// longest is the length of the longest body, which one answer in four may have. Others have up to 3000 bytes.
+	longest int
 
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -40,6 +42,9 @@
 	delay := time.Duration(handler.random.IntN(4)*handler.random.IntN(300)) * handler.millisecond
 	unordered := handler.random.IntN(4) > 0
 	reply := receiver.Reply{Status: http.StatusOK, Body: make([]byte, handler.random.IntN(3000))}
+	if handler.longest > 0 && handler.random.IntN(4) == 0 {
+		reply.Body = make([]byte, handler.random.IntN(handler.longest))
+	}
 	handler.mutex.Unlock()
 	reply.Header = http.Header{"Request": {request}}
 	if !unordered {
@@ -70,8 +75,8 @@
 	network network
 	name    string
 	conn    net.Conn
-	// leaves is true if the caller may disconnect before it has all answers.
-	leaves bool
+	// leaves is true if the caller may disconnect before it has all answers, and slow if it reads slowly.
+	leaves, slow bool
 
 	// sent is the number of requests that the receiver has read as a whole.
 	sent     int
@@ -100,7 +105,11 @@
 }
 
 func (caller *hastyCaller) send(random *rand.Rand) {
-	for i := range 1 + random.IntN(30) {
+	requests := 1 + random.IntN(30)
+	for i := range requests {
+		if caller.slow && i == requests-1 { // while earlier answers are read
+			time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		}
 		text := requestText(random, caller.name, i)
 		cut := random.IntN(len(text))
 		if random.IntN(3) > 0 {
@@ -125,6 +134,9 @@
 func (caller *hastyCaller) receive() {
 	defer func() { _ = caller.conn.Close() }()
 	reader := bufio.NewReader(caller.conn)
+	if caller.slow {
+		reader = bufio.NewReader(slowReader{caller.conn})
+	}
 	for {
 		if _, err := reader.Peek(1); err != nil {
 			caller.err = err
@@ -188,6 +200,8 @@
 	millisecond time.Duration
 	// crossing is true if bytes can be on their way when the receiver closes a connection.
 	crossing bool
+	// longest is the length of the longest answers, which half of the callers read slowly. Zero means that there are none.
+	longest int
 }
 
 // playStop plays a planned stop with callers that send ahead.
@@ -196,7 +210,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	handler := &slowHandler{millisecond: network.millisecond, random: rand.New(rand.NewPCG(seed, 1)), handled: make(map[string][]string)}
+	handler := &slowHandler{millisecond: network.millisecond, longest: network.longest, random: rand.New(rand.NewPCG(seed, 1)), handled: make(map[string][]string)}
 	receiver := &receiver.Receiver{
 		Handler: handler, Limits: func() indexer.Limits { return indexer.Limits{} }, MaxBodyBytes: 1 << 20, Log: logrus.NewEntry(log),
 	}
@@ -209,7 +223,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		caller := &hastyCaller{network: network, name: fmt.Sprint(i), conn: conn, leaves: random.IntN(5) == 0}
+		caller := &hastyCaller{network: network, name: fmt.Sprint(i), conn: conn, leaves: random.IntN(5) == 0, slow: network.longest > 0 && i%2 == 0}
 		callers = append(callers, caller)
 		sender := rand.New(rand.NewPCG(seed, uint64(2+i)))
 		callersRunning.Go(func() { caller.send(sender) })
@@ -261,3 +275,20 @@
 		})
 	}
 }
+
+// The same holds for long answers that wait in the buffers of the system, as callers read them slowly.
+func TestStopKeepsPromisesToCallersThatReadSlowly(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			dial := func() (net.Conn, error) { return dialSlow(t, listener.Addr().String()), nil }
+			playStop(t, network{
+				Listener: bufferedListener{listener}, dial: dial, millisecond: time.Millisecond / 10, crossing: true, longest: longAnswer,
+			}, seed)
+		})
+	}
+}
--- a/gateway/internal/receiver/receiver_test.go
+++ b/gateway/internal/receiver/receiver_test.go
@@ -53,17 +53,27 @@
 // start runs a receiver, and returns it with a connection to it.
 func start(t *testing.T, handler *handler, limits indexer.Limits) (*receiver.Receiver, net.Conn) {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	receiver := &receiver.Receiver{
-		Handler: handler, Limits: func() indexer.Limits { return limits }, MaxConnections: 2, MaxBodyBytes: 1 << 20,
-		Log: logrus.NewEntry(log),
+		Handler: handler, Limits: func() indexer.Limits { return limits }, MaxConnections: 2, MaxBodyBytes: 1 << 20, Log: quiet(),
 	}
 	return receiver, dial(t, run(t, receiver))
 }
 
+// quiet returns a log that is discarded.
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
 // run runs a receiver until the end of the test, and returns its address.
 func run(t *testing.T, receiver *receiver.Receiver) string {
+	t.Helper()
+	return runOn(t, receiver, func(listener net.Listener) net.Listener { return listener })
+}
+
+// runOn runs a receiver on the listener that wrap returns for one on the loopback interface.
+func runOn(t *testing.T, receiver *receiver.Receiver, wrap func(net.Listener) net.Listener) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,7 +81,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	group.Go(func() { _ = receiver.Run(ctx, listener) })
+	group.Go(func() { _ = receiver.Run(ctx, wrap(listener)) })
 	t.Cleanup(group.Wait)
 	t.Cleanup(cancel)
 	return listener.Addr().String()
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"strings"
 	"time"
 
@@ -93,6 +94,9 @@
 func (connection *connection) awaitRequest() error {
 	for {
 		first, err := connection.reader.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) && connection.stayIdle() {
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("wait for request: %w", err)
 		}
@@ -111,7 +115,7 @@
 	if connection.closing {
 		return false
 	}
-	connection.reading = true
+	connection.reading, connection.evicted = true, false
 	_ = connection.raw.SetReadDeadline(time.Now().Add(timeout))
 	return true
 }
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -70,6 +70,9 @@
 	return fleet
 }
 
+// longAnswer is the length of the answers to paths that end with /long.
+const longAnswer = 4 << 20
+
 func (fleet *fleet) serveTarget(writer http.ResponseWriter, request *http.Request) {
 	fleet.targetRequests.Add(1)
 	fleet.mutex.Lock()
@@ -86,9 +89,13 @@
 	if strings.HasSuffix(request.URL.Path, "/slow") {
 		time.Sleep(1200 * time.Millisecond)
 	}
+	body := "served"
+	if strings.HasSuffix(request.URL.Path, "/long") {
+		body = strings.Repeat("s", longAnswer)
+	}
 	writer.Header().Set("X-Attempt-Id", request.Header.Get("X-Attempt-Id"))
 	writer.Header().Set("X-Response-Signature", "signature")
-	_, _ = io.WriteString(writer, "served")
+	_, _ = io.WriteString(writer, body)
 }
 
 // runsOf returns how often the target ran a request.
@@ -275,6 +282,28 @@
 	is.True(time.Since(stopTime) < vm.settings.StopGrace)
 }
 
+// A planned stop must end within the grace although callers don't read their answers.
+func TestPlannedStopWithCallersThatNeverRead(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	vm := fleet.vms[0]
+	for range 4 {
+		connection, err := net.Dial("tcp", vm.settings.Callers)
+		is.NoErr(err)
+		defer func() { _ = connection.Close() }()
+		_, err = io.WriteString(connection, "GET /long HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a1\r\n"+
+			"X-Remaining-Milliseconds: 5000\r\nX-Credential: key\r\n\r\n")
+		is.NoErr(err)
+		_, err = connection.Read(make([]byte, 1))
+		is.NoErr(err)
+	}
+	stopTime := time.Now()
+	vm.stop()
+	<-vm.stopped
+	is.True(time.Since(stopTime) < vm.settings.StopGrace)
+	is.True(vm.logged.has("delivery-cut"))
+}
+
 // Answers that are ready must be delivered although a request before them on their connection
 // outlasts the stop.
 func TestPlannedStopDeliversAnswersBehindAnUnfinishedRequest(t *testing.T) {
