receiver: a caller that still waits isn't cut while it reads a long answer slowly

What callers see: an answer of 5 MB to a caller that reads 100 kB a second and says that it waits for a minute ends after some 27 s, with about half of its bytes.

Cause: one deadline for the whole answer, 10 s and its length at 312 kB a second, whatever the caller takes meanwhile and however long it waits. A caller that took nothing held its answer for that long too.

Change: the writing goes on while the caller takes something every 10 s, until it waits no longer by its own word; as long as before if it doesn't say so or its time is shorter. A caller that takes nothing is left after 10 s, and the line delivery-cut says so.

TestLongAnswerIsCutWhileItsCallerReadsSlowly: before, the caller that waits for a minute did not get its answer, and the one that takes nothing held it for more than 12 s; after, all four cases hold.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -23,9 +23,9 @@
 	// maxPipelined limits the unanswered requests of one connection. While it is
 	// reached nothing is read, so that a disconnect of the caller is detected later.
 	maxPipelined = 64
-	// writeTimeout limits the writing of one answer to a caller that doesn't read, in
-	// addition to the time that the answer takes at minWriteRate. That rate, in bytes per
-	// second, is a quarter of the slowest link of a VM.
+	// writeTimeout is how long a caller may take nothing of its answers. It also limits, in addition to the time that
+	// the answer takes at minWriteRate, the writing of one answer to a caller that waits no longer. That rate, in bytes
+	// per second, is a quarter of the slowest link of a VM.
 	writeTimeout = 10 * time.Second
 	minWriteRate = 10e6 / 8 / 4
 	// lingerTimeout is how long a closing connection is still read once the caller has got everything and sends
@@ -147,7 +147,7 @@
 func (connection *connection) end() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.logCut("vm-stopped")
+	connection.logCut("vm-stopped", 0)
 	_ = connection.raw.Close()
 }
 
@@ -227,7 +227,7 @@
 		_ = connection.raw.SetReadDeadline(end)
 		return true
 	}
-	connection.logCut("caller-stalled")
+	connection.logCut("caller-stalled", 0)
 	return false
 }
 
@@ -267,7 +267,7 @@
 		return
 	}
 	closes := connection.closes(reply, call)
-	if !reply.Abort && !connection.write(reply, call.Request, closes) {
+	if !reply.Abort && !connection.write(reply, call, closes) {
 		cancel()
 		_ = connection.raw.Close()
 		return
@@ -329,13 +329,14 @@
 	if delivered := lingerer.Linger(connection.raw); !delivered {
 		connection.mutex.Lock()
 		defer connection.mutex.Unlock()
-		connection.logCut("caller-stalled")
+		connection.logCut("caller-stalled", 0)
 	}
 }
 
-// logCut logs if the connection is closed before the caller has got all answers. The mutex is held.
-func (connection *connection) logCut(reason string) {
-	if undelivered := lingerer.Undelivered(connection.raw); undelivered > 0 {
+// logCut logs if the connection is closed before the caller has got all answers, of which so many bytes could not be
+// written. The mutex is held.
+func (connection *connection) logCut(reason string, unwritten int) {
+	if undelivered := unwritten + lingerer.Undelivered(connection.raw); undelivered > 0 {
 		connection.log(nil).WithFields(logrus.Fields{
 			"reason": reason, "undelivered": undelivered, "previous": connection.previous, "leaving": connection.receiver.leaving.Load(),
 		}).Info("delivery-cut")
@@ -407,12 +408,12 @@
 	}
 }
 
-// write writes one answer. It returns false if that failed.
-func (connection *connection) write(reply Reply, request *http.Request, closes bool) bool {
+// write writes the answer to a call, nil if its request was not read. It returns false if that failed.
+func (connection *connection) write(reply Reply, call *Call, closes bool) bool {
 	var buffer bytes.Buffer
 	fmt.Fprintf(&buffer, "HTTP/1.1 %d %s\r\n", reply.Status, http.StatusText(reply.Status))
 	bodyless := reply.Status == http.StatusNoContent || reply.Status == http.StatusNotModified
-	head := request != nil && request.Method == http.MethodHead
+	head := call != nil && call.Request.Method == http.MethodHead
 	for name, values := range reply.Header {
 		if name == "Content-Length" && !head && !bodyless {
 			continue
@@ -430,8 +431,37 @@
 	} else {
 		buffer.WriteString("\r\n")
 	}
-	transfer := time.Duration(float64(buffer.Len()) / minWriteRate * float64(time.Second))
-	_ = connection.raw.SetWriteDeadline(time.Now().Add(writeTimeout + transfer))
-	_, err := connection.raw.Write(buffer.Bytes())
-	return err == nil
+	return connection.writeAll(buffer.Bytes(), connection.writeTime(buffer.Len(), call))
+}
+
+// writeTime returns how long the writing of an answer may take: as long as its caller waits, at least writeTimeout and
+// the time that it takes at minWriteRate.
+func (connection *connection) writeTime(length int, call *Call) time.Duration {
+	least := writeTimeout + time.Duration(float64(length)/minWriteRate*float64(time.Second))
+	if call == nil || connection.receiver.Patience == nil {
+		return least
+	}
+	return max(least, time.Until(call.Received.Add(connection.receiver.Patience(call.Request.Header))))
+}
+
+// writeAll writes an answer within a time, while the caller takes some of it every writeTimeout. It returns false if
+// that failed.
+func (connection *connection) writeAll(answer []byte, limit time.Duration) bool {
+	for end := time.Now().Add(limit); ; {
+		_ = connection.raw.SetWriteDeadline(time.Now().Add(min(writeTimeout, time.Until(end))))
+		n, err := connection.raw.Write(answer)
+		if err == nil {
+			return true
+		}
+		answer = answer[n:]
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false // the caller has left
+		}
+		if n == 0 || !time.Now().Before(end) {
+			connection.mutex.Lock()
+			defer connection.mutex.Unlock()
+			connection.logCut("caller-stalled", len(answer))
+			return false
+		}
+	}
 }
--- a/gateway/internal/receiver/slow_test.go
+++ b/gateway/internal/receiver/slow_test.go
@@ -47,3 +47,57 @@
 		is.True(time.Since(startedAt) > 15*time.Second)
 	})
 }
+
+// A caller that still waits must get its whole answer however slowly it reads. One that takes nothing, or that
+// doesn't say how long it waits and reads very slowly, must not hold the answer for ever.
+func TestLongAnswerIsCutWhileItsCallerReadsSlowly(t *testing.T) {
+	const rate = 100_000 // bytes a second
+	for _, test := range []struct {
+		name     string
+		patience time.Duration
+		reads    bool
+		whole    bool
+		// atMost is how long the answer may be held.
+		atMost time.Duration
+	}{
+		{"the caller waits long enough", time.Minute, true, true, time.Minute},
+		{"the caller has left", 45 * time.Second, true, false, 46 * time.Second},
+		{"the caller doesn't say how long it waits", 0, true, false, 30 * time.Second},
+		{"the caller takes nothing", time.Hour, false, false, 12 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				answer := make([]byte, 50*rate)
+				receiver := &receiver.Receiver{
+					Handler: &handler{serve: func(context.Context, *receiver.Call) receiver.Reply {
+						return receiver.Reply{Status: http.StatusOK, Body: answer, Close: true}
+					}},
+					Limits: func() indexer.Limits { return indexer.Limits{} }, Log: quiet(),
+					Patience: func(http.Header) time.Duration { return test.patience },
+				}
+				network := faker.NewNetwork()
+				ctx, cancel := context.WithCancel(context.Background())
+				var running sync.WaitGroup
+				running.Go(func() { _ = receiver.Run(ctx, network) })
+				defer running.Wait()
+				defer cancel()
+				caller, err := network.Link(rate).Dial(ctx, "", "")
+				is.NoErr(err)
+				defer func() { _ = caller.Close() }()
+				startedAt := time.Now()
+				send(t, caller, get("/a"))
+				if !test.reads {
+					time.Sleep(test.atMost)
+					is.Equal(receiver.InFlight(), 0)
+					return
+				}
+				response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, response.Body)
+				is.Equal(err == nil, test.whole)
+				is.True(time.Since(startedAt) <= test.atMost)
+			})
+		})
+	}
+}
