receiver: a caller is told to send its body long after its last answer

What callers see: a request with Expect: 100-continue on a connection whose last answer was written 10 s ago or earlier gets a closed connection in place of 100. It has not run, but its caller can't know that.

Cause: the interim answer was written under the write deadline of the last answer, which had passed.

Change: the interim answer has a deadline of its own.

TestBodyIsNotAskedForLongAfterAnAnswer: "unexpected EOF" before, holds after.

--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -223,6 +223,7 @@
 			return nil, err
 		}
 		connection.extendReadDeadline(deadline)
+		_ = connection.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) // that of the last answer may have passed
 		if _, err := io.WriteString(connection.raw, continueLine); err != nil {
 			return nil, fmt.Errorf("write 100 Continue: %w", err)
 		}
--- a/gateway/internal/receiver/slow_test.go
+++ b/gateway/internal/receiver/slow_test.go
@@ -101,3 +101,31 @@
 		})
 	}
 }
+
+// A caller that asks whether it may send a body long after its last answer must be told so.
+func TestBodyIsNotAskedForLongAfterAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		receiver := &receiver.Receiver{Handler: &handler{serve: echo}, Limits: func() indexer.Limits { return indexer.Limits{} }, MaxBodyBytes: 1 << 20, Log: quiet()}
+		network := faker.NewNetwork()
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = receiver.Run(ctx, network) })
+		defer running.Wait()
+		defer cancel()
+		caller, err := network.Link(1_250_000).Dial(ctx, "", "")
+		is.NoErr(err)
+		defer func() { _ = caller.Close() }()
+		reader := bufio.NewReader(caller)
+		send(t, caller, get("/a"))
+		read(t, reader)
+		time.Sleep(12 * time.Second)
+		send(t, caller, "POST /b HTTP/1.1\r\nHost: a.example\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusContinue)
+		send(t, caller, "hi")
+		_, body := read(t, reader)
+		is.Equal(body, "/b hi")
+	})
+}
