forwarder: a stopping VM doesn't cut its last answer to another VM

What callers see: a booking that was passed on to a VM which stops at that moment ends with 502, though its target has answered; a read is sent once more.

Cause: a request of another VM counted as finished when its handler returned. net/http writes the end of the answer, for short ones all of it, only after that. A VM that stops because nothing is in progress closes the connections at that moment.

Change: a request counts until net/http reports its connection idle or closed, which it does after the answer is written.

The test that stays has no race: it looks whether a request counts at each write of its answer.

--- a/gateway/internal/forwarder/forwarder.go
+++ b/gateway/internal/forwarder/forwarder.go
@@ -66,7 +66,8 @@
 	MaxBytes int64
 	Log      *logrus.Entry
 
-	inFlight atomic.Int64
+	// listen is net.Listen but in tests.
+	listen func(network, address string) (net.Listener, error)
 	// sent is the number of requests that were passed on.
 	sent atomic.Uint64
 	// peers sends requests to other VMs.
@@ -81,6 +82,8 @@
 	// running are the functions that give up the requests of other VMs that are in progress.
 	running map[int64]context.CancelCauseFunc
 	next    int64
+	// active are the connections of other VMs with a request whose answer the system hasn't got yet.
+	active map[net.Conn]struct{}
 }
 
 // request is a request that is passed on.
@@ -133,7 +136,7 @@
 
 // Run serves requests of other VMs until the context ends.
 func (forwarder *Forwarder) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", forwarder.Address)
+	listener, err := forwarder.listen("tcp", forwarder.Address)
 	if err != nil {
 		return fmt.Errorf("listen for requests of other VMs: %w", err)
 	}
@@ -143,6 +146,7 @@
 	defer func() { _ = errorLog.Close() }()
 	server := &http.Server{
 		Handler: router, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: stdlog.New(errorLog, "", 0),
+		ConnState: forwarder.setState,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
@@ -181,6 +185,7 @@
 
 // Open prepares the forwarder. Call it before all other methods.
 func (forwarder *Forwarder) Open() {
+	forwarder.listen = net.Listen
 	forwarder.messages.Limit = forwarder.MaxBytes
 	dialer := &net.Dialer{Control: exchanger.UnackedTimeout(unackedTimeout).Control}
 	forwarder.peers.DialTimeout = dialTimeout
@@ -326,11 +331,10 @@
 	return context.Blob(http.StatusOK, "application/msgpack", encoded)
 }
 
-// begin counts a request of another VM. The context that it returns ends with the given one, and
+// begin registers a request of another VM for GiveUp. The context that it returns ends with the given one, and
 // by GiveUp.
 func (forwarder *Forwarder) begin(parent context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(parent)
-	forwarder.inFlight.Add(1)
 	forwarder.mutex.Lock()
 	defer forwarder.mutex.Unlock()
 	if forwarder.running == nil {
@@ -344,12 +348,30 @@
 		delete(forwarder.running, id)
 		forwarder.mutex.Unlock()
 		cancel(nil)
-		forwarder.inFlight.Add(-1)
 	}
 }
 
-// InFlight returns the number of requests of other VMs in progress.
-func (forwarder *Forwarder) InFlight() int { return int(forwarder.inFlight.Load()) }
+// setState records whether a connection of another VM has a request in progress. net/http sends the end of an answer
+// only after the handler has returned.
+func (forwarder *Forwarder) setState(connection net.Conn, state http.ConnState) {
+	forwarder.mutex.Lock()
+	defer forwarder.mutex.Unlock()
+	if state != http.StateActive {
+		delete(forwarder.active, connection)
+		return
+	}
+	if forwarder.active == nil {
+		forwarder.active = make(map[net.Conn]struct{})
+	}
+	forwarder.active[connection] = struct{}{}
+}
+
+// InFlight returns the number of requests of other VMs in progress, until their answers have been sent.
+func (forwarder *Forwarder) InFlight() int {
+	forwarder.mutex.Lock()
+	defer forwarder.mutex.Unlock()
+	return len(forwarder.active)
+}
 
 // GiveUp ends the contexts of the requests of other VMs with the cause receiver.ErrGivenUp.
 func (forwarder *Forwarder) GiveUp() {
--- a/gateway/internal/forwarder/forwarder_test.go
+++ b/gateway/internal/forwarder/forwarder_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,12 @@
 
 // start runs the forwarder of one VM.
 func start(t *testing.T, key string, serve handler) *forwarder.Forwarder {
+	t.Helper()
+	return startWith(t, key, serve, net.Listen)
+}
+
+// startWith runs the forwarder of one VM on the listener that listen returns.
+func startWith(t *testing.T, key string, serve handler, listen func(network, address string) (net.Listener, error)) *forwarder.Forwarder {
 	t.Helper()
 	reserved, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -48,6 +55,7 @@
 		Name: "vm-" + key, Address: address, Key: func() []byte { return []byte(key) }, Handler: serve, MaxBytes: 8 << 20, Log: logrus.NewEntry(log),
 	}
 	vm.Open()
+	vm.SetListen(listen)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- vm.Run(ctx) }()
@@ -208,3 +216,51 @@
 	is.NoErr(err)
 	is.Equal(reply.Status, http.StatusOK)
 }
+
+// writeListener accepts connections that call beforeWrite.
+type writeListener struct {
+	net.Listener
+	beforeWrite func()
+}
+
+func (listener writeListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+	return writeConn{conn, listener.beforeWrite}, err
+}
+
+type writeConn struct {
+	net.Conn
+	beforeWrite func()
+}
+
+func (conn writeConn) Write(data []byte) (int, error) {
+	conn.beforeWrite()
+	return conn.Conn.Write(data)
+}
+
+// A VM stops once no request of other VMs is in progress: one whose answer isn't written yet must count, or the
+// answer is cut.
+func TestStopCutsTheLastAnswerToAnotherVM(t *testing.T) {
+	is := is.New(t)
+	var other *forwarder.Forwarder
+	var served, early atomic.Bool
+	other = startWith(t, "key", func(context.Context, *receiver.Call) receiver.Reply {
+		served.Store(true)
+		return receiver.Reply{Status: http.StatusOK, Body: make([]byte, 2000)}
+	}, func(network, address string) (net.Listener, error) {
+		listener, err := net.Listen(network, address)
+		return writeListener{listener, func() {
+			if served.Load() && other.InFlight() == 0 {
+				early.Store(true)
+			}
+		}}, err
+	})
+	vm := start(t, "key", unused)
+	reply, err := vm.Forward(t.Context(), other.Address, call(nil), forwarder.Conditions{Targets: 1, Remaining: time.Second})
+	is.NoErr(err)
+	is.Equal(len(reply.Body), 2000)
+	is.True(!early.Load())
+	for other.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
