entry: answers that callers still read aren't cut by the end of their connection

What callers see: as on the users' platform, a caller that reads slowly and sends on gets the beginning of its answer and a reset: at a planned stop, after the idle timeout, and behind an answer with Connection: close.

Cause: net/http counts a connection as idle once the handler's answer is handed to the system. Shutdown, and the idle timeout, close it at once; after a closing answer net/http waits for 0.5 s and reads nothing.

Change: a connection that net/http closes while bytes are undelivered is closed for writing only, and read until its caller has got all or takes nothing for 10 s (shell/lingerer). What comes over it is discarded, and never taken for a request: the caller gets its answer, then the end of the connection. A stop waits for such callers within its limit, and answers-not-delivered says how many it left. Unlike gateway, entry can't keep such a connection open for another request, as net/http decides that; a request that crosses the close ends without an answer, as with any idle connection that is closed.

TestAnswerIsCutWhileItsCallerReadsSlowlyAndSendsOn (server): "connection reset by peer" in all three cases in 3 of 3 runs on the former listener, holds after, with the race detector too. TestDrainWaitsForACallerThatReadsNothing is new.

--- a/entry/internal/server/listener.go
+++ b/entry/internal/server/listener.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"godwitramp.example/entry/internal/forwarder"
+	"godwitramp.example/shell/lingerer"
 )
 
 const (
@@ -19,6 +21,9 @@
 	// time. Further ones are closed without an answer.
 	maxRefusals    = 64
 	refusalTimeout = time.Second
+	// quietTimeout and stallTimeout are those of callers whose connection is closed before they have got all answers.
+	quietTimeout = 500 * time.Millisecond
+	stallTimeout = 10 * time.Second
 )
 
 // outcomeHeaderLine is added to the answers that net/http itself gives to malformed
@@ -29,7 +34,8 @@
 var statusLinePrefix = []byte("HTTP/1.1 ")
 
 // Listener limits the number of callers' connections and adds the outcome header to the
-// answers that net/http gives before a request reaches the handler.
+// answers that net/http gives before a request reaches the handler. A connection that net/http closes
+// stays open until its caller has got all answers.
 type Listener struct {
 	net.Listener
 	// MaxConnections limits the open connections. Zero means 10 000.
@@ -37,6 +43,9 @@
 
 	open     atomic.Int64
 	refusals atomic.Int64
+	// lingering are the closed connections whose callers haven't got all answers.
+	lingering      sync.WaitGroup
+	lingeringCount atomic.Int64
 }
 
 // Accept returns the next connection within the limit. Connections over the limit are
@@ -60,6 +69,21 @@
 	}
 }
 
+// Drain waits until the callers of all closed connections have got their answers or the context ends. It returns the
+// number of those that haven't. Call it after the server's Shutdown.
+func (listener *Listener) Drain(ctx context.Context) int {
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		listener.lingering.Wait()
+	}()
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
+	return int(listener.lingeringCount.Load())
+}
+
 func (listener *Listener) max() int {
 	if listener.MaxConnections == 0 {
 		return defaultMaxConnections
@@ -113,11 +137,36 @@
 	return min(n, len(data)), err
 }
 
-// Close closes the connection and stops counting it against the limit.
+// Read reads from the connection unless it is closed. What comes over it then must not be taken for a request.
+func (conn *callerConn) Read(data []byte) (int, error) {
+	n, err := conn.Conn.Read(data)
+	if conn.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Close closes the connection once its caller has got all answers, and then stops counting it against the limit. It
+// returns at once.
 func (conn *callerConn) Close() error {
-	if !conn.closed.Swap(true) {
-		conn.listener.open.Add(-1)
+	if conn.closed.Swap(true) {
+		return nil
+	}
+	if lingerer.Undelivered(conn.Conn) == 0 {
+		return conn.end()
 	}
+	conn.listener.lingeringCount.Add(1)
+	conn.listener.lingering.Go(func() {
+		defer conn.listener.lingeringCount.Add(-1)
+		lingerer := &lingerer.Lingerer{QuietTimeout: quietTimeout, StallTimeout: stallTimeout}
+		lingerer.Linger(conn.Conn)
+		_ = conn.end()
+	})
+	return nil
+}
+
+func (conn *callerConn) end() error {
+	conn.listener.open.Add(-1)
 	return conn.Conn.Close()
 }
 
--- a/entry/internal/starter/starter.go
+++ b/entry/internal/starter/starter.go
@@ -95,7 +95,8 @@
 	callers := starter.callers(sender)
 	operators := &http.Server{Handler: starter.operators(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
-	group.Go(func() { failed <- callers.Serve(&server.Listener{Listener: listeners.callers}) })
+	listener := &server.Listener{Listener: listeners.callers}
+	group.Go(func() { failed <- callers.Serve(listener) })
 	group.Go(func() { failed <- operators.Serve(listeners.operators) })
 	starter.Log.WithField("callers", settings.Callers).Info("serving")
 	select {
@@ -105,12 +106,12 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	err = starter.stop(workCtx, callers)
+	err = starter.stop(workCtx, callers, listener)
 	_ = operators.Close()
 	return err
 }
 
-func (starter *Starter) stop(workCtx context.Context, callers *http.Server) error {
+func (starter *Starter) stop(workCtx context.Context, callers *http.Server, listener *server.Listener) error {
 	starter.leaving.Store(true)
 	starter.Log.Info("leaving")
 	stopCtx, cancel := context.WithTimeout(workCtx, starter.Settings.StopLimit)
@@ -124,6 +125,9 @@
 	giveUp := time.AfterFunc(max(0, starter.Settings.StopLimit-starter.Settings.StopGrace-answerReserve), starter.giveUp)
 	defer giveUp.Stop()
 	unfinished := callers.Shutdown(stopCtx)
+	if connections := listener.Drain(stopCtx); connections > 0 {
+		starter.Log.WithField("connections", connections).Warn("answers-not-delivered")
+	}
 	starter.handOverCounters(workCtx)
 	starter.leaveFleet(workCtx)
 	if unfinished != nil {
