rationer: bodies that wait for slow targets stay within their memory

What callers saw: with targets of one service five times slower, 70 bodies within MaxBodyBytes took VMs over their 284 MB.

Cause: bodies that had arrived whole were counted, but only an arriving one that exceeded limit / number of bodies was refused. So the k-th could be limit / k long whatever was held, 299 MB in all for a limit of 71 MB. Callers that pause had the same way.

Change: whole bodies (Finish) reduce what arriving ones share; all together hold twice the limit at most; short ones have a reserve of a quarter. bufferer, for requests between VMs, goes the same way.

--- a/core/rationer/rationer_test.go
+++ b/core/rationer/rationer_test.go
@@ -69,3 +69,94 @@
 		}
 	})
 }
+
+// Bodies that are whole stay in memory while slow targets work on them. Any number of them, each as long as it may be,
+// must not take more than the limit.
+func TestWholeTransfersExceedTheLimit(t *testing.T) {
+	is := is.New(t)
+	const limit = 71 << 20
+	bodies := &rationer.Rationer{Limit: limit}
+	var whole []int64
+	for k := int64(1); k <= 70; k++ {
+		bodies.Begin()
+		var own int64
+		for own < limit/k && bodies.Grow(own, 1<<10) {
+			own += 1 << 10
+		}
+		if own < limit/k {
+			bodies.End(own + 1<<10)
+			continue
+		}
+		bodies.Finish(own)
+		whole = append(whole, own)
+	}
+	is.True(bodies.Held() <= limit)
+	is.True(len(whole) > 0)
+	bodies.Begin() // a short one isn't kept out
+	is.True(bodies.Grow(0, 1<<10))
+	bodies.Finish(1 << 10)
+	bodies.Release(1 << 10)
+	for _, held := range whole {
+		bodies.Release(held)
+	}
+	is.Equal(bodies.Held(), int64(0))
+}
+
+// Transfers that fill their shares and pause, one after the other, must not take more than twice the limit.
+func TestPausedTransfersExceedTwiceTheLimit(t *testing.T) {
+	is := is.New(t)
+	bodies := &rationer.Rationer{Limit: 1 << 20}
+	for range 1000 {
+		bodies.Begin()
+		var own int64
+		for bodies.Grow(own, 1<<10) {
+			own += 1 << 10
+		}
+		bodies.End(1 << 10) // the piece that was too much
+		bodies.Begin()      // the rest is paused
+	}
+	is.True(bodies.Held() <= 2<<20)
+}
+
+// Whatever transfers do, what is counted is what they hold, and at most twice the limit.
+func TestTransfersStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit, piece = 4096, 64
+		bodies := &rationer.Rationer{Limit: limit}
+		var growing, whole []int64
+		take := func(list *[]int64, label string) int64 {
+			i := rapid.IntRange(0, len(*list)-1).Draw(t, label)
+			held := (*list)[i]
+			*list = slices.Delete(*list, i, i+1)
+			return held
+		}
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			switch action := rapid.IntRange(0, 19).Draw(t, "action"); {
+			case action == 0 || len(growing) == 0 && action > 2:
+				bodies.Begin()
+				growing = append(growing, 0)
+			case action == 1 && len(growing) > 0:
+				held := take(&growing, "finished")
+				bodies.Finish(held)
+				whole = append(whole, held)
+			case action == 2 && len(whole) > 0:
+				bodies.Release(take(&whole, "released"))
+			case len(growing) > 0:
+				held := take(&growing, "growing")
+				n := int64(rapid.IntRange(1, piece).Draw(t, "bytes"))
+				if bodies.Grow(held, n) {
+					growing = append(growing, held+n)
+				} else {
+					bodies.End(held + n)
+				}
+			}
+			var sum int64
+			for _, held := range slices.Concat(whole, growing) {
+				sum += held
+			}
+			if sum != bodies.Held() || sum > 2*limit {
+				t.Fatalf("%d bytes are held, %d counted, at most %d allowed", sum, bodies.Held(), 2*limit)
+			}
+		}
+	})
+}
--- a/gateway/internal/receiver/receiver.go
+++ b/gateway/internal/receiver/receiver.go
@@ -97,7 +97,7 @@
 	MaxConnections int
 	// MaxBodyBytes limits the total size of the request bodies in memory, from their first
 	// byte until they are answered. While they exceed it, a body that exceeds its share of
-	// it is refused, so that long or slow uploads leave room for others.
+	// what bodies that have arrived leave of it is refused, so that long or slow uploads leave room for others.
 	MaxBodyBytes int64
 	// Patience, if set, returns how long a caller waits for its answer by the headers of its
 	// request, or 0 if they don't say so. A body that isn't complete by then is refused.
@@ -182,18 +182,28 @@
 	return receiver.bodies.Grow(held, n)
 }
 
-// endBody removes a body.
+// endBody removes a body that has not arrived whole.
 func (receiver *Receiver) endBody(held int64) {
 	receiver.mutex.Lock()
 	defer receiver.mutex.Unlock()
 	receiver.bodies.End(held)
 }
 
+// finishBody records that a body has arrived whole. It stays in memory until dropBody.
+func (receiver *Receiver) finishBody(held int64) {
+	receiver.mutex.Lock()
+	defer receiver.mutex.Unlock()
+	receiver.bodies.Finish(held)
+}
+
 // dropBody removes the body of a call.
 func (receiver *Receiver) dropBody(call *Call) {
-	if call.Body != nil {
-		receiver.endBody(int64(len(call.Body)))
+	if call.Body == nil {
+		return
 	}
+	receiver.mutex.Lock()
+	defer receiver.mutex.Unlock()
+	receiver.bodies.Release(int64(len(call.Body)))
 }
 
 // Leave makes each connection close after the answers to the requests read so far, or after
--- a/gateway/internal/receiver/request.go
+++ b/gateway/internal/receiver/request.go
@@ -274,7 +274,7 @@
 }
 
 // readCountedBody reads a body of the given length or in chunks. The bytes that it returns
-// count until endBody. A body of no bytes is not nil.
+// count until dropBody. A body of no bytes is not nil.
 func (connection *connection) readCountedBody(length int64, chunked bool, limit int64) ([]byte, error) {
 	receiver := connection.receiver
 	counted := &countedReader{receiver: receiver, reader: connection.reader}
@@ -291,6 +291,7 @@
 		receiver.endBody(counted.held)
 		return nil, err
 	}
+	receiver.finishBody(counted.held)
 	return body, nil
 }
 
--- a/gateway/internal/receiver/upload_test.go
+++ b/gateway/internal/receiver/upload_test.go
@@ -159,3 +159,44 @@
 		time.Sleep(2 * time.Millisecond)
 	}
 }
+
+// Bodies that wait for slow targets stay in memory: many of them, each smaller than the ones before, must not take
+// more than the memory for bodies, and short ones must get through all the same.
+func TestBodiesAtSlowTargetsExceedTheMemory(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	var held atomic.Int64
+	address := startUploads(t, &handler{serve: func(ctx context.Context, call *receiver.Call) receiver.Reply {
+		if call.Target != "/short" {
+			held.Add(int64(len(call.Body)))
+			<-release
+		}
+		return receiver.Reply{Status: http.StatusOK}
+	}}, time.Minute)
+	defer close(release)
+	const limit = 1 << 20
+	for k := 1; k <= 40; k++ {
+		caller := dial(t, address)
+		length := (limit - 1) / k
+		before := held.Load()
+		go func() { _, _ = io.WriteString(caller, upload("/slow", length)+strings.Repeat("x", length)) }()
+		refused := make(chan struct{})
+		go func() {
+			defer close(refused)
+			_, _ = bufio.NewReader(caller).ReadByte()
+		}()
+		await(t, "the body is held or refused", func() bool {
+			select {
+			case <-refused:
+				return true
+			default:
+				return held.Load() > before
+			}
+		})
+	}
+	is.True(held.Load() <= limit)
+	caller := dial(t, address)
+	send(t, caller, upload("/short", 500)+strings.Repeat("x", 500))
+	response, _ := read(t, bufio.NewReader(caller))
+	is.Equal(response.StatusCode, http.StatusOK)
+}
--- a/shell/bufferer/bufferer.go
+++ b/shell/bufferer/bufferer.go
@@ -39,9 +39,12 @@
 	message := &message{bufferer: bufferer, source: source}
 	data, err = io.ReadAll(message)
 	if err != nil {
-		err = fmt.Errorf("read message: %w", err)
+		return data, message.end, fmt.Errorf("read message: %w", err)
 	}
-	return data, message.release, err
+	bufferer.mutex.Lock()
+	defer bufferer.mutex.Unlock()
+	bufferer.rationer.Finish(message.held)
+	return data, message.release, nil
 }
 
 // message is a message that is read.
@@ -63,8 +66,16 @@
 	return n, err
 }
 
-func (message *message) release() {
+// end removes a message that was not read to its end.
+func (message *message) end() {
 	message.bufferer.mutex.Lock()
 	defer message.bufferer.mutex.Unlock()
 	message.bufferer.rationer.End(message.held)
 }
+
+// release removes a whole message.
+func (message *message) release() {
+	message.bufferer.mutex.Lock()
+	defer message.bufferer.mutex.Unlock()
+	message.bufferer.rationer.Release(message.held)
+}
