receiver: the delivery of earlier answers doesn't make a caller count as stalled

Found by reading. The progress of a caller was kept over its requests: if it had not got an answer at one check, and not one of the same length at the next, 10 s and another request later, it counted as stalled, and a stop closed its connection with the answer. No caller was seen to lose one. Each idle period begins with a fresh progress now.

TestEarlierAnswersCountAsStalled: 0 of 1 connections open before, 1 after.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -203,7 +203,7 @@
 
 func (connection *connection) setIdleDeadline() {
 	if connection.idle() {
-		connection.idleSince, connection.evicted = time.Now(), false
+		connection.idleSince, connection.evicted, connection.progress = time.Now(), false, lingerer.Progress{}
 		_ = connection.raw.SetReadDeadline(connection.idleSince.Add(connection.receiver.limits().IdleTimeout / idleChecks))
 	}
 }
--- a/gateway/internal/receiver/delivery_test.go
+++ b/gateway/internal/receiver/delivery_test.go
@@ -176,3 +176,32 @@
 		})
 	}
 }
+
+// Answers of the same length follow each other: that the caller had not got the last one yet, long ago, must not make it
+// count as stalled with this one.
+func TestEarlierAnswersCountAsStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		receiver := &receiver.Receiver{
+			Handler: &handler{serve: echo}, Log: quiet(), Limits: func() indexer.Limits { return indexer.Limits{IdleTimeout: 8 * time.Second} },
+		}
+		network := faker.NewNetwork()
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { _ = receiver.Run(ctx, stalledListener{network}) })
+		defer running.Wait()
+		defer cancel()
+		caller, err := network.Link(1_250_000).Dial(ctx, "", "")
+		is.NoErr(err)
+		defer func() { _ = caller.Close() }()
+		reader := bufio.NewReader(caller)
+		for range 3 {
+			send(t, caller, get("/a"))
+			read(t, reader)
+			time.Sleep(6 * time.Second)
+			receiver.CloseIdle()
+			synctest.Wait()
+			is.Equal(receiver.OpenConnections(), 1)
+		}
+	})
+}
