tracker: an entry without its start doesn't bring a draining target back

Cause: an entry without born has the start 0, which counted as another start: ready, with nothing known of before. That this target's entries had stated their start was known and not asked. An entry that can't be read made the VM forget the start, so that one without it was believed after that too.

Change: once entries of a target have stated its start, one without it names no target to use (target-entry-without-start), until the target's own next entry. An entry that can't be read no longer hides that.

--- a/gateway/internal/tracker/targets.go
+++ b/gateway/internal/tracker/targets.go
@@ -112,10 +112,13 @@
 	if err != nil {
 		targets.log.WithError(err).WithField("entry-version", row.Version).Warn("target-entry-invalid")
 		dropped := targets.drop(row.Key, now)
-		delete(targets.sightings, row.Key) // the target may be well
+		targets.forgetEntry(row.Key, era, now)
 		return dropped
 	}
 	found := sighting{incarnation: target.Incarnation, sequence: sequence, era: era, version: row.Version}
+	if found.incarnation == 0 && targets.sightings[row.Key].incarnation != 0 {
+		return targets.distrust(target, found, held, now)
+	}
 	if targets.outdated(target, found) {
 		_, present := targets.byID[row.Key]
 		if !present || found.incarnation != targets.sightings[row.Key].incarnation {
@@ -196,6 +199,29 @@
 	targets.held[target.ID] = held
 }
 
+// forgetEntry forgets the newest entry of a target that may be well, but not that its entries state its start.
+func (targets *targets) forgetEntry(id string, era uint64, now time.Duration) {
+	known := targets.sightings[id]
+	delete(targets.sightings, id)
+	if known.incarnation != 0 {
+		targets.sightings[id] = sighting{incarnation: known.incarnation, era: era, forgetAt: now + goneMemory}
+	}
+}
+
+// distrust drops a target whose entry lacks the start that earlier ones state, as another writer's may. If the store still
+// has such an entry after holdTime, the target has started again with software that doesn't state it.
+func (targets *targets) distrust(target placer.Target, found sighting, held heldEntry, now time.Duration) bool {
+	targets.log.WithFields(logrus.Fields{
+		"target": target.ID, "entry-version": found.version, "known-incarnation": targets.sightings[target.ID].incarnation,
+	}).Warn("target-entry-without-start")
+	dropped := targets.drop(target.ID, now)
+	if held.found.incarnation != 0 || held.until == 0 {
+		held.until = now + holdTime
+	}
+	targets.held[target.ID] = heldEntry{target: target, found: found, until: held.until}
+	return dropped
+}
+
 // releaseHeld adds the targets whose entries were held for long enough, and reports whether
 // there was any.
 func (targets *targets) releaseHeld(now time.Duration) bool {
--- a/gateway/internal/tracker/targets_test.go
+++ b/gateway/internal/tracker/targets_test.go
@@ -86,6 +86,58 @@
 	is.True(targets.apply([]platform.Row{startedAgain("b", 13, 1, `"x":0`)}, false, 1, 8*time.Second)) // when it started isn't known
 }
 
+// withoutStart returns an entry that lacks the time of the target's start.
+func withoutStart(row platform.Row) platform.Row {
+	row.Value = bytes.Replace(row.Value, []byte(`,"born":7`), nil, 1)
+	return row
+}
+
+// An entry of another writer may lack the start that the target's own entries state. It must not bring back a target that
+// drains, whatever other entries come before it, and must not keep a sound one away for long.
+func TestEntryWithoutStartBringsALeavingTargetBack(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		before []platform.Row
+	}{
+		{"after its report", nil},
+		{"after bytes that can't be read", []platform.Row{{Key: "a", Version: 7, Value: []byte("{")}}},
+		{"after it is gone", []platform.Row{{Key: "a", Version: 7, Deleted: true}}},
+		{"after another one", []platform.Row{withoutStart(entry("a", 7, 9))}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			targets := newTargets()
+			targets.apply([]platform.Row{entry("a", 5, 3)}, true, 1, 0)
+			leaving := entry("a", 6, 4)
+			leaving.Value = bytes.Replace(leaving.Value, []byte("ready"), []byte("draining"), 1)
+			targets.apply([]platform.Row{leaving}, false, 1, time.Second)
+			targets.apply(test.before, false, 1, 2*time.Second)
+			targets.apply([]platform.Row{withoutStart(entry("a", 8, 3))}, false, 1, 3*time.Second)
+			is.Equal(len(targets.byID), 0)
+			own := entry("a", 9, 5)
+			own.Value = leaving.Value
+			targets.apply([]platform.Row{own}, false, 1, 4*time.Second)
+			is.True(targets.byID["a"].Leaving)
+			is.True(!targets.releaseHeld(time.Minute)) // the target's own entry stands
+		})
+	}
+}
+
+// A target may start again with software that doesn't state its start. Its entry stays, and must be believed then.
+func TestTargetThatNoLongerStatesItsStartIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	targets := newTargets()
+	targets.apply([]platform.Row{entry("a", 5, 3)}, true, 1, 0)
+	is.True(targets.apply([]platform.Row{withoutStart(warmEntry(6, 1, "4s"))}, false, 1, time.Second))
+	targets.apply([]platform.Row{withoutStart(warmEntry(7, 2, "2s"))}, false, 1, 3*time.Second)
+	is.Equal(len(targets.byID), 0)
+	is.True(!targets.releaseHeld(time.Second + holdTime - 1))
+	is.True(targets.releaseHeld(time.Second + holdTime))
+	is.Equal(targets.byID["a"].Warmup, 2*time.Second)
+	targets.apply([]platform.Row{withoutStart(entry("a", 8, 3))}, false, 1, time.Minute)
+	is.Equal(targets.byID["a"].Warmup, time.Duration(0))
+}
+
 func warmEntry(version uint64, sequence int, remaining string) platform.Row {
 	row := entry("a", version, sequence)
 	row.Value = bytes.Replace(row.Value, []byte("0ms"), []byte(remaining), 1)
