dispatcher: a request that crashes targets in the middle of their answers is blocked

Cause: only an attempt whose connection ended before any answer was looked at. An answer that ended early was answer-cut, whatever had become of its target, and the looks at silent targets ended with the first byte.

Change: an attempt whose connection ends in the head or body of its answer is looked at too, and the looks go on until the answer is whole. A target that cuts answers and can be dialed is no crash; an answer that says that the request did not run is no run.

--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -72,9 +73,9 @@
 	// written is true if the request may have been written, silent if the target can't be reached that
 	// has not answered it, and outstanding once it is recorded that it lasts longer than its objective.
 	written, silent, outstanding atomic.Bool
-	// lost is true if the connection ended after the request was written and before an answer, and
-	// crashed if the target couldn't be reached right after that.
-	lost, crashed bool
+	// lost is true if the connection ended after the request was written and before an answer, cut if it ended in the
+	// middle of the answer, and crashed if the target couldn't be reached right after that.
+	lost, cut, crashed bool
 	// follows is true if it is a retry after the crash of another target.
 	follows bool
 	// suspicionBefore and suspicionAfter are the target's suspicion right before and
@@ -87,17 +88,18 @@
 	attempt.started = time.Now()
 	attempt.startWatch()
 	answer, err := attempt.dispatcher.Exchanger.Do(ctx, attempt.call())
-	attempt.endWatch(err)
+	attempt.stopOutstanding()
 	if err != nil {
 		attempt.verdict = assessor.ClassifyFailure(attempt.failureOf(ctx, err))
 	} else {
-		attempt.read(ctx, answer)
+		err = attempt.read(ctx, answer)
 	}
+	attempt.endWatch(err)
 	latency := time.Since(attempt.started)
-	if attempt.lost {
+	attempt.detectCrash(ctx)
+	if attempt.lost || attempt.crashed {
 		attempt.dispatcher.state.connectionLost(attempt.target, attempt.dispatcher.Clock())
 	}
-	attempt.detectCrash(ctx)
 	if attempt.silent.Load() && err != nil {
 		attempt.crashed, attempt.verdict.Outcome = true, placer.Unreachable
 	} else if attempt.verdict.Outcome == placer.Unreachable {
@@ -213,12 +215,13 @@
 		// A connection that this VM's side has ended, as nothing was acknowledged, says nothing about a
 		// crash.
 		attempt.lost = exchange.Written && !exchange.Answered && ctx.Err() == nil && !failure.Unacked
+		attempt.cut = exchange.Answered && !exchange.Malformed && ctx.Err() == nil
 	}
 	return failure
 }
 
-// read reads the whole answer and classifies it.
-func (attempt *attempt) read(ctx context.Context, answer *exchanger.Answer) {
+// read reads the whole answer and classifies it. It returns the error of reading the body.
+func (attempt *attempt) read(ctx context.Context, answer *exchanger.Answer) error {
 	response := answer.Response
 	reply := platform.ReadReply(response)
 	attempt.trace, attempt.unidentified = answer.Trace, reply.ID == ""
@@ -226,8 +229,9 @@
 	body, err := attempt.readBody(io.LimitReader(response.Body, maxAnswerBytes+1))
 	answer.Close()
 	if err != nil && ctx.Err() != nil {
+		err = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 		attempt.verdict = assessor.ClassifyFailure(attempt.failureOf(ctx, err))
-		return
+		return err
 	}
 	attempt.response, attempt.body = response, body
 	attempt.verdict = assessor.ClassifyAnswer(assessor.Answer{
@@ -236,6 +240,8 @@
 		AmpleTime: attempt.ampleTime(),
 		Quick:     attempt.dispatcher.latency.isQuick(attempt.job.service, time.Since(attempt.started)),
 	})
+	attempt.cut = attempt.verdict.MayHaveRun && err != nil && exchanger.IsConnectionError(err)
+	return err
 }
 
 // handleSignals applies what the headers of an answer announce about the target: that
@@ -334,7 +340,7 @@
 		fields["repeated"] = true
 	}
 	attempt.logTrace(fields)
-	if attempt.lost || attempt.crashed {
+	if attempt.lost || attempt.cut || attempt.crashed {
 		if fingerprint, ok := dispatcher.fingerprint(attempt.job); ok {
 			fields["fingerprint"] = fingerprint
 		}
--- a/gateway/internal/dispatcher/crash_test.go
+++ b/gateway/internal/dispatcher/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,6 +35,8 @@
 	silent bool
 	// cut makes all connections hang.
 	cut bool
+	// begins is what a target sends of the answer to a request before that crashes it.
+	begins string
 	// last is the address of the target that got the last request.
 	last string
 	// hold, if set, keeps requests running until it is closed.
@@ -73,7 +76,7 @@
 		if err != nil {
 			return
 		}
-		if !fragileTargets.run(address, request) {
+		if !fragileTargets.run(address, connection, request) {
 			return
 		}
 		_, err = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: %s\r\nContent-Length: 0\r\n\r\n", request.Header.Get("X-Attempt-Id"))
@@ -84,7 +87,7 @@
 }
 
 // run runs a request. It returns false if that ends the connection.
-func (fragileTargets *fragileTargets) run(address string, request *http.Request) bool {
+func (fragileTargets *fragileTargets) run(address string, connection net.Conn, request *http.Request) bool {
 	fragileTargets.mutex.Lock()
 	fragileTargets.ran++
 	fragileTargets.last = address
@@ -95,6 +98,9 @@
 	}
 	crashes := strings.Contains(request.URL.Path, "crash")
 	if crashes {
+		if fragileTargets.begins != "" {
+			_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Attempt-Id: %s\r\n%s", request.Header.Get("X-Attempt-Id"), fragileTargets.begins)
+		}
 		time.Sleep(crashTime)
 	}
 	fragileTargets.mutex.Lock()
@@ -222,6 +228,58 @@
 	}
 }
 
+// A target may crash when it has sent a part of its answer, with its connections or without their ends.
+func TestRequestThatCrashesTargetsInTheMiddleOfAnswersIsSentAgainAndAgain(t *testing.T) {
+	for _, test := range []struct {
+		name, begins string
+		silent       bool
+	}{
+		{"head", "", false},
+		{"body", "Content-Length: 10\r\n\r\npart", false},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", false},
+		{"silent in the head", "", true},
+		{"silent in the body", "Content-Length: 10\r\n\r\npart", true},
+		{"silent in the chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", true},
+	} {
+		for _, kind := range []struct{ method, path string }{{http.MethodGet, "/read/crash"}, {http.MethodPost, "/book/crash"}} {
+			t.Run(test.name+", "+kind.method, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				vms, targets := startFragile(t, 2, 24)
+				targets.begins, targets.silent = cmp.Or(test.begins, "Server: "), test.silent
+				defer serveBeside(vms)()
+				refused := 0
+				for i := range 8 {
+					if vms[i%len(vms)].sendFor(kind.method, kind.path, time.Second).Status == http.StatusServiceUnavailable {
+						refused++
+					}
+					if test.silent {
+						time.Sleep(lookTime)
+					}
+				}
+				crashes, _ := targets.counts()
+				t.Logf("%d targets crashed, %d requests were refused", crashes, refused)
+				is.True(crashes >= 3)
+				is.True(crashes <= 4) // the last time it may be sent to two
+				is.True(refused >= 3)
+			})
+		}
+	}
+}
+
+// A target that cuts its answers, but whose machine accepts connections, is no crash.
+func TestCutAnswersCountAsCrashes(t *testing.T) {
+	is := is.New(t)
+	vms, targets := startFragile(t, 1, 12)
+	targets.resets, targets.begins = true, "Content-Length: 10\r\n\r\npart"
+	for range 6 {
+		vms[0].send(http.MethodPost, "/book/crash")
+	}
+	_, ran := targets.counts()
+	is.Equal(ran, 6)
+	is.Equal(len(vms[0].Reminders()), 0)
+}
+
 func TestResetsOfConnectionsCountAsCrashes(t *testing.T) {
 	is := is.New(t)
 	vms, targets := startFragile(t, 1, 12)
--- a/gateway/internal/dispatcher/quarantine.go
+++ b/gateway/internal/dispatcher/quarantine.go
@@ -66,12 +66,12 @@
 }
 
 // detectCrash finds out whether the target has crashed while it ran the request. A connection
-// that ends without an answer may also have been reset, or closed while it was idle. A target
+// that ends before the whole answer may also have been reset, or closed while it was idle. A target
 // that leaves closes its connections in the end, and is no longer present. The dial may outlast the
 // request, by crashDialTimeout at most: the crash counts whether the caller waits or not.
 func (attempt *attempt) detectCrash(ctx context.Context) {
 	dispatcher := attempt.dispatcher
-	if !attempt.lost || !dispatcher.state.present(attempt.target) {
+	if !attempt.lost && !attempt.cut || attempt.silent.Load() || !dispatcher.state.present(attempt.target) {
 		return
 	}
 	end := dispatcher.Clock()
--- a/gateway/internal/dispatcher/silence.go
+++ b/gateway/internal/dispatcher/silence.go
@@ -21,7 +21,7 @@
 // defaultLookDelay applies to routes without a latency objective while the usual latency is unknown.
 const defaultLookDelay = time.Second
 
-// watch runs the looks at the target of an attempt that isn't answered.
+// watch runs the looks at the target of an attempt that isn't answered whole.
 type watch struct {
 	quarantiner.Watch
 	mutex sync.Mutex
@@ -113,19 +113,24 @@
 	}
 }
 
-// endWatch ends the looks. If the attempt has ended without an answer while its connection stayed open,
+// stopOutstanding keeps the attempt from counting as outstanding once its answer has begun or it has failed.
+func (attempt *attempt) stopOutstanding() {
+	if outstanding := attempt.watch.outstanding; outstanding != nil {
+		outstanding.Stop()
+	}
+}
+
+// endWatch ends the looks. If the attempt has ended with err, without a whole answer, while its connection stayed open,
 // it looks once more: a caller's deadline may be shorter than the usual latency.
 func (attempt *attempt) endWatch(err error) {
 	watch := &attempt.watch
 	watch.mutex.Lock()
 	watch.ended = true
 	watch.timer.Stop()
-	if watch.outstanding != nil {
-		watch.outstanding.Stop()
-	}
 	watch.mutex.Unlock()
 	var exchange *exchanger.Error
-	if !errors.As(err, &exchange) || !exchange.Written || exchange.Answered || attempt.silent.Load() || attempt.job.answered.Load() {
+	unwritten := errors.As(err, &exchange) && !exchange.Written
+	if err == nil || unwritten || attempt.silent.Load() || attempt.job.answered.Load() {
 		return
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) || errors.Is(err, syscall.ETIMEDOUT) {
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -120,7 +120,7 @@
 			err = fmt.Errorf("status %q, must be three digits from 100 to 599", response.Status)
 		}
 		if err != nil {
-			exchange.malformed = !isConnectionError(err)
+			exchange.malformed = !IsConnectionError(err)
 			if exchange.malformed {
 				err = fmt.Errorf("%w: %w", ErrMalformed, err)
 			}
@@ -186,7 +186,9 @@
 	return nil
 }
 
-func isConnectionError(err error) bool {
+// IsConnectionError reports whether an error of reading an answer means that its connection has ended or failed, and not
+// that the answer violates HTTP.
+func IsConnectionError(err error) bool {
 	var netErr net.Error
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) ||
 		errors.Is(err, io.ErrClosedPipe) || errors.As(err, &netErr)
