registrar: a VM that stops as planned leaves no member behind

Cause: rows of VMs are never deleted. VMs that run hear of a planned stop, but one that starts takes each row for a member, and leaves its part of all rates to it, as a silent member may only be cut off.

Change: a VM announces its stop in its row, and deletes that row, in that version, once it serves no more. A start that finds the announcement writes the row anew, so that a deletion that the store performs late does nothing.

--- a/gateway/internal/registrar/registrar.go
+++ b/gateway/internal/registrar/registrar.go
@@ -6,6 +6,8 @@
 //	registrar := &registrar.Registrar{Store: store, Log: log}
 //	members, err := registrar.Join(ctx, registrar.Member{Name: name, DataCentre: dataCentre, Address: address})
 //	members, err = registrar.Verify(ctx, member, members.Key, group) // after a restore
+//	err = registrar.Announce(ctx, member)                            // as a planned stop begins
+//	err = registrar.Deregister(ctx, member)                          // once the VM serves no more
 package registrar
 
 import (
@@ -17,6 +19,7 @@
 	mathrand "math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -52,9 +55,12 @@
 	DataCentre string `json:"data-centre"`
 	// Address is the IP address and UDP port for messages.
 	Address string `json:"address"`
+	// Leaving is true once the VM has announced that it stops. It may go on to serve for a while. VMs up to f78941f
+	// don't know it.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
-// Members are all VMs that have ever joined, and the key of their messages.
+// Members are all VMs that have joined but those that have stopped as planned since, and the key of their messages.
 type Members struct {
 	// Era is the era of the store in which it had the rows and the key.
 	Era uint64
@@ -80,6 +86,8 @@
 
 	// registered is true once the store has the VM's row.
 	registered bool
+	// announced is the version of the VM's row that announces its stop, 0 if there is none that is known.
+	announced atomic.Uint64
 }
 
 // Join registers the VM and returns all VMs registered so far, including itself. It
@@ -98,6 +106,40 @@
 	}
 }
 
+// Announce writes into the VM's row that it stops, so that a start of the VM writes the row anew. Otherwise the store could
+// perform Deregister late, and delete the row of a VM that has started again.
+func (registrar *Registrar) Announce(ctx context.Context, member Member) error {
+	member.Leaving = true
+	if err := registrar.writeMember(ctx, member); err != nil {
+		return err
+	}
+	found, err := registrar.read(ctx)
+	if err != nil {
+		return err
+	}
+	if slices.Contains(found.All, member) {
+		registrar.announced.Store(found.versions[member.Name])
+	}
+	return nil
+}
+
+// errNotAnnounced means that the VM's row does not announce its stop as far as is known, so that it stays.
+var errNotAnnounced = errors.New("the stop of the VM was not announced")
+
+// Deregister deletes the VM's row if it is still the one that Announce has written: VMs that start then don't count the
+// VM as one that they can't reach, which keeps its part of all rates. The VM must not serve any more.
+func (registrar *Registrar) Deregister(ctx context.Context, member Member) error {
+	version := registrar.announced.Load()
+	if version == 0 {
+		return errNotAnnounced
+	}
+	key := vmPrefix + member.Name
+	return registrar.commit(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Table: table, Key: key, Version: version}},
+		Deletes:    []platform.RowKey{{Table: table, Key: key}},
+	})
+}
+
 func (registrar *Registrar) join(ctx context.Context, member Member) (Members, error) {
 	if !registrar.registered && !registrar.FirstStart {
 		found, err := registrar.read(ctx)
@@ -204,8 +246,9 @@
 // contents are those of the table.
 type contents struct {
 	Members
-	// malformed are the names in rows of VMs that can't be read.
+	// malformed are the names in rows of VMs that can't be read, and versions the versions of those that can.
 	malformed   map[string]bool
+	versions    map[string]uint64
 	mark        keeper.Mark
 	markVersion uint64
 	// storeTime is on the store's clock.
@@ -278,7 +321,9 @@
 	if err != nil {
 		return contents{}, fmt.Errorf("read members: %w", err)
 	}
-	found := contents{Members: Members{Era: reading.Era}, malformed: make(map[string]bool), storeTime: reading.StoreTime}
+	found := contents{
+		Members: Members{Era: reading.Era}, malformed: make(map[string]bool), versions: make(map[string]uint64), storeTime: reading.StoreTime,
+	}
 	for _, row := range reading.Rows {
 		name, isVM := strings.CutPrefix(row.Key, vmPrefix)
 		switch {
@@ -299,7 +344,7 @@
 				found.malformed[name] = true
 				continue
 			}
-			found.All = append(found.All, other)
+			found.All, found.versions[name] = append(found.All, other), row.Version
 		}
 	}
 	return found, nil
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -40,6 +40,7 @@
 		return
 	}
 	starter.importSuspects(members.Suspects)
+	starter.registrar.Store(registrar)
 	starter.messages.set(messenger)
 	starter.Log.WithField("peers", len(peers)).Info("joined")
 	messenger.AddPeers(peers)
--- a/gateway/internal/starter/starter.go
+++ b/gateway/internal/starter/starter.go
@@ -29,6 +29,7 @@
 	"godwitramp.example/gateway/internal/forwarder"
 	"godwitramp.example/gateway/internal/loader"
 	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/gateway/internal/registrar"
 	"godwitramp.example/gateway/internal/tracker"
 	"godwitramp.example/platform"
 	"godwitramp.example/shell/exchanger"
@@ -76,6 +77,8 @@
 	receiver *receiver.Receiver
 	// forwarder passes requests on to other VMs.
 	forwarder *forwarder.Forwarder
+	// registrar is set once the VM has joined the fleet.
+	registrar atomic.Pointer[registrar.Registrar]
 	// blocksChanged has a value while the store's blocks may differ from the dispatcher's.
 	blocksChanged chan struct{}
 }
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -357,6 +357,21 @@
 	is.True(time.Since(stopTime) < vm.settings.StopGrace)
 }
 
+// VMs that were replaced as planned must not keep parts of the rates of a fleet that starts again.
+func TestRestartedFleetLeavesPartsToReplacedVMs(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	for i := range 2 {
+		replaced := fleet.launch(fmt.Sprint("replaced-", i))
+		fleet.waitUntil("the VM is ready", replaced.ready)
+		replaced.stop()
+		<-replaced.stopped
+	}
+	started := fleet.launch("starts")
+	fleet.waitUntil("the VM is ready", started.ready)
+	is.Equal(started.starter.Share().VMs, 2)
+}
+
 // A planned stop and a reload in the middle of an upload must not cut it; a key that is
 // withdrawn meanwhile must not let it run.
 func TestChangesInTheMiddleOfAnUpload(t *testing.T) {
--- a/gateway/internal/starter/stop.go
+++ b/gateway/internal/starter/stop.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"context"
 	"time"
 
 	"godwitramp.example/core/drainer"
@@ -13,6 +14,8 @@
 	answerReserve = 150 * time.Millisecond
 	// stopPollInterval is how often stop checks for open connections.
 	stopPollInterval = 50 * time.Millisecond
+	// deregisterTimeout is how long the VM waits for the store at the end of its stop. It is a part of exitReserve.
+	deregisterTimeout = 100 * time.Millisecond
 )
 
 // stop ends readiness, keeps serving until the balancer has stopped sending connections,
@@ -24,6 +27,9 @@
 	starter.dispatcher.Leave(policy)
 	starter.receiver.Leave()
 	stopTime := time.Now()
+	announcing, cancel := context.WithTimeout(context.Background(), policy.GiveUpTime())
+	defer cancel()
+	go starter.announceStop(announcing)
 	starter.Log.WithField("running", starter.receiver.InFlight()).Info("leaving")
 	time.Sleep(policy.DrainTime())
 	giveUp := time.AfterFunc(policy.GiveUpTime()-time.Since(stopTime), starter.giveUp)
@@ -36,9 +42,34 @@
 		time.Sleep(stopPollInterval)
 	}
 	starter.messages.leave()
+	starter.deregister()
 	starter.Log.WithField("unfinished", starter.receiver.InFlight()+starter.forwarder.InFlight()).Info("stopped")
 }
 
+// announceStop tells the store that the VM stops, if it has joined.
+func (starter *Starter) announceStop(ctx context.Context) {
+	registrar := starter.registrar.Load()
+	if registrar == nil {
+		return
+	}
+	if err := registrar.Announce(ctx, starter.member()); err != nil {
+		starter.Log.WithError(err).Warn("stop-not-announced")
+	}
+}
+
+// deregister removes the VM from the store, as it serves no more.
+func (starter *Starter) deregister() {
+	registrar := starter.registrar.Load()
+	if registrar == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	if err := registrar.Deregister(ctx, starter.member()); err != nil {
+		starter.Log.WithError(err).Warn("not-deregistered")
+	}
+}
+
 // giveUp answers the requests in progress instead of their targets.
 func (starter *Starter) giveUp() {
 	starter.Log.WithField("running", starter.receiver.InFlight()+starter.forwarder.InFlight()).Warn("requests-given-up")
