shell/trickler: slow callers of tests in one place

The tests of gateway and entry had the same slow caller twice, and four tests of the receiver set up the same network. All callers of TestStopKeepsPromisesToCallersThatReadSlowly read slowly now, not half of them.

--- a/entry/internal/server/delivery_test.go
+++ b/entry/internal/server/delivery_test.go
@@ -14,35 +14,11 @@
 	"github.com/matryer/is"
 
 	"godwitramp.example/entry/internal/server"
+	"godwitramp.example/shell/trickler"
 )
 
-const (
-	// systemBytes is the size of the system's buffers for an accepted connection, which take a whole longAnswer.
-	systemBytes = 200 << 10
-	longAnswer  = 150 << 10
-)
-
-// bufferedListener accepts connections whose buffers take a long answer at once.
-type bufferedListener struct{ net.Listener }
-
-func (listener bufferedListener) Accept() (net.Conn, error) {
-	conn, err := listener.Listener.Accept()
-	if err == nil {
-		err = conn.(*net.TCPConn).SetWriteBuffer(systemBytes)
-	}
-	return conn, err
-}
-
-// slowReader reads 16 KB every 30 ms.
-type slowReader struct{ net.Conn }
-
-func (reader slowReader) Read(data []byte) (int, error) {
-	time.Sleep(30 * time.Millisecond)
-	return reader.Conn.Read(data[:min(len(data), 16<<10)])
-}
-
-// serveLong serves long answers until the end of the test, and returns the server, its listener and a connection with a
-// small receive buffer.
+// serveLong serves long answers until the end of the test, and returns the server, its listener and a connection that
+// is read slowly.
 func serveLong(t *testing.T, idleTimeout time.Duration, requests *atomic.Int32) (*http.Server, *server.Listener, net.Conn) {
 	t.Helper()
 	is := is.New(t)
@@ -50,15 +26,14 @@
 	is.NoErr(err)
 	callers := &http.Server{IdleTimeout: idleTimeout, Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		requests.Add(1)
-		_, _ = writer.Write(bytes.Repeat([]byte("x"), longAnswer))
+		_, _ = writer.Write(bytes.Repeat([]byte("x"), trickler.LongAnswer))
 	})}
-	listener := &server.Listener{Listener: bufferedListener{raw}}
+	listener := &server.Listener{Listener: trickler.Listener{Listener: raw}}
 	go func() { _ = callers.Serve(listener) }()
 	t.Cleanup(func() { _ = callers.Close() })
-	caller, err := net.Dial("tcp", raw.Addr().String())
+	caller, err := trickler.Dial(raw.Addr().String())
 	is.NoErr(err)
 	t.Cleanup(func() { _ = caller.Close() })
-	is.NoErr(caller.(*net.TCPConn).SetReadBuffer(8 << 10))
 	return callers, listener, caller
 }
 
@@ -84,7 +59,7 @@
 			request := "GET /long HTTP/1.1\r\nHost: a.example\r\n" + test.header + "\r\n"
 			_, err := io.WriteString(caller, request)
 			is.NoErr(err)
-			reader := bufio.NewReader(slowReader{caller})
+			reader := bufio.NewReader(caller)
 			response, err := http.ReadResponse(reader, nil)
 			is.NoErr(err)
 			stopped := make(chan int, 1)
@@ -99,7 +74,7 @@
 			is.NoErr(err)
 			body, err := io.ReadAll(response.Body)
 			is.NoErr(err)
-			is.Equal(len(body), longAnswer)
+			is.Equal(len(body), trickler.LongAnswer)
 			_, err = reader.ReadByte()
 			is.Equal(err, io.EOF)
 			_ = caller.Close()
--- a/gateway/internal/receiver/delivery_test.go
+++ b/gateway/internal/receiver/delivery_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,41 +17,17 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
-	"godwitramp.example/platform/faker"
+	"godwitramp.example/shell/trickler"
 )
 
-const (
-	// systemBytes is the size of the system's buffers for an accepted connection, which take a whole longAnswer.
-	systemBytes = 200 << 10
-	longAnswer  = 150 << 10
-)
-
-// bufferedListener accepts connections whose buffers take a long answer at once.
-type bufferedListener struct{ net.Listener }
-
-func (listener bufferedListener) Accept() (net.Conn, error) {
-	conn, err := listener.Listener.Accept()
-	if err == nil {
-		err = conn.(*net.TCPConn).SetWriteBuffer(systemBytes)
-	}
-	return conn, err
-}
-
-// slowReader reads 16 KB every 30 ms.
-type slowReader struct{ net.Conn }
-
-func (reader slowReader) Read(data []byte) (int, error) {
-	time.Sleep(30 * time.Millisecond)
-	return reader.Conn.Read(data[:min(len(data), 16<<10)])
-}
-
-// dialSlow returns a connection with a small receive buffer, so that a long answer waits in the receiver's system.
+// dialSlow returns a connection that is read slowly.
 func dialSlow(t *testing.T, address string) net.Conn {
 	t.Helper()
-	caller := dial(t, address)
-	if err := caller.(*net.TCPConn).SetReadBuffer(8 << 10); err != nil {
+	caller, err := trickler.Dial(address)
+	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = caller.Close() })
 	return caller
 }
 
@@ -60,7 +35,7 @@
 func long(ctx context.Context, call *receiver.Call) receiver.Reply {
 	switch {
 	case strings.HasPrefix(call.Target, "/long"):
-		return receiver.Reply{Status: http.StatusOK, Body: bytes.Repeat([]byte("x"), longAnswer)}
+		return receiver.Reply{Status: http.StatusOK, Body: bytes.Repeat([]byte("x"), trickler.LongAnswer)}
 	case call.Target == "/abort":
 		return receiver.Reply{Abort: true}
 	default:
@@ -111,9 +86,9 @@
 			receiver := &receiver.Receiver{
 				Handler: &handler{serve: long}, Limits: func() indexer.Limits { return indexer.Limits{IdleTimeout: test.idleTimeout} }, Log: quiet(),
 			}
-			caller := dialSlow(t, runOn(t, receiver, func(listener net.Listener) net.Listener { return bufferedListener{listener} }))
+			caller := dialSlow(t, runOn(t, receiver, func(listener net.Listener) net.Listener { return trickler.Listener{Listener: listener} }))
 			send(t, caller, test.first)
-			reader := bufio.NewReader(slowReader{caller})
+			reader := bufio.NewReader(caller)
 			response, err := http.ReadResponse(reader, nil)
 			is.NoErr(err)
 			await(t, "the answer is handed to the system", func() bool { return receiver.InFlight() == 0 })
@@ -121,7 +96,7 @@
 			_, _ = io.WriteString(caller, test.next) // fails if the connection has ended already
 			body, err := io.ReadAll(response.Body)
 			is.NoErr(err)
-			is.Equal(len(body), longAnswer)
+			is.Equal(len(body), trickler.LongAnswer)
 			if test.after != 0 {
 				response, err := http.ReadResponse(reader, nil)
 				is.NoErr(err)
@@ -155,15 +130,7 @@
 				Handler: &handler{serve: echo}, Log: logrus.NewEntry(log),
 				Limits: func() indexer.Limits { return indexer.Limits{IdleTimeout: 4 * time.Second} },
 			}
-			network := faker.NewNetwork()
-			ctx, cancel := context.WithCancel(context.Background())
-			var running sync.WaitGroup
-			running.Go(func() { _ = receiver.Run(ctx, stalledListener{network}) })
-			defer running.Wait()
-			defer cancel()
-			caller, err := network.Link(1_250_000).Dial(ctx, "", "")
-			is.NoErr(err)
-			defer func() { _ = caller.Close() }()
+			caller := dialVirtual(t, receiver, 1_250_000, func(listener net.Listener) net.Listener { return stalledListener{listener} })
 			send(t, caller, request)
 			read(t, bufio.NewReader(caller))
 			time.Sleep(9 * time.Second)
@@ -185,15 +152,7 @@
 		receiver := &receiver.Receiver{
 			Handler: &handler{serve: echo}, Log: quiet(), Limits: func() indexer.Limits { return indexer.Limits{IdleTimeout: 8 * time.Second} },
 		}
-		network := faker.NewNetwork()
-		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		running.Go(func() { _ = receiver.Run(ctx, stalledListener{network}) })
-		defer running.Wait()
-		defer cancel()
-		caller, err := network.Link(1_250_000).Dial(ctx, "", "")
-		is.NoErr(err)
-		defer func() { _ = caller.Close() }()
+		caller := dialVirtual(t, receiver, 1_250_000, func(listener net.Listener) net.Listener { return stalledListener{listener} })
 		reader := bufio.NewReader(caller)
 		for range 3 {
 			send(t, caller, get("/a"))
--- a/gateway/internal/receiver/random_test.go
+++ b/gateway/internal/receiver/random_test.go
@@ -22,6 +22,7 @@
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/platform/faker"
+	"godwitramp.example/shell/trickler"
 )
 
 // slowHandler answers after random times, and records the requests by their connection.
@@ -75,7 +76,8 @@
 	network network
 	name    string
 	conn    net.Conn
-	// leaves is true if the caller may disconnect before it has all answers, and slow if it reads slowly.
+	// leaves is true if the caller may disconnect before it has all answers, and slow if it reads slowly and sends its last
+	// request while it does.
 	leaves, slow bool
 
 	// sent is the number of requests that the receiver has read as a whole.
@@ -134,9 +136,6 @@
 func (caller *hastyCaller) receive() {
 	defer func() { _ = caller.conn.Close() }()
 	reader := bufio.NewReader(caller.conn)
-	if caller.slow {
-		reader = bufio.NewReader(slowReader{caller.conn})
-	}
 	for {
 		if _, err := reader.Peek(1); err != nil {
 			caller.err = err
@@ -200,7 +199,7 @@
 	millisecond time.Duration
 	// crossing is true if bytes can be on their way when the receiver closes a connection.
 	crossing bool
-	// longest is the length of the longest answers, which half of the callers read slowly. Zero means that there are none.
+	// longest is the length of the longest answers, which callers read slowly. Zero means that there are none.
 	longest int
 }
 
@@ -223,7 +222,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		caller := &hastyCaller{network: network, name: fmt.Sprint(i), conn: conn, leaves: random.IntN(5) == 0, slow: network.longest > 0 && i%2 == 0}
+		caller := &hastyCaller{network: network, name: fmt.Sprint(i), conn: conn, leaves: random.IntN(5) == 0, slow: network.longest > 0}
 		callers = append(callers, caller)
 		sender := rand.New(rand.NewPCG(seed, uint64(2+i)))
 		callersRunning.Go(func() { caller.send(sender) })
@@ -287,7 +286,7 @@
 			}
 			dial := func() (net.Conn, error) { return dialSlow(t, listener.Addr().String()), nil }
 			playStop(t, network{
-				Listener: bufferedListener{listener}, dial: dial, millisecond: time.Millisecond / 10, crossing: true, longest: longAnswer,
+				Listener: trickler.Listener{Listener: listener}, dial: dial, millisecond: time.Millisecond / 10, crossing: true, longest: trickler.LongAnswer,
 			}, seed)
 		})
 	}
--- a/gateway/internal/receiver/receiver_test.go
+++ b/gateway/internal/receiver/receiver_test.go
@@ -17,6 +17,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/platform/faker"
 )
 
 // handler is a Handler that answers with the result of serve and records the targets.
@@ -87,6 +88,24 @@
 	return listener.Addr().String()
 }
 
+// dialVirtual runs a receiver on the listener that wrap returns for a network in memory, until the end of the test, and returns
+// a connection to it over a link of bytesPerSecond. It may be used in virtual time.
+func dialVirtual(t *testing.T, receiver *receiver.Receiver, bytesPerSecond int, wrap func(net.Listener) net.Listener) net.Conn {
+	t.Helper()
+	network := faker.NewNetwork()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = receiver.Run(ctx, wrap(network)) })
+	t.Cleanup(running.Wait)
+	t.Cleanup(cancel)
+	caller, err := network.Link(bytesPerSecond).Dial(ctx, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	return caller
+}
+
 func dial(t *testing.T, address string) net.Conn {
 	t.Helper()
 	caller, err := net.Dial("tcp", address)
--- a/gateway/internal/receiver/slow_test.go
+++ b/gateway/internal/receiver/slow_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -76,15 +77,7 @@
 					Limits: func() indexer.Limits { return indexer.Limits{} }, Log: quiet(),
 					Patience: func(http.Header) time.Duration { return test.patience },
 				}
-				network := faker.NewNetwork()
-				ctx, cancel := context.WithCancel(context.Background())
-				var running sync.WaitGroup
-				running.Go(func() { _ = receiver.Run(ctx, network) })
-				defer running.Wait()
-				defer cancel()
-				caller, err := network.Link(rate).Dial(ctx, "", "")
-				is.NoErr(err)
-				defer func() { _ = caller.Close() }()
+				caller := dialVirtual(t, receiver, rate, func(listener net.Listener) net.Listener { return listener })
 				startedAt := time.Now()
 				send(t, caller, get("/a"))
 				if !test.reads {
@@ -107,15 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		receiver := &receiver.Receiver{Handler: &handler{serve: echo}, Limits: func() indexer.Limits { return indexer.Limits{} }, MaxBodyBytes: 1 << 20, Log: quiet()}
-		network := faker.NewNetwork()
-		ctx, cancel := context.WithCancel(context.Background())
-		var running sync.WaitGroup
-		running.Go(func() { _ = receiver.Run(ctx, network) })
-		defer running.Wait()
-		defer cancel()
-		caller, err := network.Link(1_250_000).Dial(ctx, "", "")
-		is.NoErr(err)
-		defer func() { _ = caller.Close() }()
+		caller := dialVirtual(t, receiver, 1_250_000, func(listener net.Listener) net.Listener { return listener })
 		reader := bufio.NewReader(caller)
 		send(t, caller, get("/a"))
 		read(t, reader)
