receiver: a refused connection doesn't keep its descriptor while its caller sends on

Such a connection is read for 0.5 s after its answer is delivered now, whatever comes.

TestRefusedConnectionKeepsItsDescriptor: fails on the parent commit, holds now.

--- a/gateway/internal/receiver/connection.go
+++ b/gateway/internal/receiver/connection.go
@@ -102,7 +102,7 @@
 			"connection": connection.number, "status": http.StatusServiceUnavailable, "reason": "too-many-connections",
 		}).Info("connection-refused")
 		connection.write(connection.receiver.Handler.Refuse(http.StatusServiceUnavailable, "too-many-connections"), nil, true)
-		connection.linger()
+		connection.linger(lingerTimeout) // it takes a descriptor beyond the limit
 		return
 	}
 	turn := make(chan struct{})
@@ -316,16 +316,17 @@
 	closed := connection.closed
 	connection.mutex.Unlock()
 	if closed {
-		connection.linger()
+		connection.linger(writeTimeout)
 	}
 }
 
-// linger closes the connection for writing, and reads until the caller closes it or has got all answers.
-func (connection *connection) linger() {
+// linger closes the connection for writing, and reads until the caller closes it, has got all answers or takes nothing
+// for stallTimeout.
+func (connection *connection) linger(stallTimeout time.Duration) {
 	connection.mutex.Lock()
 	connection.closing = true // closeIdle leaves it lingering
 	connection.mutex.Unlock()
-	lingerer := &lingerer.Lingerer{QuietTimeout: lingerTimeout, StallTimeout: writeTimeout}
+	lingerer := &lingerer.Lingerer{QuietTimeout: lingerTimeout, StallTimeout: stallTimeout}
 	if delivered := lingerer.Linger(connection.raw); !delivered {
 		connection.mutex.Lock()
 		defer connection.mutex.Unlock()
@@ -372,7 +373,7 @@
 		"status": malformed.status, "reason": malformed.reason, "ahead": ahead, "previous": previous,
 	}).Info("request-malformed")
 	if connection.write(connection.receiver.Handler.Refuse(malformed.status, malformed.reason), nil, true) {
-		connection.linger()
+		connection.linger(writeTimeout)
 	}
 }
 
--- a/gateway/internal/receiver/delivery_test.go
+++ b/gateway/internal/receiver/delivery_test.go
@@ -17,6 +17,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/platform/faker"
 	"godwitramp.example/shell/trickler"
 )
 
@@ -130,7 +131,7 @@
 				Handler: &handler{serve: echo}, Log: logrus.NewEntry(log),
 				Limits: func() indexer.Limits { return indexer.Limits{IdleTimeout: 4 * time.Second} },
 			}
-			caller := dialVirtual(t, receiver, 1_250_000, func(listener net.Listener) net.Listener { return stalledListener{listener} })
+			caller := dialVirtual(t, receiver, faker.NewNetwork(), 1_250_000, func(listener net.Listener) net.Listener { return stalledListener{listener} })
 			send(t, caller, request)
 			read(t, bufio.NewReader(caller))
 			time.Sleep(9 * time.Second)
@@ -152,7 +153,7 @@
 		receiver := &receiver.Receiver{
 			Handler: &handler{serve: echo}, Log: quiet(), Limits: func() indexer.Limits { return indexer.Limits{IdleTimeout: 8 * time.Second} },
 		}
-		caller := dialVirtual(t, receiver, 1_250_000, func(listener net.Listener) net.Listener { return stalledListener{listener} })
+		caller := dialVirtual(t, receiver, faker.NewNetwork(), 1_250_000, func(listener net.Listener) net.Listener { return stalledListener{listener} })
 		reader := bufio.NewReader(caller)
 		for range 3 {
 			send(t, caller, get("/a"))
@@ -164,3 +165,30 @@
 		}
 	})
 }
+
+// A connection beyond the limit takes a descriptor: it must end soon after its answer, though its caller sends on for ever.
+func TestRefusedConnectionKeepsItsDescriptor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := faker.NewNetwork()
+		receiver := &receiver.Receiver{
+			Handler: &handler{serve: echo}, Log: quiet(), Limits: func() indexer.Limits { return indexer.Limits{} }, MaxConnections: 1,
+		}
+		dialVirtual(t, receiver, network, 1_250_000, func(listener net.Listener) net.Listener { return listener })
+		refused, err := network.Link(1_250_000).Dial(t.Context(), "", "")
+		is.NoErr(err)
+		defer func() { _ = refused.Close() }()
+		go func() {
+			for {
+				if _, err := io.WriteString(refused, "x"); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		response, _ := read(t, bufio.NewReader(refused))
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(receiver.OpenConnections(), 1)
+	})
+}
--- a/gateway/internal/receiver/receiver_test.go
+++ b/gateway/internal/receiver/receiver_test.go
@@ -90,9 +90,10 @@
 
 // dialVirtual runs a receiver on the listener that wrap returns for a network in memory, until the end of the test, and returns
 // a connection to it over a link of bytesPerSecond. It may be used in virtual time.
-func dialVirtual(t *testing.T, receiver *receiver.Receiver, bytesPerSecond int, wrap func(net.Listener) net.Listener) net.Conn {
+func dialVirtual(
+	t *testing.T, receiver *receiver.Receiver, network *faker.Network, bytesPerSecond int, wrap func(net.Listener) net.Listener,
+) net.Conn {
 	t.Helper()
-	network := faker.NewNetwork()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = receiver.Run(ctx, wrap(network)) })
--- a/gateway/internal/receiver/slow_test.go
+++ b/gateway/internal/receiver/slow_test.go
@@ -77,7 +77,7 @@
 					Limits: func() indexer.Limits { return indexer.Limits{} }, Log: quiet(),
 					Patience: func(http.Header) time.Duration { return test.patience },
 				}
-				caller := dialVirtual(t, receiver, rate, func(listener net.Listener) net.Listener { return listener })
+				caller := dialVirtual(t, receiver, faker.NewNetwork(), rate, func(listener net.Listener) net.Listener { return listener })
 				startedAt := time.Now()
 				send(t, caller, get("/a"))
 				if !test.reads {
@@ -100,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		receiver := &receiver.Receiver{Handler: &handler{serve: echo}, Limits: func() indexer.Limits { return indexer.Limits{} }, MaxBodyBytes: 1 << 20, Log: quiet()}
-		caller := dialVirtual(t, receiver, 1_250_000, func(listener net.Listener) net.Listener { return listener })
+		caller := dialVirtual(t, receiver, faker.NewNetwork(), 1_250_000, func(listener net.Listener) net.Listener { return listener })
 		reader := bufio.NewReader(caller)
 		send(t, caller, get("/a"))
 		read(t, reader)
