exchanger: the end of a reset connection isn't the end of an answer

What callers saw: a target that answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Callers of gateway got that part as a whole answer, bookings and reads alike; callers of entry got a stream that ended as if whole.

Cause: the body of such an answer ends with its connection. Linux reports the error that ended a connection once, to whichever of write and read asks first. Here the write got it, and the read after it returned the same as after an orderly end. The exchanger asked the read alone.

Change: detector.Conn keeps the error that a write returned, and its Read returns it in place of io.EOF. A write in progress at that moment may hold the error without having returned it yet; it is ended by its deadline and asked. EPIPE doesn't count: Linux reports it in place of the reset if the peer had ended its side before, and then the answer is whole. As the end is met in connection.Read, all readers of bodies, heads and answers to others have it.

Ruled out: TCP_INFO, as a reset socket is closed whether or not an orderly end came first; waiting for the writer without a deadline, which a peer that never reads on would hold up; refusing all answers without a length.

--- a/gateway/internal/dispatcher/upload_test.go
+++ b/gateway/internal/dispatcher/upload_test.go
@@ -9,17 +9,17 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"godwitramp.example/core/placer"
 	"godwitramp.example/gateway/internal/receiver"
+	"godwitramp.example/shell/breaker"
 )
 
-// uploadLength exceeds what the buffers of a connection hold.
-const uploadLength = 8 << 20
-
 // rawTarget is a target that handles each connection as a test says.
 type rawTarget struct {
 	*targetServer
@@ -78,9 +78,13 @@
 }
 
 func (vm *vm) upload(ctx context.Context, id string) receiver.Reply {
-	request := call(http.MethodPost, "/book/1", "key")
+	return vm.uploadTo(ctx, "/book/1", id, breaker.LongUpload)
+}
+
+func (vm *vm) uploadTo(ctx context.Context, path, id string, length int) receiver.Reply {
+	request := call(http.MethodPost, path, "key")
 	request.Request.Header["X-Attempt-Id"] = []string{id}
-	request.Body = []byte(strings.Repeat("u", uploadLength))
+	request.Body = []byte(strings.Repeat("u", length))
 	return vm.Serve(ctx, request)
 }
 
@@ -121,7 +125,7 @@
 			mutex.Lock()
 			requests++
 			mutex.Unlock()
-			_, _ = io.CopyN(io.Discard, request.Body, uploadLength/2)
+			_, _ = io.CopyN(io.Discard, request.Body, breaker.LongUpload/2)
 		}
 		_ = connection.(*net.TCPConn).SetLinger(0)
 	}
@@ -157,3 +161,87 @@
 	is.True(vm.upload(ctx, "a").Abort)
 	is.True(<-ended != nil)
 }
+
+// serveWithoutLength starts a target that answers at once with 1,000 bytes without a length and then ends the connection as
+// the function does. It returns the number of requests as well.
+func serveWithoutLength(t *testing.T, end func(connection *net.TCPConn, request *http.Request)) (*targetServer, *atomic.Int32) {
+	requests := &atomic.Int32{}
+	address := breaker.Serve(t, func(connection *net.TCPConn, request *http.Request) {
+		requests.Add(1)
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Signature: s\r\n\r\n%s",
+			request.Header.Get("X-Attempt-Id"), strings.Repeat("x", 1000))
+		end(connection, request)
+	})
+	return &targetServer{address: address}, requests
+}
+
+// A target that answers a long upload at once without a length, and resets the connection in the middle of its body, has
+// not answered: its part must not reach the caller. The request may have run; a read goes to another target.
+func TestPartOfAnAnswerToAnUploadIsPassedOn(t *testing.T) {
+	const runs = 10
+	for name, end := range map[string]func(connection *net.TCPConn){"reset": breaker.Reset, "close": breaker.CloseUnread} {
+		for _, length := range []int{0, 300_000, 2 << 20, breaker.LongUpload} {
+			if length == 0 && name == "close" {
+				continue // there is nothing to leave unread
+			}
+			for _, path := range []string{"/book/1", "/read/1"} {
+				t.Run(fmt.Sprintf("%s %s, %d bytes", name, path, length), func(t *testing.T) {
+					is := is.New(t)
+					cutting, requests := serveWithoutLength(t, func(connection *net.TCPConn, _ *http.Request) {
+						_ = connection.SetReadBuffer(4 << 10)
+						time.Sleep(3 * time.Millisecond)
+						end(connection)
+					})
+					sound := serve(t, func(writer http.ResponseWriter, request *http.Request) {
+						_, _ = io.Copy(io.Discard, request.Body)
+						answerWith(http.StatusOK, "whole")(writer, request)
+					})
+					for range runs {
+						vm := start(t)
+						vm.SetTargets([]placer.Target{
+							{ID: "near", Service: "s", Address: cutting.address, DataCentre: "d", Slots: 4},
+							{ID: "far", Service: "s", Address: sound.address, DataCentre: "e", Slots: 4},
+						})
+						reply := vm.uploadTo(context.Background(), path, "a", length)
+						if path == "/read/1" {
+							is.Equal(reply.Status, http.StatusOK)
+							is.True(string(reply.Body) == "whole")
+							continue
+						}
+						is.Equal(reply.Status, http.StatusBadGateway)
+						is.Equal(string(reply.Body), "{\"reason\":\"answer-cut\"}\n")
+					}
+					is.Equal(requests.Load(), int32(runs))
+					if path == "/book/1" {
+						is.Equal(len(sound.arrivals()), 0)
+					}
+				})
+			}
+		}
+	}
+}
+
+// An answer without a length is whole once its target has ended its side, however little of the upload it reads.
+func TestWholeAnswerToAnUploadIsCut(t *testing.T) {
+	for name, end := range map[string]func(request *http.Request){
+		"reads the upload": func(request *http.Request) { _, _ = io.Copy(io.Discard, request.Body) },
+		"closes":           func(*http.Request) {},
+		"closes later":     func(*http.Request) { time.Sleep(3 * time.Millisecond) },
+	} {
+		for _, length := range []int{0, 300_000, breaker.LongUpload} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, length), func(t *testing.T) {
+				is := is.New(t)
+				target, _ := serveWithoutLength(t, func(connection *net.TCPConn, request *http.Request) {
+					_ = connection.CloseWrite()
+					end(request)
+				})
+				vm := start(t, target)
+				for i := range 10 {
+					reply := vm.uploadTo(context.Background(), "/book/1", fmt.Sprint("a", i), length)
+					is.Equal(reply.Status, http.StatusOK)
+					is.Equal(len(reply.Body), 1000)
+				}
+			})
+		}
+	}
+}
--- a/shell/exchanger/connection.go
+++ b/shell/exchanger/connection.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"godwitramp.example/shell/detector"
 )
 
 const (
@@ -73,7 +75,7 @@
 const unlimited = -1
 
 func newConnection(raw net.Conn, address string) *connection {
-	connection := &connection{Conn: raw, address: address, fresh: true, readBudget: unlimited}
+	connection := &connection{Conn: &detector.Conn{Conn: raw}, address: address, fresh: true, readBudget: unlimited}
 	connection.reader = bufio.NewReaderSize(connection, bufferBytes)
 	connection.writer = bufio.NewWriterSize(connection, bufferBytes)
 	socket := raw
