connector: an object whose connection is reset doesn't count as stored

Cause: net/http reads the end of an answer without a length like the exchanger did, and the status of such an answer is that of a success.

Change: the connections of the client are detector.Conns. The answer is lost, as it is with any other connection that breaks.

--- a/shell/connector/client.go
+++ b/shell/connector/client.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"godwitramp.example/shell/detector"
 )
 
 const (
@@ -25,7 +27,7 @@
 	Base string
 	// Timeout bounds each call. The default is 2 s.
 	Timeout time.Duration
-	// HTTP sends the requests. The default is http.DefaultClient.
+	// HTTP sends the requests. The default is like http.DefaultClient, but takes no part of an answer for whole.
 	HTTP *http.Client
 }
 
@@ -127,7 +129,16 @@
 	if client.HTTP != nil {
 		return client.HTTP
 	}
-	return http.DefaultClient
+	return defaultHTTP
+}
+
+var defaultHTTP = &http.Client{Transport: newTransport()}
+
+// newTransport returns http.DefaultTransport, but that an answer without a length whose connection is reset is an error.
+func newTransport() *http.Transport {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = detector.Dial(transport.DialContext)
+	return transport
 }
 
 // classify distinguishes a call whose connection could not be opened, which
--- a/shell/detector/conn.go
+++ b/shell/detector/conn.go
@@ -7,11 +7,7 @@
 //
 // # Usage
 //
-//	raw, err := dialer.DialContext(ctx, "tcp", address)
-//	if err != nil {
-//		return nil, err
-//	}
-//	return &detector.Conn{Conn: raw}, nil
+//	transport := &http.Transport{DialContext: detector.Dial((&net.Dialer{}).DialContext)}
 package detector
 
 import (
