exchanger: a field name with a blank makes an answer malformed

What callers saw: a target in trouble answered with `X Foo: 1`, `X-Foo : 1`, `Content-Length : 2` or `Transfer-Encoding : chunked` in its head. Callers of gateway got the line with the answer; callers of both got a body of the wrong length, or the chunks with their sizes. With the word that the request has not run in such a head, a booking was sent to a second target as well.

Cause: net/http refuses names that aren't tokens, but for blanks, which it keeps as part of the name, so that the field has no effect here. Nothing looked at names.

Such an answer is a malformed one: the connection is closed, nothing in the head counts, a booking is answered 502 and sent once, a read goes to another target, and it counts against the target on a kept connection too. A malformed trailer comes before what the head says in the verdict of gateway.

Ruled out: to remove the blanks before the colon, as RFC 9112, section 5.1, lets a proxy do: what a target in trouble meant by such a length can't be known. To check in core/assessor: the body has been read by a wrong length by then.

startInvalid takes the text of an answer now, with which TestInvalidStatusIsPassedOn has the same cases and checks as before.

--- a/core/assessor/assessor.go
+++ b/core/assessor/assessor.go
@@ -54,6 +54,8 @@
 	Encoded bool
 	// Complete is true if the body was read to its end.
 	Complete bool
+	// Malformed is true if what came behind the head violates HTTP.
+	Malformed bool
 	// AmpleTime is true if the attempt lasted far longer than the service's typical
 	// latency.
 	AmpleTime bool
@@ -65,6 +67,8 @@
 func ClassifyAnswer(answer Answer) Verdict {
 	verdict := Verdict{MayHaveRun: true}
 	switch {
+	case answer.Malformed:
+		verdict.Outcome, verdict.Reason = placer.Failed, answerMalformed
 	case answer.OtherTarget:
 		return Verdict{Outcome: placer.Replaced, Reason: "other-target"}
 	case answer.NotRun:
@@ -113,6 +117,8 @@
 	Status int
 	// FromTarget is true if a target gave the answer, and Abort if the VM has none.
 	FromTarget, Abort bool
+	// Malformed is true if the name of a field is invalid. VMs of earlier versions pass such answers of targets on.
+	Malformed bool
 	// NotRun is true if the VM states that the request did not and will not run. VMs of the first versions
 	// never do.
 	NotRun bool
@@ -128,7 +134,7 @@
 	switch {
 	case answer.Abort:
 		verdict.Reason = "peer-lost"
-	case answer.FromTarget && (answer.Status < http.StatusOK || answer.Status > maxStatus):
+	case answer.FromTarget && (answer.Malformed || answer.Status < http.StatusOK || answer.Status > maxStatus):
 		verdict.Reason = answerMalformed
 	case answer.FromTarget && impliesNotRun(answer.Status):
 		verdict.Reason = "status-misleading"
@@ -189,7 +195,7 @@
 	Malformed bool
 }
 
-// answerMalformed is the reason of an answer whose head violates HTTP.
+// answerMalformed is the reason of an answer that violates HTTP.
 const answerMalformed = "answer-malformed"
 
 // ClassifyFailure returns the verdict on an attempt without an answer.
--- a/core/assessor/assessor_test.go
+++ b/core/assessor/assessor_test.go
@@ -25,20 +25,24 @@
 		mayRun  bool
 		deliver assessor.Delivery
 	}{
-		"good":       {with(200, nil), placer.Good, true, assessor.Always},
-		"not found":  {with(404, nil), placer.Good, true, assessor.Always},
-		"quick 500":  {with(500, func(a *assessor.Answer) { a.Quick = true }), placer.Failed, true, assessor.IfLast},
-		"late 500":   {with(500, nil), placer.FailedLate, true, assessor.IfLast},
-		"504 early":  {with(504, nil), placer.Unknown, true, assessor.IfLast},
-		"504 late":   {with(504, func(a *assessor.Answer) { a.AmpleTime = true }), placer.Slow, true, assessor.IfLast},
-		"full":       {with(503, func(a *assessor.Answer) { a.NotRun = true }), placer.Full, false, assessor.Never},
-		"other":      {with(421, func(a *assessor.Answer) { a.NotRun, a.OtherTarget = true, true }), placer.Replaced, false, assessor.Never},
-		"cut":        {with(200, func(a *assessor.Answer) { a.Complete = false }), placer.Failed, true, assessor.Never},
-		"unsigned":   {with(200, func(a *assessor.Answer) { a.Signed = false }), placer.Failed, true, assessor.Never},
-		"encoded":    {with(200, func(a *assessor.Answer) { a.Encoded = true }), placer.Failed, true, assessor.Never},
-		"bare 503":   {with(503, nil), placer.Failed, true, assessor.Never},
-		"bare 429":   {with(429, nil), placer.Failed, true, assessor.Never},
-		"bare 408":   {with(408, nil), placer.Failed, true, assessor.Never},
+		"good":      {with(200, nil), placer.Good, true, assessor.Always},
+		"not found": {with(404, nil), placer.Good, true, assessor.Always},
+		"quick 500": {with(500, func(a *assessor.Answer) { a.Quick = true }), placer.Failed, true, assessor.IfLast},
+		"late 500":  {with(500, nil), placer.FailedLate, true, assessor.IfLast},
+		"504 early": {with(504, nil), placer.Unknown, true, assessor.IfLast},
+		"504 late":  {with(504, func(a *assessor.Answer) { a.AmpleTime = true }), placer.Slow, true, assessor.IfLast},
+		"full":      {with(503, func(a *assessor.Answer) { a.NotRun = true }), placer.Full, false, assessor.Never},
+		"other":     {with(421, func(a *assessor.Answer) { a.NotRun, a.OtherTarget = true, true }), placer.Replaced, false, assessor.Never},
+		"cut":       {with(200, func(a *assessor.Answer) { a.Complete = false }), placer.Failed, true, assessor.Never},
+		"unsigned":  {with(200, func(a *assessor.Answer) { a.Signed = false }), placer.Failed, true, assessor.Never},
+		"encoded":   {with(200, func(a *assessor.Answer) { a.Encoded = true }), placer.Failed, true, assessor.Never},
+		"bare 503":  {with(503, nil), placer.Failed, true, assessor.Never},
+		"bare 429":  {with(429, nil), placer.Failed, true, assessor.Never},
+		"bare 408":  {with(408, nil), placer.Failed, true, assessor.Never},
+		"malformed": {with(200, func(a *assessor.Answer) { a.Malformed, a.Complete = true, false }), placer.Failed, true, assessor.Never},
+		"malformed refuse": {
+			with(503, func(a *assessor.Answer) { a.Malformed, a.NotRun, a.Complete = true, true, false }), placer.Failed, true, assessor.Never,
+		},
 		"cut refuse": {with(503, func(a *assessor.Answer) { a.NotRun, a.Complete = true, false }), placer.Full, false, assessor.Never},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/assessor/forwarded_test.go
+++ b/core/assessor/forwarded_test.go
@@ -33,6 +33,8 @@
 		{assessor.Forwarded{Status: 599, FromTarget: true}, true, assessor.IfLast},
 		{assessor.Forwarded{Status: 600, FromTarget: true}, true, assessor.Never},
 		{assessor.Forwarded{Status: 99, FromTarget: true, NotRun: true}, true, assessor.Never},
+		{assessor.Forwarded{Status: 200, FromTarget: true, Malformed: true}, true, assessor.Never},
+		{assessor.Forwarded{Status: 503, FromTarget: true, Malformed: true, NotRun: true}, true, assessor.Never},
 	} {
 		is := is.New(t)
 		verdict := assessor.ClassifyForwarded(test.answer)
--- a/entry/internal/forwarder/answer.go
+++ b/entry/internal/forwarder/answer.go
@@ -11,6 +11,7 @@
 
 	"godwitramp.example/core/queuer"
 	"godwitramp.example/core/router"
+	"godwitramp.example/shell/detector"
 	"godwitramp.example/shell/exchanger"
 )
 
@@ -48,19 +49,21 @@
 		buffered.release()
 		attempt.answer.Close()
 		attempt.err = fmt.Errorf("read answer: %w", err)
-		result.kind = handler.classifyBodyError(attempt)
+		result.kind = handler.classifyBodyError(attempt, err)
 		return nil
 	}
 	return buffered
 }
 
 // classifyBodyError classifies a failure to read the body of an answer that is closed.
-func (handler *handler) classifyBodyError(attempt *attempt) router.ResultKind {
+func (handler *handler) classifyBodyError(attempt *attempt, err error) router.ResultKind {
 	switch {
 	case handler.callerGone():
 		return router.Cancelled
 	case attempt.contextEnded():
 		return router.TimedOut
+	case errors.Is(err, detector.ErrMalformed):
+		return router.WrongAnswer
 	default:
 		return router.Truncated
 	}
@@ -90,7 +93,7 @@
 	err := handler.stream(response)
 	attempt.answer.Close()
 	if err != nil {
-		result.kind = handler.classifyBodyError(attempt)
+		result.kind = handler.classifyBodyError(attempt, err)
 	}
 	handler.reportAttempt(attempt, result)
 	handler.leaveQueue(feedbackOf(result))
--- a/gateway/internal/dispatcher/attempt.go
+++ b/gateway/internal/dispatcher/attempt.go
@@ -21,6 +21,7 @@
 	"godwitramp.example/gateway/internal/receiver"
 	"godwitramp.example/platform"
 	"godwitramp.example/shell/bufferer"
+	"godwitramp.example/shell/detector"
 	"godwitramp.example/shell/exchanger"
 )
 
@@ -206,7 +207,7 @@
 		Written: true, Dialed: attempt.dialed.Load(),
 		Cancelled: errors.Is(ctx.Err(), context.Canceled), TimedOut: errors.Is(ctx.Err(), context.DeadlineExceeded),
 		Withheld: errors.Is(err, errWithheld), AmpleTime: attempt.ampleTime(), Unacked: errors.Is(err, syscall.ETIMEDOUT),
-		Malformed: errors.Is(err, exchanger.ErrMalformed),
+		Malformed: errors.Is(err, detector.ErrMalformed),
 	}
 	var exchange *exchanger.Error
 	if errors.As(err, &exchange) {
@@ -237,8 +238,8 @@
 	attempt.verdict = assessor.ClassifyAnswer(assessor.Answer{
 		Status: response.StatusCode, Signed: reply.Signed, NotRun: reply.NotRun, OtherTarget: reply.OtherTarget,
 		Encoded: len(response.Header["Content-Encoding"]) > 0, Complete: err == nil && len(body) <= maxAnswerBytes,
-		AmpleTime: attempt.ampleTime(),
-		Quick:     attempt.dispatcher.latency.isQuick(attempt.job.service, time.Since(attempt.started)),
+		Malformed: errors.Is(err, detector.ErrMalformed), AmpleTime: attempt.ampleTime(),
+		Quick: attempt.dispatcher.latency.isQuick(attempt.job.service, time.Since(attempt.started)),
 	})
 	attempt.cut = attempt.verdict.MayHaveRun && err != nil && exchanger.IsConnectionError(err)
 	return err
--- a/gateway/internal/dispatcher/delegate.go
+++ b/gateway/internal/dispatcher/delegate.go
@@ -11,6 +11,7 @@
 	"godwitramp.example/core/assessor"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/gateway/internal/forwarder"
+	"godwitramp.example/shell/detector"
 	"godwitramp.example/shell/exchanger"
 )
 
@@ -84,6 +85,7 @@
 			attempt.verdict = assessor.ClassifyForwarded(assessor.Forwarded{
 				Status: attempt.forwarded.Status, FromTarget: attempt.forwarded.FromTarget, Abort: attempt.forwarded.Abort,
 				NotRun: attempt.forwarded.NotRun, Targets: attempt.forwarded.Targets,
+				Malformed: detector.CheckNames(attempt.forwarded.Header) != nil,
 			})
 		}
 	} else {
--- a/gateway/internal/dispatcher/invalid_status_test.go
+++ b/gateway/internal/dispatcher/invalid_status_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -20,9 +21,8 @@
 // invalidStatuses are those that net/http reads as a number but for the last three, and some between.
 var invalidStatuses = []string{"000", "099", "+20", "+99", "600", "999", "0200", "20", "2x0", "101"}
 
-// startInvalid returns a VM with two targets. The first request is answered with a status that no answer may have, all
-// others are answered well.
-func startInvalid(t *testing.T, status, fields string) (*vm, *atomic.Int32) {
+// startInvalid returns a VM with two targets. The first request is answered with the text, all others are answered well.
+func startInvalid(t *testing.T, answer string) (*vm, *atomic.Int32) {
 	vm, requests := start(t), &atomic.Int32{}
 	vm.SetTargets([]placer.Target{
 		{ID: "near", Service: "s", Address: "near:1", DataCentre: "d", Slots: 4},
@@ -37,8 +37,10 @@
 			}
 			_, _ = io.Copy(io.Discard, request.Body)
 			if requests.Add(1) == 1 {
-				_, _ = fmt.Fprintf(connection, "HTTP/1.1 %s X\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s",
-					status, fields, len(smuggled), smuggled)
+				_, _ = io.WriteString(connection, answer)
+				if !strings.Contains(answer, "\r\nContent-Length: ") {
+					return
+				}
 				continue
 			}
 			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\nContent-Length: 4\r\n\r\ngood")
@@ -47,29 +49,39 @@
 	return vm, requests
 }
 
+// testInvalid checks that an answer is no answer at all: a booking may have run and is sent once, and a read goes to another
+// target.
+func testInvalid(t *testing.T, name, answer string) {
+	t.Run(name+" POST", func(t *testing.T) {
+		is := is.New(t)
+		vm, requests := startInvalid(t, answer)
+		reply := vm.book()
+		t.Logf("%d %q, %d requests", reply.Status, reply.Body, requests.Load())
+		is.Equal(reply.Status, http.StatusBadGateway)
+		is.Equal(string(reply.Body), "{\"reason\":\"answer-malformed\"}\n")
+		is.Equal(requests.Load(), int32(1))
+		is.Equal(reply.Header.Get("Retry-After"), "")
+	})
+	t.Run(name+" GET", func(t *testing.T) {
+		is := is.New(t)
+		vm, requests := startInvalid(t, answer)
+		reply := vm.read()
+		t.Logf("%d %q, %d requests", reply.Status, reply.Body, requests.Load())
+		is.Equal(reply.Status, http.StatusOK)
+		is.Equal(string(reply.Body), "good")
+	})
+}
+
+// notRunFields maps what a name of a test says of an answer to its fields.
+var notRunFields = map[string]string{"": "", " that says not run": "X-Not-Executed: 1\r\nRetry-After: 1\r\n"}
+
 // The body of an answer with a status that isn't three digits from 100 to 599 was read as the next answer, and statuses
 // above 599 were passed on. Such an answer is no answer at all: a booking may have run, and a read goes to another target.
 func TestInvalidStatusIsPassedOn(t *testing.T) {
 	for _, status := range invalidStatuses {
-		for name, fields := range map[string]string{"": "", " that says not run": "X-Not-Executed: 1\r\nRetry-After: 1\r\n"} {
-			t.Run(status+name+" POST", func(t *testing.T) {
-				is := is.New(t)
-				vm, requests := startInvalid(t, status, fields)
-				reply := vm.book()
-				t.Logf("%d %q, %d requests", reply.Status, reply.Body, requests.Load())
-				is.Equal(reply.Status, http.StatusBadGateway)
-				is.Equal(string(reply.Body), "{\"reason\":\"answer-malformed\"}\n")
-				is.Equal(requests.Load(), int32(1))
-				is.Equal(reply.Header.Get("Retry-After"), "")
-			})
-			t.Run(status+name+" GET", func(t *testing.T) {
-				is := is.New(t)
-				vm, requests := startInvalid(t, status, fields)
-				reply := vm.read()
-				t.Logf("%d %q, %d requests", reply.Status, reply.Body, requests.Load())
-				is.Equal(reply.Status, http.StatusOK)
-				is.Equal(string(reply.Body), "good")
-			})
+		for name, fields := range notRunFields {
+			testInvalid(t, status+name, fmt.Sprintf("HTTP/1.1 %s X\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n%sContent-Length: %d\r\n\r\n%s",
+				status, fields, len(smuggled), smuggled))
 		}
 	}
 }
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"godwitramp.example/shell/detector"
 )
 
 // exchange is a request and its answer on one connection.
@@ -116,13 +118,13 @@
 		exchange.answered = true
 		exchange.traceFirstByte()
 		response, err := http.ReadResponse(connection.reader, exchange.call.Request)
-		if err == nil && !validStatus(response.Status) {
-			err = fmt.Errorf("status %q, must be three digits from 100 to 599", response.Status)
+		if err == nil {
+			err = detector.Check(response)
 		}
 		if err != nil {
 			exchange.malformed = !IsConnectionError(err)
-			if exchange.malformed {
-				err = fmt.Errorf("%w: %w", ErrMalformed, err)
+			if exchange.malformed && !errors.Is(err, detector.ErrMalformed) {
+				err = fmt.Errorf("%w: %w", detector.ErrMalformed, err)
 			}
 			return nil, fmt.Errorf("read head of the answer: %w", err)
 		}
@@ -152,19 +154,6 @@
 	return nil, errTooManyAnswers
 }
 
-// ErrMalformed is the error for an answer whose head violates HTTP. Neither it nor what follows on the connection has a
-// meaning.
-var ErrMalformed = errors.New("the answer is malformed")
-
-// validStatus reports whether the status is three digits from 100 to 599. net/http accepts any number of three
-// characters, and lets a body follow one below 100.
-func validStatus(status string) bool {
-	code, _, _ := strings.Cut(status, " ")
-	return len(code) == 3 && '1' <= code[0] && code[0] <= '5' && isDigit(code[1]) && isDigit(code[2])
-}
-
-func isDigit(char byte) bool { return '0' <= char && char <= '9' }
-
 // maxMismatchedBytes is the maximum size of the body of an answer to another
 // request. If the body is larger, the exchange fails.
 const maxMismatchedBytes = 256 << 10
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -34,6 +34,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"godwitramp.example/shell/detector"
 )
 
 const (
@@ -267,4 +269,4 @@
 
 // errUnexpectedUpgrade: header fields that ask for another protocol are never sent to an upstream, so that status 101
 // can't be meant for the request.
-var errUnexpectedUpgrade = fmt.Errorf("%w: status 101 without a request for another protocol", ErrMalformed)
+var errUnexpectedUpgrade = fmt.Errorf("%w: status 101 without a request for another protocol", detector.ErrMalformed)
