platform, prober, connector: broken heads of the store and of probes are no answers

A store in trouble that answered 000 or 600 counted as one that had not run the transaction, one whose 412 had a blank in a name as one with a conflict, and `Store-Era : 3` was read as an answer of the newest era. A target that answered probes of entry with such a head counted as healthy or as leaving.

Cause: these clients use net/http, which checks no status and lets blanks in names pass, as the exchanger did.

Change: detector.Transport, an http.Transport, makes answers that detector.Check rejects errors, and 101, which no request asks for. For the store that is no complete answer: the transaction may have been applied. A probe counts as failed. The store's connections are detector.Conns too; a part of its answer was an error before, as a part of its JSON never parses (handled already, TestPartOfAnAnswerIsBelieved). operator explain stays as it is: it reads the text alone.

--- a/entry/internal/prober/prober.go
+++ b/entry/internal/prober/prober.go
@@ -30,6 +30,7 @@
 	"godwitramp.example/core/ejector"
 	"godwitramp.example/core/router"
 	"godwitramp.example/core/watcher"
+	"godwitramp.example/shell/detector"
 	"godwitramp.example/shell/timer"
 )
 
@@ -80,7 +81,7 @@
 func (prober *Prober) Run(ctx context.Context) error {
 	if prober.HTTP == nil {
 		prober.HTTP = &http.Client{
-			Transport:     &http.Transport{DisableKeepAlives: true},
+			Transport:     detector.Transport{Transport: &http.Transport{DisableKeepAlives: true}},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
--- a/shell/connector/client.go
+++ b/shell/connector/client.go
@@ -27,7 +27,7 @@
 	Base string
 	// Timeout bounds each call. The default is 2 s.
 	Timeout time.Duration
-	// HTTP sends the requests. The default is like http.DefaultClient, but takes no part of an answer for whole.
+	// HTTP sends the requests. The default is like http.DefaultClient, but broken answers are errors.
 	HTTP *http.Client
 }
 
@@ -134,11 +134,11 @@
 
 var defaultHTTP = &http.Client{Transport: newTransport()}
 
-// newTransport returns http.DefaultTransport, but that an answer without a length whose connection is reset is an error.
-func newTransport() *http.Transport {
+// newTransport returns http.DefaultTransport, but that broken answers are errors.
+func newTransport() http.RoundTripper {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = detector.Dial(transport.DialContext)
-	return transport
+	return detector.Transport{Transport: transport}
 }
 
 // classify distinguishes a call whose connection could not be opened, which
--- a/shell/detector/conn.go
+++ b/shell/detector/conn.go
@@ -1,4 +1,5 @@
-// Package detector finds out which answers of an HTTP/1.1 server are broken, though net/http takes them for whole.
+// Package detector finds out which answers of an HTTP/1.1 server are broken, though net/http takes them for whole: those
+// whose head violates HTTP, and those whose connection did not end in order.
 //
 // The body of an answer without a length ends with its connection, and is whole only if the server ended its side in
 // order. The system reports the error that ended a connection once, to whichever of a write and a read asks first. If
@@ -7,7 +8,9 @@
 //
 // # Usage
 //
-//	transport := &http.Transport{DialContext: detector.Dial((&net.Dialer{}).DialContext)}
+//	client := &http.Client{Transport: detector.Transport{Transport: &http.Transport{
+//		DialContext: detector.Dial((&net.Dialer{}).DialContext),
+//	}}}
 package detector
 
 import (
--- a/shell/exchanger/exchange.go
+++ b/shell/exchanger/exchange.go
@@ -130,7 +130,7 @@
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			exchange.malformed = true
-			return nil, errUnexpectedUpgrade
+			return nil, detector.ErrUnexpectedUpgrade // header fields that ask for another protocol are never sent
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
--- a/shell/exchanger/exchanger.go
+++ b/shell/exchanger/exchanger.go
@@ -34,8 +34,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"godwitramp.example/shell/detector"
 )
 
 const (
@@ -266,7 +264,3 @@
 var errNotQuiet = errors.New("upstream has closed the connection, or sent bytes, before the request")
 
 var errTooManyAnswers = errors.New("too many interim (1xx) or mismatched answers")
-
-// errUnexpectedUpgrade: header fields that ask for another protocol are never sent to an upstream, so that status 101
-// can't be meant for the request.
-var errUnexpectedUpgrade = fmt.Errorf("%w: status 101 without a request for another protocol", detector.ErrMalformed)
