server: a caller of HTTP/1.0 sees that its answer is broken off

What callers saw: a target that ended its chunks without the last one, or whose trailer was malformed, made entry close the connection in the middle of the answer. To a caller of HTTP/1.1 the last chunk is missing. To one of HTTP/1.0 the answer has neither chunks nor a length and ends with the connection, so that the part looked whole.

Cause: the handler panics with http.ErrAbortHandler, and net/http closes the connection in order, as after a whole answer.

Change: if the forwarder panics, the connection of a caller of HTTP/1.0 is reset when it is closed, without waiting until the part is delivered.

Ruled out: to buffer answers for such callers, which have no bound; to hijack the connection, whose limits and count stand in the listener.

Whole answers to HTTP/1.0 end in order before and after.

--- a/entry/internal/server/listener.go
+++ b/entry/internal/server/listener.go
@@ -119,6 +119,8 @@
 	// been sent.
 	inHandler atomic.Bool
 	closed    atomic.Bool
+	// resetOnClose is true if the caller must see that its answer is cut.
+	resetOnClose atomic.Bool
 }
 
 // Write adds the outcome header to answers that net/http writes while no request is in
@@ -146,12 +148,18 @@
 	return n, err
 }
 
-// Close closes the connection once its caller has got all answers, and then stops counting it against the limit. It
-// returns at once.
+// Close closes the connection once its caller has got all answers, or at once if the last one is cut, and then stops
+// counting it against the limit. It returns at once.
 func (conn *callerConn) Close() error {
 	if conn.closed.Swap(true) {
 		return nil
 	}
+	if conn.resetOnClose.Load() {
+		if socket, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+			_ = socket.SetLinger(0)
+		}
+		return conn.end()
+	}
 	if lingerer.Undelivered(conn.Conn) == 0 {
 		return conn.end()
 	}
@@ -192,6 +200,13 @@
 	}
 }
 
+// resetOnClose makes closing the connection of a request reset it.
+func resetOnClose(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		conn.resetOnClose.Store(true)
+	}
+}
+
 // clearInHandlerWhenIdle records that an answer has been sent.
 func clearInHandlerWhenIdle(conn net.Conn, state http.ConnState) {
 	if conn, ok := conn.(*callerConn); ok && state == http.StateIdle {
--- a/entry/internal/server/server.go
+++ b/entry/internal/server/server.go
@@ -121,7 +121,20 @@
 	if request.Body != nil && request.ContentLength != 0 {
 		request.Body = http.MaxBytesReader(writer, request.Body, server.maxBodyBytes())
 	}
+	server.forward(writer, request, job)
+}
+
+// forward passes a request on. If it panics, the connection is closed in the middle of the answer, which a caller of
+// HTTP/1.0 can tell from the end of an answer without a length only by a reset.
+func (server *Server) forward(writer http.ResponseWriter, request *http.Request, job forwarder.Job) {
+	ended := false
+	defer func() {
+		if !ended && !request.ProtoAtLeast(1, 1) {
+			resetOnClose(request.Context())
+		}
+	}()
 	server.Forwarder.Forward(writer, request, job)
+	ended = true
 }
 
 func (server *Server) maxBodyBytes() int64 {
