--- a/shell/breaker/breaker.go
+++ b/shell/breaker/breaker.go
@@ -33,7 +33,7 @@
 	var handlers sync.WaitGroup
 	t.Cleanup(handlers.Wait)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
+	handlers.Go(func() {
 		for connection, err := listener.Accept(); err == nil; connection, err = listener.Accept() {
 			handlers.Go(func() {
 				defer func() { _ = connection.Close() }()
@@ -42,7 +42,7 @@
 				}
 			})
 		}
-	}()
+	})
 	return listener.Addr().String()
 }
 
--- a/shell/detector/conn.go
+++ b/shell/detector/conn.go
@@ -24,8 +24,8 @@
 	"time"
 )
 
-// Conn is a client's connection whose Read never returns io.EOF if an error has ended the connection. What is still
-// being written when the server ends its side is given up. One goroutine may read while another one writes.
+// Conn is a client's connection whose Read returns io.EOF only if the server has ended its side in order. What is still
+// being written then is given up. One goroutine may read while another one writes.
 type Conn struct {
 	net.Conn
 	// writing is held during a Write, and guards failure.
