review: a VM alone in its zone accepts a key that was taken away

Rule: CONFIG, no request runs that was sent later than Revocation after the acknowledgement of a configuration that took its key away, on any machine. Disruption: the store turns one of three VMs away while the key is taken away, and then comes back from a copy that is older than that. The operator writes its configuration again a second later. Seen: the VM reads the older version and accepts the key until then, 6 to 7 s after the acknowledgement: 7 to 11 bookings ran. The VMs of the other zones know the newer version, but their claims are dropped.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -25,6 +25,8 @@
 		os.Exit(crashing(root, record, trouble))
 	case "silent":
 		os.Exit(silent(root, record, trouble))
+	case "revoked":
+		os.Exit(revoked(root, record, trouble))
 	default:
 		fmt.Println("unknown case", name)
 		os.Exit(exitNotRun)
