review: a spoiled answer of HTTP/1.0 reaches callers as a whole body

Rule: MIXED, a success has the target's whole body. Disruption: six of ten targets spoil 3 in 100 of their answers for five seconds: HTTP/1.0 in the status line, and the body in chunks. Seen: all 5 to 12 spoiled answers reached callers as 200 with the signature, and with the chunks and their sizes as body.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,6 +27,8 @@
 		os.Exit(silent(root, record, trouble))
 	case "revoked":
 		os.Exit(revoked(root, record, trouble))
+	case "chunks":
+		os.Exit(chunks(root, record, trouble))
 	default:
 		fmt.Println("unknown case", name)
 		os.Exit(exitNotRun)
