--- a/review/standin-3/removed.go
+++ b/review/standin-3/removed.go
@@ -16,14 +16,21 @@
 	"godwitramp.example/platform/faker"
 )
 
-// The stage of "removed": 36 VMs in three zones. All but one of each zone are removed by planned work while the store is
-// away for some seconds. Later all processes are killed and start again.
+// The stage of "removed": 35 VMs in three zones. All but one of each zone are removed by planned work, two at a time, while the
+// store is away for some seconds, four times. Later all processes are killed and start again.
 const (
-	removedVMs     = 36
+	removedVMs     = 35
 	removedTargets = 12
-	outageTime     = 4500 * time.Millisecond
-	// stopsAfter is how long after the begin of the outage the VMs are stopped.
-	stopsAfter = 500 * time.Millisecond
+	// The store is away for outageTime, outages times, each outagePeriod after the one before.
+	outages      = 4
+	outageTime   = 4500 * time.Millisecond
+	outagePeriod = 6500 * time.Millisecond
+	// In each outage stopsAtOnce VMs are stopped stopSteps times, the first firstStop after its begin, the others stopGap
+	// after each other.
+	stopsAtOnce = 2
+	stopSteps   = 4
+	firstStop   = 200 * time.Millisecond
+	stopGap     = 1300 * time.Millisecond
 	// readsPause is the pause between reads: 20 a second of one organisation, whose rate is 32.
 	readsPause = 50 * time.Millisecond
 	ownRate    = 32
@@ -84,20 +91,29 @@
 	kept := stage.vms[:len(zoneNames)]
 	reads := &readCounter{record: stage.record}
 	reads.measure(kept, "with all VMs", measured/2)
-	if trouble {
-		away.Store(true)
-		stage.record.say("the store is away")
-	}
-	time.Sleep(stopsAfter)
-	for _, vm := range stage.vms[len(kept):] {
-		vm.signal(syscall.SIGTERM)
-	}
-	stage.record.say("SIGTERM to %d VMs, which are removed", len(stage.vms)-len(kept))
-	if time.Sleep(outageTime - stopsAfter); trouble {
-		away.Store(false)
-		stage.record.say("the store is back")
+	removed := stage.vms[len(kept):]
+	for outage := range outages {
+		begin := time.Now()
+		if trouble {
+			away.Store(true)
+			stage.record.say("the store is away")
+		}
+		for step := range stopSteps {
+			time.Sleep(time.Until(begin.Add(firstStop + time.Duration(step)*stopGap)))
+			first := (outage*stopSteps + step) * stopsAtOnce
+			for _, vm := range removed[first : first+stopsAtOnce] {
+				vm.signal(syscall.SIGTERM)
+				stage.record.say("SIGTERM to %s, which is removed", vm.name)
+			}
+		}
+		time.Sleep(time.Until(begin.Add(outageTime)))
+		if trouble {
+			away.Store(false)
+			stage.record.say("the store is back")
+		}
+		time.Sleep(time.Until(begin.Add(outagePeriod)))
 	}
-	for _, vm := range stage.vms[len(kept):] {
+	for _, vm := range removed {
 		select {
 		case <-vm.ended:
 		case <-time.After(3 * time.Second):
