tracker: the first answer of an era says how old the configuration was

After a restore of the store nothing told up to when a VM had known its configuration to be the newest before it took the copy for that, nor how old one was that is withheld.

Adds the line configuration-read-anew (version, era, era-before, age), and age to configuration-withheld. No change of what VMs do.

--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -30,6 +30,7 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/indexer"
+	"godwitramp.example/core/keeper"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/poller"
 	"godwitramp.example/core/verifier"
@@ -76,8 +77,9 @@
 	hasTargets atomic.Bool
 	// indexEra is the era of the store in which index was read first. It is set before index.
 	indexEra atomic.Uint64
-	// lastEra is the era in which it was read last, while a reading is applied.
-	lastEra uint64
+	// lastEra is the era in which it was read last, while a reading is applied, and configurationEra that of
+	// the last answer about its table.
+	lastEra, configurationEra uint64
 	// withholder decides whether index is older than what the store had confirmed before it
 	// was restored. withheldAsOf is the limit of AsOf while withheld is true.
 	withholderMutex sync.Mutex
@@ -256,14 +258,23 @@
 
 func (tracker *Tracker) handleConfiguration(reading platform.Reading, full bool, _ outage) {
 	asOf := tracker.AsOf()
+	era := tracker.configurationEra
+	tracker.configurationEra = reading.Era
 	// First the evacuations: with the configuration, the VM may begin to serve.
 	tracker.updateEvacuations(func(now time.Duration) bool { return tracker.evacuations.apply(reading, full, now) })
 	for _, row := range reading.Rows {
 		tracker.applyConfiguration(row, reading)
 	}
-	if index := tracker.index.Load(); index != nil {
-		tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordReading(index.Version, reading.Era, asOf) })
+	index := tracker.index.Load()
+	if index == nil {
+		return
+	}
+	if era != reading.Era && keeper.Restored(reading.Era) {
+		tracker.Log.WithFields(logrus.Fields{
+			"version": index.Version, "era": reading.Era, "era-before": era, "age": (tracker.Clock() - asOf).Round(time.Millisecond),
+		}).Info("configuration-read-anew")
 	}
+	tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordReading(index.Version, reading.Era, asOf) })
 }
 
 // updateEvacuations changes the evacuations and calls OnEvacuation if the evacuated data centres have changed.
@@ -280,13 +291,15 @@
 func (tracker *Tracker) updateWithheld(change func(*verifier.Withholder)) {
 	tracker.withholderMutex.Lock()
 	defer tracker.withholderMutex.Unlock()
-	before := tracker.withholder.Required()
+	before, age := tracker.withholder.Required(), tracker.Clock()-tracker.AsOf()
 	change(&tracker.withholder)
 	required := tracker.withholder.Required()
 	tracker.withheldAsOf.Store(int64(tracker.withholder.AsOf()))
 	tracker.withheld.Store(required > 0)
 	if required > before {
-		tracker.Log.WithFields(logrus.Fields{"version": tracker.index.Load().Version, "required": required}).Warn("configuration-withheld")
+		tracker.Log.WithFields(logrus.Fields{
+			"version": tracker.index.Load().Version, "required": required, "age": age.Round(time.Millisecond),
+		}).Warn("configuration-withheld")
 	}
 }
 
