tracker, verifier: a restored store's first reading doesn't make a configuration the newest

The VM knew version 5 to be the newest up to 0.5 s, and rightly refused keys from 5.2 s on. Its first answer of the new era held version 5 as well, and counted as knowledge up to that moment: configuration-read-anew age=6.796s, then keys are accepted. But the answer says only what the copy holds, not what was acknowledged and lost between 0.5 s and the restore. The two other VMs logged configuration-older in-force=6, and nothing of that reached it: claims stay within a data centre, and no VM asked. Ruled out: an order by the store's version (store-restored is logged, and the next write comes into force); the withholder (it holds as soon as it hears of version 6). That claims of other data centres are dropped is only half of it: a VM that hears nobody broke the rule as well.

A new era leaves the time up to which the configuration is known to be the newest where it is. The VM asks one VM of each other data centre, three times or until answered, what it has in force and how long ago that was known to be the newest. A newer one withholds the VM's own; knowledge that is later than its own becomes its own; once the answers suffice (verifier.Surveyor) or the operator has written again, readings count as before. Old VMs answer a hello without claims and don't know the age; a VM that was turned away goes on distrusting the copy beside them, one that has just started does so for a second.

Tests that failed before (with the survey taken out, or on the code before): TestVMThatWasTurnedAwayAcceptsAWithdrawnKeyOfTheCopy, ...ThatHearsNoOther..., TestDataCentreThatStartsFromTheCopyServesAWithdrawnKey, TestCopyOfAnotherVersionHidesAWithdrawnKey, TestTwoRestoresInARowHideAWithdrawnKey, TestLostAnswersHideAWithdrawnKey, TestSurveyBesideOlderVMs, and over sockets starter.TestVMAloneInItsDataCentreServesAWithdrawnKeyOfTheCopy (200 != 503). Against a mend that refuses good keys: TestGoodKeysAreRefusedAfterARestore and ...ByVMsThatStartAfterARestore (fail without the ages, or if a survey never ends), TestFleetServesAgainAfterALongOutageAndARestore, TestLostDataCentreHoldsUpNoOther.

--- /dev/null
+++ b/core/verifier/surveyor.go
@@ -0,0 +1,173 @@
+package verifier
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// surveyInterval is the wait after the first round of a survey. It doubles with each up to maxSurveyInterval.
+	surveyInterval    = 150 * time.Millisecond
+	maxSurveyInterval = 2 * time.Second
+	// minSurveyRounds is the number of rounds of each survey: the VMs that answer first may have missed what others know.
+	minSurveyRounds = 3
+	// surveyPatience is the time after which data centres that have not answered are no longer waited for. Two heartbeats
+	// of the VM's own group come within it.
+	surveyPatience = time.Second
+	// maxUnknownTime is the longest time between what the VM knew and its first reading of the era after which a survey
+	// may end early. A version that was acknowledged within it is told by others before its withdrawn keys must stop
+	// working, 5 s after.
+	maxUnknownTime = 4 * time.Second
+)
+
+// Surveyor decides when a VM may take the configuration that it reads in a new era of the store
+// for the newest.
+//
+// The reading says what the copy holds, but not what the store had acknowledged and lost: a VM
+// that the store turned away until then knows nothing of it. So the time up to which its
+// configuration is known to be the newest stays where it was until the VM has asked others. It
+// rises by what they know, as RecordAnswer's caller sees to, and without limit once one of these
+// holds:
+//
+//   - the operator has written a configuration since the first reading;
+//   - VMs of all other data centres have answered, and what is known reaches to shortly before
+//     the reading;
+//   - the patience has ended, and either the same is known and any VM has answered, or VMs of
+//     most data centres have, this VM's own included;
+//   - no other VM is known, and the same is known or the patience has ended.
+//
+// A VM that hears none of the others goes on distrusting the copy, as it can't know better.
+//
+// The zero value is ready to use. It isn't safe for concurrent use.
+type Surveyor struct {
+	begun, settled bool
+	era            uint64
+	// started is true if the VM had no configuration before this era.
+	started bool
+	// readAt is when the configuration was read first in the era, and version the store's then.
+	readAt  time.Duration
+	version uint64
+	// rounds is the number of rounds, firstAskedAt and askedAt are the times of the first and the
+	// last one, and asked is whom that went to.
+	rounds                int
+	firstAskedAt, askedAt time.Duration
+	asked                 Asked
+	// answered are the data centres of which VMs have answered, and mute those of VMs that can't
+	// say what they have in force.
+	answered, mute map[string]bool
+}
+
+// Asked says whom a VM has asked about configurations.
+type Asked struct {
+	// DataCentres is the number of other data centres.
+	DataCentres int
+	// Alone is true if no other VM is known, in any data centre.
+	Alone bool
+}
+
+// RecordReading records a reading of the configuration at a version of the store in an era. In
+// the first one of an era that began with a restore it begins a survey, and reports true.
+func (surveyor *Surveyor) RecordReading(era, version uint64, restored bool, now time.Duration) bool {
+	if surveyor.begun && era <= surveyor.era {
+		return false
+	}
+	*surveyor = Surveyor{begun: true, era: era, started: !surveyor.begun, settled: !restored, readAt: now, version: version}
+	return restored
+}
+
+// RecordWrite records that the store has a configuration that was written at a version of the
+// present era. The operator, who has written since the restore, knows what was lost.
+func (surveyor *Surveyor) RecordWrite(version uint64) {
+	surveyor.settled = surveyor.settled || surveyor.begun && version > surveyor.version
+}
+
+// RecordAsked records a round.
+func (surveyor *Surveyor) RecordAsked(asked Asked, now time.Duration) {
+	if surveyor.rounds == 0 {
+		surveyor.firstAskedAt = now
+	}
+	surveyor.rounds++
+	surveyor.askedAt, surveyor.asked = now, asked
+}
+
+// RecordAnswer records that a VM of a data centre, "" for this VM's own, has said which
+// configuration it has in force, or if mute is true, that it can't say so.
+func (surveyor *Surveyor) RecordAnswer(dataCentre string, mute bool) {
+	if surveyor.answered == nil {
+		surveyor.answered, surveyor.mute = make(map[string]bool), make(map[string]bool)
+	}
+	if mute {
+		surveyor.mute[dataCentre] = true
+	} else {
+		surveyor.answered[dataCentre] = true
+	}
+}
+
+// Due reports whether the next round is due.
+func (surveyor *Surveyor) Due(now time.Duration) bool {
+	if surveyor.rounds == 0 {
+		return surveyor.Surveying()
+	}
+	wait := min(maxSurveyInterval, surveyInterval<<min(surveyor.rounds-1, 8))
+	return surveyor.Surveying() && now-surveyor.askedAt >= wait
+}
+
+// Surveying reports whether more rounds are to come. Some follow after the configuration counts as
+// the newest, as a VM that knows better may not have been asked.
+func (surveyor *Surveyor) Surveying() bool {
+	return surveyor.begun && (!surveyor.settled || surveyor.rounds > 0 && surveyor.rounds < minSurveyRounds && !surveyor.asked.Alone)
+}
+
+// Settled reports whether readings of the era may count as up to date.
+func (surveyor *Surveyor) Settled() bool { return surveyor.settled }
+
+// Settle ends the survey if the answers suffice, given the time up to which the configuration is
+// known to be the newest, and reports whether it has.
+func (surveyor *Surveyor) Settle(asOf, now time.Duration) bool {
+	if !surveyor.begun || surveyor.settled || surveyor.rounds == 0 {
+		return false
+	}
+	surveyor.settled = surveyor.suffices(asOf >= surveyor.readAt-maxUnknownTime, now-surveyor.firstAskedAt >= surveyPatience)
+	return surveyor.settled
+}
+
+// suffices reports whether the answers suffice. Recent is true if the configuration was known to be
+// the newest shortly before the first reading, and late if the patience has ended.
+func (surveyor *Surveyor) suffices(recent, late bool) bool {
+	if surveyor.asked.Alone {
+		return recent || late
+	}
+	answered := surveyor.counted()
+	if len(answered) == 0 {
+		return false
+	}
+	others := otherDataCentres(answered)
+	if others >= surveyor.asked.DataCentres && recent {
+		return true
+	}
+	return late && (recent || 2*(others+1) > surveyor.asked.DataCentres+1)
+}
+
+// Answers returns of how many of the other data centres that were asked VMs have answered.
+func (surveyor *Surveyor) Answers() (answered, asked int) {
+	return otherDataCentres(surveyor.counted()), surveyor.asked.DataCentres
+}
+
+func otherDataCentres(answered map[string]bool) int {
+	if answered[""] {
+		return len(answered) - 1
+	}
+	return len(answered)
+}
+
+// counted returns the data centres whose answers count. A VM that has just started may find a
+// fleet of VMs that can't say, during an upgrade long after the restore: theirs count as well then.
+func (surveyor *Surveyor) counted() map[string]bool {
+	if !surveyor.started {
+		return surveyor.answered
+	}
+	counted := make(map[string]bool)
+	maps.Copy(counted, surveyor.mute)
+	maps.Copy(counted, surveyor.answered)
+	return counted
+}
--- a/core/verifier/withholder.go
+++ b/core/verifier/withholder.go
@@ -31,10 +31,10 @@
 	startedInEra bool
 	// peers are the newest versions in force on peers, by the era in which they were read.
 	peers map[uint64]uint64
-	// required is the version that the store has lost, 0 if none is known, and asOf the limit
-	// of AsOf.
-	required uint64
-	asOf     time.Duration
+	// required is the version that the store has lost, 0 if none is known, requiredEra the era in
+	// which a VM read it, and asOf the limit of AsOf.
+	required, requiredEra uint64
+	asOf                  time.Duration
 }
 
 // RecordReading records the version in force after the store was read in an era, and the time
@@ -88,7 +88,7 @@
 		if withholder.required == 0 || asOf < withholder.asOf {
 			withholder.asOf = asOf
 		}
-		withholder.required = version
+		withholder.required, withholder.requiredEra = version, era
 	}
 }
 
@@ -99,5 +99,14 @@
 // one may be used.
 func (withholder *Withholder) Required() uint64 { return withholder.required }
 
+// Newest returns the newest version that the VM knows of, given the one in force: that one, or the
+// one that is required.
+func (withholder *Withholder) Newest(inForce Origin) Origin {
+	if withholder.required > inForce.Version {
+		return Origin{Version: withholder.required, Era: withholder.requiredEra}
+	}
+	return inForce
+}
+
 // AsOf returns the time up to which the configuration that is withheld was the newest.
 func (withholder *Withholder) AsOf() time.Duration { return withholder.asOf }
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -142,6 +143,11 @@
 	sealedWith []byte
 }
 
+// isPlain reports whether the message says nothing, like an answer to a hello.
+func (message *message) isPlain() bool {
+	return !message.Hello && len(message.Events)+len(message.Claims)+len(message.Asks)+len(message.Grants) == 0
+}
+
 // The numbers of fields of the first version.
 const (
 	firstMessageFields = 9
@@ -272,19 +278,23 @@
 	Transferring bool
 	// Era is the era of the store to which Version and StoreTime belong, see erasPrefix.
 	Era uint64 `msgpack:"-"`
-	// InForce is the version of the configuration in force at the sender, and InForceEra the
-	// era in which it read that, in claims about its table.
-	InForce    uint64 `msgpack:"-"`
-	InForceEra uint64 `msgpack:"-"`
+	// InForce is the newest version of the configuration that the sender knows of, and InForceEra
+	// the era in which it was read, in claims about its table. KnownAgo is how long before the
+	// message it was known to be the newest, 0 if the sender doesn't say.
+	InForce    uint64        `msgpack:"-"`
+	InForceEra uint64        `msgpack:"-"`
+	KnownAgo   time.Duration `msgpack:"-"`
 	// ServedSince is the time on the store's clock since which it has answered the sender and its peers without an
 	// interruption, 0 if that isn't known.
 	ServedSince time.Duration `msgpack:"-"`
+	// DataCentre is set by the receiver if the sender is in another data centre.
+	DataCentre string `msgpack:"-"`
 }
 
 // erasPrefix and the name of a table are the table of an extra claim, which is sent along
 // with those of the message. It carries fields of the claim about that table: Era as Version,
-// InForce as After, ServedSince as StoreTime, and InForceEra as the Version of its only row, if it isn't 0. All versions
-// refuse claims with more fields, but ignore and relay claims about tables that they don't know.
+// InForce as After, ServedSince as StoreTime, InForceEra as the Version of its first row, if it isn't 0, and KnownAgo in
+// milliseconds as that of its second. All versions refuse claims with more fields, but ignore and relay claims about tables that they don't know.
 const erasPrefix = "//era/"
 
 // splitEras adds the extra claims.
@@ -297,6 +307,9 @@
 		extra := Claim{Table: erasPrefix + claim.Table, Version: claim.Era, After: claim.InForce, StoreTime: claim.ServedSince}
 		if claim.InForceEra > 0 {
 			extra.Rows = []Row{{Version: claim.InForceEra}}
+			if claim.KnownAgo > 0 {
+				extra.Rows = append(extra.Rows, Row{Version: ceilMilliseconds(claim.KnownAgo)})
+			}
 		}
 		sent = append(sent, extra)
 	}
@@ -320,10 +333,21 @@
 		if len(found.Rows) > 0 {
 			claims[i].InForceEra = found.Rows[0].Version
 		}
+		if len(found.Rows) > 1 {
+			claims[i].KnownAgo = time.Duration(min(found.Rows[1].Version, maxKnownAgo)) * time.Millisecond
+		}
 	}
 	return claims
 }
 
+// maxKnownAgo limits KnownAgo in milliseconds, so that it doesn't overflow.
+const maxKnownAgo = math.MaxInt64 / uint64(time.Millisecond)
+
+// ceilMilliseconds rounds up: what was known longer ago proves less.
+func ceilMilliseconds(duration time.Duration) uint64 {
+	return uint64((duration + time.Millisecond - 1) / time.Millisecond)
+}
+
 // Row is a changed or deleted row of the store.
 type Row struct {
 	Key     string
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -7,6 +7,9 @@
 // centres and regions is charged for. Lost events are not sent again, as an event is of
 // little use a moment later.
 //
+// Claims about the store are exchanged within a data centre. A VM of another one that asks, with
+// a hello, is told which configuration is in force, and how long ago that was the newest.
+//
 // # Usage
 //
 //	messenger := &messenger.Messenger{Self: self, Key: key, OnEvent: onEvent, Clock: clock, Log: log}
@@ -65,9 +68,12 @@
 	// OnEvent handles an event of another VM. It is called from one goroutine.
 	OnEvent func(from Peer, event Event)
 	// Claims, if set, returns the claims of this VM about the store, which heartbeats
-	// carry. OnClaim, if set, handles a claim of another VM of the data centre.
+	// carry. OnClaim, if set, handles a claim of another VM of the data centre, or what a VM of
+	// another one has in force.
 	Claims  func() []Claim
 	OnClaim func(claim Claim)
+	// InForce, if set, returns what VMs of other data centres are told that ask, false if there is nothing to tell.
+	InForce func() (Claim, bool)
 	// OnHeard, if set, is called for each message of another VM.
 	OnHeard func()
 	// Reminders, if set, returns events that the VM repeats until they lapse, as single ones may be
@@ -214,7 +220,11 @@
 	for _, event := range message.Events {
 		messenger.OnEvent(from, event)
 	}
-	if len(message.Claims) == 0 || messenger.OnClaim == nil || from.DataCentre != messenger.Self.DataCentre {
+	if from.DataCentre != messenger.Self.DataCentre {
+		messenger.handleInForce(message)
+		return
+	}
+	if len(message.Claims) == 0 || messenger.OnClaim == nil {
 		return
 	}
 	messenger.setStoreUnreachable(from.Name, message.StoreUnreachable)
@@ -231,6 +241,10 @@
 // before it serves whether the store has lost a configuration. Rows are handed out once, so
 // that they go to the whole group.
 func (messenger *Messenger) answerHello(from Peer) {
+	if from.DataCentre != messenger.Self.DataCentre {
+		messenger.sendInForce(from)
+		return
+	}
 	if !messenger.InGroup(from.Name) {
 		messenger.send(from.Address, messenger.newMessage(false, nil))
 		return
@@ -250,6 +264,35 @@
 	messenger.send(from.Address, message)
 }
 
+// sendInForce tells a VM of another data centre what this VM has in force.
+func (messenger *Messenger) sendInForce(to Peer) {
+	message := messenger.newMessage(false, nil)
+	if messenger.InForce != nil && messenger.StoreUnreachable != nil {
+		if claim, ok := messenger.InForce(); ok {
+			message.Claims, message.StoreUnreachable = []Claim{claim}, messenger.StoreUnreachable()
+			message.Era = messenger.restoredEra()
+		}
+	}
+	messenger.send(to.Address, message)
+}
+
+// handleInForce processes the answer of a VM of another data centre. Claims about the store are
+// exchanged within a data centre only. An answer without any is that of a VM that can't say what
+// it has in force, such as one of an earlier version.
+func (messenger *Messenger) handleInForce(message message) {
+	if messenger.OnClaim == nil {
+		return
+	}
+	for _, claim := range message.Claims {
+		messenger.OnClaim(Claim{
+			Table: claim.Table, DataCentre: message.DataCentre, InForce: claim.InForce, InForceEra: claim.InForceEra, KnownAgo: claim.KnownAgo,
+		})
+	}
+	if message.isPlain() {
+		messenger.OnClaim(Claim{DataCentre: message.DataCentre})
+	}
+}
+
 // sendHeartbeats sends heartbeats and detects silent peers until the context ends.
 func (messenger *Messenger) sendHeartbeats(ctx context.Context) {
 	ticker := time.NewTicker(heartbeat)
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -29,7 +29,7 @@
 	messenger := &messenger.Messenger{
 		Self: messenger.Peer{Name: settings.Name, DataCentre: settings.DataCentre, Address: settings.Messages},
 		Key:  members.Key, KeyEra: members.Era, StoreEra: starter.store.Era, Clock: timer.Now, Log: starter.Log,
-		OnEvent: starter.handleEvent, Claims: starter.claims, OnClaim: starter.handleClaim, OnHeard: starter.tracker.RecordContact, StoreUnreachable: starter.tracker.AnyTableUnreachable,
+		OnEvent: starter.handleEvent, Claims: starter.claims, InForce: starter.inForceClaim, OnClaim: starter.handleClaim, OnHeard: starter.tracker.RecordContact, StoreUnreachable: starter.tracker.AnyTableUnreachable,
 		Reminders:     starter.dispatcher.Reminders,
 		Offers:        starter.dispatcher.HedgeOffers,
 		OnGroupChange: starter.updateShare, Regions: settings.Regions,
@@ -140,10 +140,7 @@
 func (starter *Starter) claims() []messenger.Claim {
 	var claims []messenger.Claim
 	for _, own := range starter.tracker.Claims() {
-		claim := messenger.Claim{
-			Table: own.Table, Era: own.Era, Version: own.Version, StoreTime: own.StoreTime, After: own.After, AfterOutage: own.AfterOutage,
-			Transferring: own.Transferring, InForce: own.InForce.Version, InForceEra: own.InForce.Era, ServedSince: own.ServedSince,
-		}
+		claim := messageOf(own)
 		for _, row := range own.Rows {
 			claim.Rows = append(claim.Rows, messenger.Row{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 		}
@@ -152,11 +149,27 @@
 	return claims
 }
 
+// inForceClaim returns the tracker's claim as a message to VMs of other data centres.
+func (starter *Starter) inForceClaim() (messenger.Claim, bool) {
+	own, ok := starter.tracker.InForceClaim()
+	return messageOf(own), ok
+}
+
+// messageOf returns a claim without its rows as a message.
+func messageOf(own tracker.Claim) messenger.Claim {
+	return messenger.Claim{
+		Table: own.Table, Era: own.Era, Version: own.Version, StoreTime: own.StoreTime, After: own.After, AfterOutage: own.AfterOutage,
+		Transferring: own.Transferring, InForce: own.InForce.Version, InForceEra: own.InForce.Era, KnownAgo: own.KnownAgo,
+		ServedSince: own.ServedSince,
+	}
+}
+
 // handleClaim passes a claim of another VM to the tracker.
 func (starter *Starter) handleClaim(received messenger.Claim) {
 	claim := tracker.Claim{
 		Table: received.Table, Era: received.Era, Version: received.Version, StoreTime: received.StoreTime, After: received.After, AfterOutage: received.AfterOutage,
 		Transferring: received.Transferring, InForce: verifier.Origin{Version: received.InForce, Era: received.InForceEra}, ServedSince: received.ServedSince,
+		KnownAgo: received.KnownAgo, DataCentre: received.DataCentre,
 	}
 	for _, row := range received.Rows {
 		claim.Rows = append(claim.Rows, platform.Row{
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -6,6 +6,7 @@
 
 	"godwitramp.example/core/delegator"
 	"godwitramp.example/core/throttler"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/messenger"
 )
 
@@ -104,6 +105,16 @@
 	}
 }
 
+// AskFleet asks VMs of other data centres what they have in force. It reports false before the VM has joined.
+func (messages *messages) AskFleet() (verifier.Asked, bool) {
+	messenger := messages.messenger.Load()
+	if messenger == nil {
+		return verifier.Asked{}, false
+	}
+	dataCentres, alone := messenger.AskFleet()
+	return verifier.Asked{DataCentres: dataCentres, Alone: alone}, messenger.Introduced()
+}
+
 // Candidates returns VMs to which requests may be passed on, none before the VM has joined.
 func (messages *messages) Candidates() []delegator.Candidate {
 	if messenger := messages.messenger.Load(); messenger != nil {
--- a/gateway/internal/starter/restore_test.go
+++ b/gateway/internal/starter/restore_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,3 +137,35 @@
 	fleet.waitUntil("the VM serves", func() bool { return vm.ready() && vm.status(t, "other") == http.StatusOK })
 	is.Equal(vm.status(t, "key"), http.StatusUnauthorized)
 }
+
+// A VM that the store turned away until it came back from a copy must not accept a key that was withdrawn meanwhile,
+// though no VM of its data centre knows of that.
+func TestVMAloneInItsDataCentreServesAWithdrawnKeyOfTheCopy(t *testing.T) {
+	is := is.New(t)
+	fleet := start(t, 1)
+	var turnedAway atomic.Bool
+	store := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if turnedAway.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		fleet.store.ServeHTTP(writer, request)
+	}))
+	t.Cleanup(store.Close)
+	t.Cleanup(store.CloseClientConnections)
+	vm := fleet.launchIn("vm-1", "e", strings.TrimPrefix(store.URL, "http://"))
+	fleet.waitUntil("the VM serves", func() bool { return vm.ready() && vm.status(t, "key") == http.StatusOK })
+	snapshot := fleet.store.Snapshot()
+	turnedAway.Store(true)
+	store.CloseClientConnections()
+	fleet.configure(2, "other")
+	fleet.waitUntil("the withdrawn key is rejected", func() bool { return fleet.vms[0].status(t, "key") == http.StatusUnauthorized })
+	fleet.waitUntil("the VM's configuration is too old", func() bool { return vm.status(t, "key") == http.StatusServiceUnavailable })
+	fleet.store.Restore(snapshot)
+	turnedAway.Store(false)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		is.Equal(vm.status(t, "key"), http.StatusServiceUnavailable)
+	}
+	fleet.configure(2, "other")
+	fleet.waitUntil("the VM serves again", func() bool { return vm.status(t, "other") == http.StatusOK })
+	is.Equal(vm.status(t, "key"), http.StatusUnauthorized)
+}
--- a/gateway/internal/starter/starter_test.go
+++ b/gateway/internal/starter/starter_test.go
@@ -136,11 +136,14 @@
 }
 
 // launch starts a VM and returns at once.
-func (fleet *fleet) launch(name string) *vm {
+func (fleet *fleet) launch(name string) *vm { return fleet.launchIn(name, "d", fleet.address) }
+
+// launchIn starts a VM in a data centre that reaches the store by an address, and returns at once.
+func (fleet *fleet) launchIn(name, dataCentre, store string) *vm {
 	t := fleet.t
 	settings := loader.Settings{
-		Name: name, Region: "r", DataCentre: "d", Regions: map[string]string{"d": "r"},
-		Callers: freeAddress(), Readiness: freeAddress(), Operators: freeAddress(), Messages: freeAddress(), Store: fleet.address,
+		Name: name, Region: "r", DataCentre: dataCentre, Regions: map[string]string{"d": "r", "e": "r"},
+		Callers: freeAddress(), Readiness: freeAddress(), Operators: freeAddress(), Messages: freeAddress(), Store: store,
 		MemoryMB: 256, Descriptors: 1000, Propagation: 2 * time.Second, Leaving: 2 * time.Second,
 		Withdrawal: 5 * time.Second, StopGrace: 2 * time.Second, RetryRatio: 0.2, RetryExtra: 60, RetryWindow: 10 * time.Second,
 		RateWindow: 5 * time.Second, RateOvershoot: 0.1, RateTolerance: 20, BlockTime: time.Minute,
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -38,6 +38,9 @@
 	Rank() int
 	// SendClaims sends the tracker's Claims to the group.
 	SendClaims()
+	// AskFleet asks VMs of the other data centres for their InForceClaim. It reports false if the
+	// other VMs aren't known yet.
+	AskFleet() (verifier.Asked, bool)
 }
 
 // Claim states that, as of StoreTime on the store's clock, a table has not changed
@@ -49,9 +52,14 @@
 	Era       uint64
 	Version   uint64
 	StoreTime time.Duration
-	// InForce is the configuration in force at the sender, in claims about its table. It
-	// holds also if Era has ended.
-	InForce verifier.Origin
+	// DataCentre is that of the sender, "" for this VM's own. A VM of another one that can't say
+	// what it has in force sends a claim without a table.
+	DataCentre string
+	// InForce is the newest configuration that the sender knows of, in claims about its table:
+	// the one in force, or a newer one that the store has lost. It holds also if Era has ended.
+	// KnownAgo is how long ago it was known to be the newest, 0 if the sender doesn't say.
+	InForce  verifier.Origin
+	KnownAgo time.Duration
 	// Transferring is true while the sender receives a long answer. The others should
 	// call the store at once instead of waiting for its end.
 	Transferring bool
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -4,7 +4,8 @@
 //
 // The version of the configuration never falls, also if the store is restored from an older
 // copy. One of the same version with other contents replaces it only after a restore. If the
-// newest configuration can't be decoded or is invalid, the last good one stays in force.
+// newest configuration can't be decoded or is invalid, the last good one stays in force. After a
+// restore it counts as the newest only once other VMs have been asked, see verifier.Surveyor.
 //
 // # Usage
 //
@@ -30,7 +31,6 @@
 	"github.com/sirupsen/logrus"
 
 	"godwitramp.example/core/indexer"
-	"godwitramp.example/core/keeper"
 	"godwitramp.example/core/placer"
 	"godwitramp.example/core/poller"
 	"godwitramp.example/core/verifier"
@@ -77,15 +77,20 @@
 	hasTargets atomic.Bool
 	// indexEra is the era of the store in which index was read first. It is set before index.
 	indexEra atomic.Uint64
-	// lastEra is the era in which it was read last, while a reading is applied, and configurationEra that of
-	// the last answer about its table.
-	lastEra, configurationEra uint64
+	// lastEra is the era in which it was read last, while a reading is applied.
+	lastEra uint64
 	// withholder decides whether index is older than what the store had confirmed before it
 	// was restored. withheldAsOf is the limit of AsOf while withheld is true.
 	withholderMutex sync.Mutex
 	withholder      verifier.Withholder
 	withheld        atomic.Bool
 	withheldAsOf    atomic.Int64
+	// surveyor decides whether readings of a restored store may count as up to date. They don't
+	// while unconfirmed is true. surveyBegun has a value once a survey has begun.
+	surveyMutex sync.Mutex
+	surveyor    verifier.Surveyor
+	unconfirmed atomic.Bool
+	surveyBegun chan struct{}
 	// refused is true while the newest configuration is invalid.
 	refused atomic.Bool
 
@@ -106,6 +111,8 @@
 
 // Open prepares the tracker. It must be called before all other methods.
 func (tracker *Tracker) Open() {
+	tracker.asOf.Store(int64(-unknownAge))
+	tracker.surveyBegun = make(chan struct{}, 1)
 	tracker.targets = targets{log: tracker.Log}
 	tracker.evacuations = evacuations{log: tracker.Log, regions: tracker.Regions, inFlight: tracker.InFlight}
 	if tracker.Random == nil {
@@ -142,11 +149,11 @@
 	var claims []Claim
 	for _, follower := range tracker.followers {
 		claim, ok := follower.claim()
-		if index := tracker.index.Load(); index != nil && follower == tracker.configuration && claim.Era > 0 {
-			claim.InForce = verifier.Origin{Version: index.Version, Era: tracker.indexEra.Load()}
+		if inForce, known := tracker.InForceClaim(); known && follower == tracker.configuration && claim.Era > 0 {
 			if !ok { // only what is in force is known
-				claim, ok = Claim{Table: follower.table, InForce: claim.InForce}, true
+				claim, ok = inForce, true
 			}
+			claim.InForce, claim.KnownAgo = inForce.InForce, inForce.KnownAgo
 		}
 		if ok {
 			claims = append(claims, claim)
@@ -194,9 +201,7 @@
 // HandleClaim processes a claim of another VM of the group.
 func (tracker *Tracker) HandleClaim(claim Claim) {
 	tracker.RecordContact()
-	if claim.Table == platform.ConfigurationTable && claim.InForce.Version > 0 {
-		tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordPeer(claim.InForce) })
-	}
+	tracker.handleInForce(claim)
 	for _, follower := range tracker.followers {
 		if follower.table == claim.Table {
 			follower.handleClaim(claim)
@@ -211,6 +216,7 @@
 		group.Go(func() { follower.run(ctx) })
 	}
 	group.Go(func() { tracker.dropLapsed(ctx) })
+	group.Go(func() { tracker.runSurveys(ctx) })
 	group.Wait()
 	return nil
 }
@@ -258,23 +264,28 @@
 
 func (tracker *Tracker) handleConfiguration(reading platform.Reading, full bool, _ outage) {
 	asOf := tracker.AsOf()
-	era := tracker.configurationEra
-	tracker.configurationEra = reading.Era
+	begun := tracker.recordSurveyReading(reading)
 	// First the evacuations: with the configuration, the VM may begin to serve.
 	tracker.updateEvacuations(func(now time.Duration) bool { return tracker.evacuations.apply(reading, full, now) })
+	var written uint64
 	for _, row := range reading.Rows {
-		tracker.applyConfiguration(row, reading)
+		if tracker.applyConfiguration(row, reading) {
+			written = row.Version
+		}
 	}
 	index := tracker.index.Load()
 	if index == nil {
 		return
 	}
-	if era != reading.Era && keeper.Restored(reading.Era) {
+	if begun {
 		tracker.Log.WithFields(logrus.Fields{
-			"version": index.Version, "era": reading.Era, "era-before": era, "age": (tracker.Clock() - asOf).Round(time.Millisecond),
+			"version": index.Version, "era": reading.Era, "age": (tracker.Clock() - asOf).Round(time.Millisecond),
 		}).Info("configuration-read-anew")
 	}
 	tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordReading(index.Version, reading.Era, asOf) })
+	if written > 0 {
+		tracker.recordWrite(written)
+	}
 }
 
 // updateEvacuations changes the evacuations and calls OnEvacuation if the evacuated data centres have changed.
@@ -291,14 +302,14 @@
 func (tracker *Tracker) updateWithheld(change func(*verifier.Withholder)) {
 	tracker.withholderMutex.Lock()
 	defer tracker.withholderMutex.Unlock()
-	before, age := tracker.withholder.Required(), tracker.Clock()-tracker.AsOf()
+	before, asOf := tracker.withholder.Required(), tracker.AsOf()
 	change(&tracker.withholder)
 	required := tracker.withholder.Required()
 	tracker.withheldAsOf.Store(int64(tracker.withholder.AsOf()))
 	tracker.withheld.Store(required > 0)
 	if required > before {
 		tracker.Log.WithFields(logrus.Fields{
-			"version": tracker.index.Load().Version, "required": required, "age": age.Round(time.Millisecond),
+			"version": tracker.index.Load().Version, "required": required, "age": (tracker.Clock() - asOf).Round(time.Millisecond),
 		}).Warn("configuration-withheld")
 	}
 }
@@ -310,9 +321,18 @@
 }
 
 // advanceAsOf records that the configuration is up to date as of the given time. While
-// the newest configuration is invalid or was lost by the store, the time doesn't advance,
-// because keys may have been withdrawn in it.
+// the newest configuration is invalid or was lost by the store, or may have been, the time
+// doesn't advance, because keys may have been withdrawn in it.
 func (tracker *Tracker) advanceAsOf(asOf time.Duration) {
+	if tracker.unconfirmed.Load() {
+		tracker.notifyComplete()
+		return
+	}
+	tracker.raiseAsOf(asOf)
+}
+
+// raiseAsOf does the same by what other VMs know.
+func (tracker *Tracker) raiseAsOf(asOf time.Duration) {
 	if tracker.refused.Load() || tracker.withheld.Load() {
 		return
 	}
@@ -325,11 +345,12 @@
 }
 
 // applyConfiguration puts the configuration in a row in force, unless it is invalid or
-// older than the present one. Other rows don't clear refused.
-func (tracker *Tracker) applyConfiguration(row platform.Row, reading platform.Reading) {
+// older than the present one, and reports whether it is in force then. Other rows don't clear
+// refused.
+func (tracker *Tracker) applyConfiguration(row platform.Row, reading platform.Reading) bool {
 	configuration, found, err := platform.Configuration(row)
 	if !found {
-		return
+		return false
 	}
 	var index *indexer.Index
 	if err == nil {
@@ -341,14 +362,14 @@
 	if err != nil {
 		tracker.refused.Store(true)
 		tracker.Log.WithError(err).WithField("entry-version", row.Version).Error("configuration-invalid")
-		return
+		return false
 	}
 	current := tracker.index.Load()
 	if current != nil && index.Version < current.Version {
 		tracker.Log.WithFields(logrus.Fields{
 			"version": index.Version, "in-force": current.Version, "entry-version": row.Version,
 		}).Warn("configuration-older")
-		return
+		return false
 	}
 	tracker.refused.Store(false)
 	restored := reading.Era > tracker.lastEra
@@ -356,7 +377,7 @@
 	if current != nil && index.Version == current.Version {
 		// After a restore the operator may have given the version out again.
 		if !restored || reflect.DeepEqual(index.Configuration, current.Configuration) {
-			return
+			return true
 		}
 		tracker.Log.WithFields(logrus.Fields{"version": index.Version, "entry-version": row.Version}).Warn("configuration-replaced")
 	}
@@ -368,6 +389,7 @@
 		"age": (tracker.Clock() - reading.AsOf).Round(time.Millisecond),
 	}).Info("configuration-in-force")
 	tracker.OnConfiguration(index)
+	return true
 }
 
 func (tracker *Tracker) handleTargets(reading platform.Reading, full bool, outage outage) {
--- a/gateway/internal/tracker/tracker_test.go
+++ b/gateway/internal/tracker/tracker_test.go
@@ -17,6 +17,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/tracker"
 	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
@@ -32,6 +33,9 @@
 
 func (group *group) Rank() int { return group.rank }
 
+// AskFleet reports that no other VM is known, as those of the group are no VMs of the fleet's data centres.
+func (group *group) AskFleet() (verifier.Asked, bool) { return verifier.Asked{Alone: true}, true }
+
 func (group *group) SendClaims() {
 	sender := group.tracker.Load()
 	if group.peer == nil || sender == nil {
--- a/gateway/internal/tracker/transfer_test.go
+++ b/gateway/internal/tracker/transfer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,6 +18,7 @@
 
 	"godwitramp.example/core/indexer"
 	"godwitramp.example/core/placer"
+	"godwitramp.example/core/verifier"
 	"godwitramp.example/gateway/internal/tracker"
 	"godwitramp.example/platform"
 	"godwitramp.example/platform/faker"
@@ -24,7 +27,7 @@
 // fleetMaxStaleness is the time within which a change must be in force on all VMs.
 const fleetMaxStaleness = 3 * time.Second
 
-// fleet is a group of VMs, each with its own link to the store.
+// fleet is a group of VMs, or one in each data centre, each with its own link to the store.
 type fleet struct {
 	t         *testing.T
 	store     *faker.Store
@@ -36,7 +39,10 @@
 	running   sync.WaitGroup
 	// dropClaims makes the network lose all claims.
 	dropClaims atomic.Bool
-	// older makes the VMs' claims those of a version that doesn't tell since when the store has answered.
+	// dataCentres maps the rank of a VM to its data centre, "" by default. Set before these start.
+	dataCentres map[int]string
+	// older makes the VMs' claims those of a version that tells neither since when the store has answered nor since when
+	// the configuration was known.
 	older atomic.Bool
 }
 
@@ -47,6 +53,9 @@
 	rank  int
 	link  *faker.Link
 	stop  context.CancelFunc
+	// turnedAway is true while the store resets the VM's connections, which are those in connections.
+	turnedAway  atomic.Bool
+	connections []net.Conn
 	// down is true while the VM neither sends nor receives claims.
 	down atomic.Bool
 	// inForce maps each version to the time when it came into force.
@@ -57,8 +66,16 @@
 	targets                     []placer.Target
 }
 
-// Rank is constant: peers need time to notice that a VM has gone.
-func (member *member) Rank() int { return member.rank }
+// Rank is that in the data centre. It is constant: peers need time to notice that a VM has gone.
+func (member *member) Rank() int {
+	rank := member.rank
+	for before := range member.rank {
+		if member.fleet.dataCentreOf(before) != member.dataCentre() {
+			rank--
+		}
+	}
+	return rank
+}
 
 // SendClaims delivers the VM's claims to all others after a millisecond.
 func (member *member) SendClaims() {
@@ -68,7 +85,7 @@
 	claims := member.Claims()
 	for i := range claims {
 		if member.fleet.older.Load() {
-			claims[i].ServedSince = 0
+			claims[i].ServedSince, claims[i].KnownAgo = 0, 0
 		}
 	}
 	dropped := member.fleet.dropClaims.Load()
@@ -76,7 +93,7 @@
 		time.Sleep(time.Millisecond)
 		for _, other := range member.fleet.members() {
 			for _, claim := range claims {
-				if other != member && !other.down.Load() && !dropped {
+				if other != member && other.dataCentre() == member.dataCentre() && !other.down.Load() && !dropped {
 					other.HandleClaim(claim)
 				}
 			}
@@ -84,6 +101,45 @@
 	})
 }
 
+func (member *member) dataCentre() string { return member.fleet.dataCentreOf(member.rank) }
+
+func (fleet *fleet) dataCentreOf(rank int) string {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.dataCentres[rank]
+}
+
+// AskFleet asks a VM of each other data centre, which answers after 16 ms if both are up.
+func (member *member) AskFleet() (verifier.Asked, bool) {
+	others := member.fleet.outside(member.dataCentre())
+	for _, other := range others {
+		member.fleet.running.Go(func() {
+			time.Sleep(16 * time.Millisecond)
+			if member.down.Load() || other.down.Load() || member.fleet.dropClaims.Load() {
+				return
+			}
+			claim, ok := other.InForceClaim()
+			if !ok || member.fleet.older.Load() {
+				claim = tracker.Claim{} // an older VM answers, but doesn't tell
+			}
+			claim.DataCentre = other.dataCentre()
+			member.HandleClaim(claim)
+		})
+	}
+	return verifier.Asked{DataCentres: len(others), Alone: len(member.fleet.members()) == 1}, true
+}
+
+// outside returns a VM of each data centre but the given one.
+func (fleet *fleet) outside(dataCentre string) map[string]*member {
+	found := make(map[string]*member)
+	for _, member := range fleet.members() {
+		if other := member.dataCentre(); other != dataCentre {
+			found[other] = member
+		}
+	}
+	return found
+}
+
 func (member *member) recordInForce(index *indexer.Index) {
 	member.mutex.Lock()
 	defer member.mutex.Unlock()
@@ -124,7 +180,7 @@
 	log.SetOutput(io.Discard)
 	clock := func() time.Duration { return time.Since(fleet.startTime) }
 	member := &member{fleet: fleet, rank: rank, link: fleet.network.Link(bytesPerSecond), inForce: make(map[uint64]time.Time)}
-	store := &platform.Store{Address: "store", Clock: clock, Dial: member.link.Dial}
+	store := &platform.Store{Address: "store", Clock: clock, Dial: member.dial}
 	member.Tracker = &tracker.Tracker{
 		Store: store, Group: member, Clock: clock, Random: func() float64 { return 1 }, MaxConfigurationStaleness: fleetMaxStaleness, MaxTargetStaleness: fleetMaxStaleness,
 		Log: logrus.NewEntry(log), OnConfiguration: member.recordInForce, OnTargets: member.setTargets,
@@ -152,6 +208,34 @@
 	})
 }
 
+var errTurnedAway = errors.New("connection reset")
+
+// dial connects the VM to the store, unless it is turned away.
+func (member *member) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if member.turnedAway.Load() {
+		return nil, errTurnedAway
+	}
+	connection, err := member.link.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	member.mutex.Lock()
+	defer member.mutex.Unlock()
+	member.connections = append(member.connections, connection)
+	return connection, nil
+}
+
+// turnAway resets the VM's connections to the store, and new ones until turnedAway is false.
+func (member *member) turnAway() {
+	member.turnedAway.Store(true)
+	member.mutex.Lock()
+	defer member.mutex.Unlock()
+	for _, connection := range member.connections {
+		_ = connection.Close()
+	}
+	member.connections = nil
+}
+
 // members returns the VMs that were started.
 func (fleet *fleet) members() []*member {
 	fleet.mutex.Lock()
