messenger: the age of a configuration is told in answers to questions only

One that lies in the socket while a VM is suspended, or waits at a slow link, would date the configuration by as much too late, and a full socket drops the newest ones: the VM could accept a withdrawn key by a stale word. An answer of another data centre from before the survey would count for it as well.

A question carries the time of its sender, which comes back in the answer; the age counts from there, and answers to earlier questions don't count. A VM of the group is asked too, as there may be no other data centre.

--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -7,7 +7,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -279,22 +278,26 @@
 	// Era is the era of the store to which Version and StoreTime belong, see erasPrefix.
 	Era uint64 `msgpack:"-"`
 	// InForce is the newest version of the configuration that the sender knows of, and InForceEra
-	// the era in which it was read, in claims about its table. KnownAgo is how long before the
-	// message it was known to be the newest, 0 if the sender doesn't say.
-	InForce    uint64        `msgpack:"-"`
-	InForceEra uint64        `msgpack:"-"`
-	KnownAgo   time.Duration `msgpack:"-"`
+	// the era in which it was read, in claims about its table.
+	InForce    uint64 `msgpack:"-"`
+	InForceEra uint64 `msgpack:"-"`
 	// ServedSince is the time on the store's clock since which it has answered the sender and its peers without an
 	// interruption, 0 if that isn't known.
 	ServedSince time.Duration `msgpack:"-"`
-	// DataCentre is set by the receiver if the sender is in another data centre.
-	DataCentre string `msgpack:"-"`
+	// KnownAsOf is the time up to which InForce is known to have been the newest, on the clock of
+	// the VM that has the claim, 0 if that isn't known. It is told in answers to a survey only, see
+	// surveyTable: a datagram may be read long after it was sent.
+	KnownAsOf time.Duration `msgpack:"-"`
+	// AskedAt is when this VM asked for the claim, 0 if it didn't, and DataCentre that of the sender
+	// if it isn't this VM's. Both are set by the receiver.
+	AskedAt    time.Duration `msgpack:"-"`
+	DataCentre string        `msgpack:"-"`
 }
 
 // erasPrefix and the name of a table are the table of an extra claim, which is sent along
 // with those of the message. It carries fields of the claim about that table: Era as Version,
-// InForce as After, ServedSince as StoreTime, InForceEra as the Version of its first row, if it isn't 0, and KnownAgo in
-// milliseconds as that of its second. All versions refuse claims with more fields, but ignore and relay claims about tables that they don't know.
+// InForce as After, ServedSince as StoreTime, and InForceEra as the Version of its only row, if it isn't 0. All versions
+// refuse claims with more fields, but ignore and relay claims about tables that they don't know.
 const erasPrefix = "//era/"
 
 // splitEras adds the extra claims.
@@ -307,9 +310,6 @@
 		extra := Claim{Table: erasPrefix + claim.Table, Version: claim.Era, After: claim.InForce, StoreTime: claim.ServedSince}
 		if claim.InForceEra > 0 {
 			extra.Rows = []Row{{Version: claim.InForceEra}}
-			if claim.KnownAgo > 0 {
-				extra.Rows = append(extra.Rows, Row{Version: ceilMilliseconds(claim.KnownAgo)})
-			}
 		}
 		sent = append(sent, extra)
 	}
@@ -333,21 +333,10 @@
 		if len(found.Rows) > 0 {
 			claims[i].InForceEra = found.Rows[0].Version
 		}
-		if len(found.Rows) > 1 {
-			claims[i].KnownAgo = time.Duration(min(found.Rows[1].Version, maxKnownAgo)) * time.Millisecond
-		}
 	}
 	return claims
 }
 
-// maxKnownAgo limits KnownAgo in milliseconds, so that it doesn't overflow.
-const maxKnownAgo = math.MaxInt64 / uint64(time.Millisecond)
-
-// ceilMilliseconds rounds up: what was known longer ago proves less.
-func ceilMilliseconds(duration time.Duration) uint64 {
-	return uint64((duration + time.Millisecond - 1) / time.Millisecond)
-}
-
 // Row is a changed or deleted row of the store.
 type Row struct {
 	Key     string
--- a/gateway/internal/messenger/messenger.go
+++ b/gateway/internal/messenger/messenger.go
@@ -7,8 +7,8 @@
 // centres and regions is charged for. Lost events are not sent again, as an event is of
 // little use a moment later.
 //
-// Claims about the store are exchanged within a data centre. A VM of another one that asks, with
-// a hello, is told which configuration is in force, and how long ago that was the newest.
+// Claims about the store are exchanged within a data centre. In a survey, VMs of all data centres
+// are asked which configuration they have in force.
 //
 // # Usage
 //
@@ -72,7 +72,7 @@
 	// another one has in force.
 	Claims  func() []Claim
 	OnClaim func(claim Claim)
-	// InForce, if set, returns what VMs of other data centres are told that ask, false if there is nothing to tell.
+	// InForce, if set, returns what this VM has in force, false if there is nothing to tell. It answers surveys.
 	InForce func() (Claim, bool)
 	// OnHeard, if set, is called for each message of another VM.
 	OnHeard func()
@@ -83,7 +83,7 @@
 	// heartbeat.
 	Offers func() []Offer
 	// StoreUnreachable reports whether the store does not answer this VM. It must be set
-	// if Claims is.
+	// if Claims or InForce is.
 	StoreUnreachable func() bool
 	// StoreEra, if set, returns the newest era of the store that its answers have named.
 	StoreEra func() uint64
@@ -214,14 +214,21 @@
 	}
 	messenger.handleAsks(from.Address, message.Asks)
 	messenger.handleGrants(from.Name, message.Grants)
-	if message.Hello {
+	survey, claims := takeSurvey(message.Claims)
+	message.Claims = claims
+	switch {
+	case survey != nil && message.Hello:
+		messenger.answerSurvey(from, *survey)
+	case survey != nil:
+		messenger.completeAnswer(*survey, message.Claims)
+	case message.Hello:
 		messenger.answerHello(from)
 	}
 	for _, event := range message.Events {
 		messenger.OnEvent(from, event)
 	}
 	if from.DataCentre != messenger.Self.DataCentre {
-		messenger.handleInForce(message)
+		messenger.handleFarClaims(message)
 		return
 	}
 	if len(message.Claims) == 0 || messenger.OnClaim == nil {
@@ -241,10 +248,6 @@
 // before it serves whether the store has lost a configuration. Rows are handed out once, so
 // that they go to the whole group.
 func (messenger *Messenger) answerHello(from Peer) {
-	if from.DataCentre != messenger.Self.DataCentre {
-		messenger.sendInForce(from)
-		return
-	}
 	if !messenger.InGroup(from.Name) {
 		messenger.send(from.Address, messenger.newMessage(false, nil))
 		return
@@ -264,35 +267,6 @@
 	messenger.send(from.Address, message)
 }
 
-// sendInForce tells a VM of another data centre what this VM has in force.
-func (messenger *Messenger) sendInForce(to Peer) {
-	message := messenger.newMessage(false, nil)
-	if messenger.InForce != nil && messenger.StoreUnreachable != nil {
-		if claim, ok := messenger.InForce(); ok {
-			message.Claims, message.StoreUnreachable = []Claim{claim}, messenger.StoreUnreachable()
-			message.Era = messenger.restoredEra()
-		}
-	}
-	messenger.send(to.Address, message)
-}
-
-// handleInForce processes the answer of a VM of another data centre. Claims about the store are
-// exchanged within a data centre only. An answer without any is that of a VM that can't say what
-// it has in force, such as one of an earlier version.
-func (messenger *Messenger) handleInForce(message message) {
-	if messenger.OnClaim == nil {
-		return
-	}
-	for _, claim := range message.Claims {
-		messenger.OnClaim(Claim{
-			Table: claim.Table, DataCentre: message.DataCentre, InForce: claim.InForce, InForceEra: claim.InForceEra, KnownAgo: claim.KnownAgo,
-		})
-	}
-	if message.isPlain() {
-		messenger.OnClaim(Claim{DataCentre: message.DataCentre})
-	}
-}
-
 // sendHeartbeats sends heartbeats and detects silent peers until the context ends.
 func (messenger *Messenger) sendHeartbeats(ctx context.Context) {
 	ticker := time.NewTicker(heartbeat)
--- a/gateway/internal/messenger/peers.go
+++ b/gateway/internal/messenger/peers.go
@@ -373,16 +373,6 @@
 	return relays
 }
 
-// AskFleet asks a random VM of each other data centre what it has in force. It returns how many
-// data centres these are, and whether this VM knows no other at all.
-func (messenger *Messenger) AskFleet() (dataCentres int, alone bool) {
-	messenger.mutex.Lock()
-	dataCentres, alone = len(messenger.contacts), len(messenger.contacts)+len(messenger.peers) == 0
-	messenger.mutex.Unlock()
-	messenger.sendAll(messenger.contactAddresses(), messenger.newMessage(true, nil))
-	return dataCentres, alone
-}
-
 // contactAddresses returns the address of one random VM of each other data centre.
 func (messenger *Messenger) contactAddresses() []netip.AddrPort {
 	messenger.mutex.Lock()
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -105,14 +105,14 @@
 	}
 }
 
-// AskFleet asks VMs of other data centres what they have in force. It reports false before the VM has joined.
+// AskFleet asks other VMs what they have in force. It reports false before the VM has joined.
 func (messages *messages) AskFleet() (verifier.Asked, bool) {
 	messenger := messages.messenger.Load()
-	if messenger == nil {
+	if messenger == nil || !messenger.Introduced() {
 		return verifier.Asked{}, false
 	}
 	dataCentres, alone := messenger.AskFleet()
-	return verifier.Asked{DataCentres: dataCentres, Alone: alone}, messenger.Introduced()
+	return verifier.Asked{DataCentres: dataCentres, Alone: alone}, true
 }
 
 // Candidates returns VMs to which requests may be passed on, none before the VM has joined.
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -38,8 +38,8 @@
 	Rank() int
 	// SendClaims sends the tracker's Claims to the group.
 	SendClaims()
-	// AskFleet asks VMs of the other data centres for their InForceClaim. It reports false if the
-	// other VMs aren't known yet.
+	// AskFleet asks VMs of the group and of each other data centre for their InForceClaim. It reports
+	// false if the other VMs aren't known yet.
 	AskFleet() (verifier.Asked, bool)
 }
 
@@ -57,9 +57,10 @@
 	DataCentre string
 	// InForce is the newest configuration that the sender knows of, in claims about its table:
 	// the one in force, or a newer one that the store has lost. It holds also if Era has ended.
-	// KnownAgo is how long ago it was known to be the newest, 0 if the sender doesn't say.
-	InForce  verifier.Origin
-	KnownAgo time.Duration
+	// KnownAsOf is the time of this VM's Clock up to which it was known to be the newest, 0 if the
+	// sender doesn't say, and AskedAt when this VM asked for the claim, 0 if it didn't.
+	InForce            verifier.Origin
+	KnownAsOf, AskedAt time.Duration
 	// Transferring is true while the sender receives a long answer. The others should
 	// call the store at once instead of waiting for its end.
 	Transferring bool
--- a/gateway/internal/tracker/survey.go
+++ b/gateway/internal/tracker/survey.go
@@ -104,7 +104,7 @@
 // InForceClaim returns a claim that says only which configuration is in force, as far as this VM
 // knows, and false if there is none.
 func (tracker *Tracker) InForceClaim() (Claim, bool) {
-	knownAgo := tracker.Clock() - tracker.AsOf() // before the version: a newer one may come into force meanwhile
+	asOf := tracker.AsOf() // before the version: a newer one may come into force meanwhile
 	index := tracker.index.Load()
 	if index == nil {
 		return Claim{}, false
@@ -115,7 +115,7 @@
 	tracker.withholderMutex.Unlock()
 	claim := Claim{Table: platform.ConfigurationTable, InForce: newest}
 	if newest == own {
-		claim.KnownAgo = knownAgo
+		claim.KnownAsOf = asOf
 	}
 	return claim, true
 }
@@ -131,14 +131,14 @@
 		tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordPeer(claim.InForce) })
 	}
 	tracker.surveyMutex.Lock()
-	tracker.surveyor.RecordAnswer(claim.DataCentre, mute)
+	tracker.surveyor.RecordAnswer(claim.DataCentre, claim.AskedAt, mute)
 	tracker.surveyMutex.Unlock()
 	index := tracker.index.Load()
 	if !tracker.unconfirmed.Load() || index == nil {
 		return
 	}
-	if claim.KnownAgo > 0 && claim.InForce.Version <= index.Version {
-		tracker.raiseAsOf(tracker.Clock() - claim.KnownAgo)
+	if claim.KnownAsOf != 0 && claim.InForce.Version <= index.Version {
+		tracker.raiseAsOf(claim.KnownAsOf)
 	}
 	tracker.settle()
 }
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -153,7 +153,7 @@
 			if !ok { // only what is in force is known
 				claim, ok = inForce, true
 			}
-			claim.InForce, claim.KnownAgo = inForce.InForce, inForce.KnownAgo
+			claim.InForce = inForce.InForce
 		}
 		if ok {
 			claims = append(claims, claim)
