--- a/gateway/internal/tracker/survey.go
+++ b/gateway/internal/tracker/survey.go
@@ -50,17 +50,18 @@
 // settle lets the configuration count as the newest if the answers of other VMs suffice.
 func (tracker *Tracker) settle() {
 	tracker.surveyMutex.Lock()
-	asOf, now := tracker.AsOf(), tracker.Clock()
-	settled := tracker.surveyor.Settle(asOf, now)
+	settled := tracker.surveyor.Settle(tracker.AsOf(), tracker.Clock())
+	if settled {
+		tracker.unconfirmed.Store(false)
+	}
 	tracker.surveyMutex.Unlock()
 	if settled {
-		tracker.confirm("survey")
+		tracker.finishSurvey("survey")
 	}
 }
 
-// confirm ends the time in which readings of the restored store don't count.
-func (tracker *Tracker) confirm(by string) {
-	tracker.unconfirmed.Store(false)
+// finishSurvey logs that readings of the restored store count from now on, and takes in the newest.
+func (tracker *Tracker) finishSurvey(by string) {
 	tracker.surveyMutex.Lock()
 	answered, asked := tracker.surveyor.Answers()
 	tracker.surveyMutex.Unlock()
@@ -94,10 +95,13 @@
 	tracker.surveyMutex.Lock()
 	before := tracker.surveyor.Settled()
 	tracker.surveyor.RecordWrite(version)
-	settled := tracker.surveyor.Settled()
+	settled := tracker.surveyor.Settled() && !before
+	if settled {
+		tracker.unconfirmed.Store(false)
+	}
 	tracker.surveyMutex.Unlock()
-	if settled && !before {
-		tracker.confirm("operator")
+	if settled {
+		tracker.finishSurvey("operator")
 	}
 }
 
--- a/gateway/internal/tracker/survey_test.go
+++ b/gateway/internal/tracker/survey_test.go
@@ -268,3 +268,14 @@
 		checkTrust(0, fleet.members()...)
 	})
 }
+
+// The last VM of a fleet must not refuse keys for good after a restore: the others, which it still knows, can't answer.
+func TestLastVMOfAFleetServesAgainAfterARestore(t *testing.T) {
+	runDataCentres(t, 1, func(fleet *fleet) {
+		fleet.kill(1)
+		fleet.kill(2)
+		time.Sleep(5 * time.Second)
+		restoreFor(fleet, fleet.store.Snapshot())
+		checkTrust(time.Minute, fleet.members()[0])
+	})
+}
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -86,7 +86,8 @@
 	withheld        atomic.Bool
 	withheldAsOf    atomic.Int64
 	// surveyor decides whether readings of a restored store may count as up to date. They don't
-	// while unconfirmed is true. surveyBegun has a value once a survey has begun.
+	// while unconfirmed is true, which is changed with surveyMutex held. surveyBegun has a value
+	// once a survey has begun.
 	surveyMutex sync.Mutex
 	surveyor    verifier.Surveyor
 	unconfirmed atomic.Bool
