tracker, verifier: the first VM of a group surveys for it

VMs that are up to date can wait, as their keys are trusted by their age meanwhile, and VMs that start in a living group are told by it. So only the first VM of a group asks in other data centres, those that were up and can't trust keys, and after 1.2 s those whose group has not been told. That a survey has ended goes out with a heartbeat at once and with all later ones (a field that was unused in the extra claim: as long as before, and ignored by VMs that don't know it). TestFirstOfAGroupAsksForIt.

--- a/core/verifier/surveyor.go
+++ b/core/verifier/surveyor.go
@@ -11,6 +11,8 @@
 	maxSurveyInterval = 2 * time.Second
 	// minSurveyRounds is the number of rounds of each survey: the VMs that answer first may have missed what others know.
 	minSurveyRounds = 3
+	// groupPatience is the time after which a VM that leaves the survey to the first of its group asks other data centres too.
+	groupPatience = 1200 * time.Millisecond
 	// surveyPatience is the time after which data centres that have not answered are no longer waited for. Two heartbeats
 	// of the VM's own group come within it.
 	surveyPatience = time.Second
@@ -32,6 +34,7 @@
 // rises by what they know, as RecordAnswer's caller sees to, and without limit once one of these
 // holds:
 //
+//   - the survey of a VM of the group has ended, and that one's configuration isn't newer;
 //   - the operator has written a configuration since the first reading;
 //   - VMs of all other data centres have answered, and what is known reaches to shortly before
 //     the reading;
@@ -43,6 +46,9 @@
 // A VM that the store turned away before, and that hears none of the others, goes on distrusting
 // the copy, as it can't know better.
 //
+// As traffic between data centres is paid for, only the first VM of a group and those that can't
+// wait for it ask in others.
+//
 // The zero value is ready to use. It isn't safe for concurrent use.
 type Surveyor struct {
 	begun, settled bool
@@ -52,11 +58,14 @@
 	// readAt is when the configuration was read first in the era, and version the store's then.
 	readAt  time.Duration
 	version uint64
-	// rounds is the number of rounds, firstAskedAt and askedAt are the times of the first and the
-	// last one, and asked is whom that went to.
-	rounds                int
-	firstAskedAt, askedAt time.Duration
-	asked                 Asked
+	// rounds is the number of rounds, askedAt the time of the last one, and asked whom that went to.
+	rounds  int
+	askedAt time.Duration
+	asked   Asked
+	// farRounds is the number of rounds that went to other data centres, and firstFarAt the time of
+	// the first.
+	farRounds  int
+	firstFarAt time.Duration
 	// answered are the data centres of which VMs have answered, and mute those of VMs that can't
 	// say what they have in force.
 	answered, mute map[string]bool
@@ -68,6 +77,8 @@
 	DataCentres int
 	// Alone is true if no other VM is known, in any data centre.
 	Alone bool
+	// Far is true if VMs of the other data centres were asked as well as one of the group.
+	Far bool
 }
 
 // RecordReading records a reading of the configuration at a version of the store in an era. In
@@ -86,13 +97,41 @@
 	surveyor.settled = surveyor.settled || surveyor.begun && version > surveyor.version
 }
 
+// RecordConfirmed records that the survey of a VM of the group has ended in an era, and that it has
+// no newer configuration.
+func (surveyor *Surveyor) RecordConfirmed(era uint64) {
+	surveyor.settled = surveyor.settled || surveyor.begun && era == surveyor.era
+}
+
+// Confirmed reports whether the survey of an era has ended, or it needed none.
+func (surveyor *Surveyor) Confirmed(era uint64) bool {
+	return surveyor.settled && era == surveyor.era
+}
+
 // RecordAsked records a round.
 func (surveyor *Surveyor) RecordAsked(asked Asked, now time.Duration) {
-	if surveyor.rounds == 0 {
-		surveyor.firstAskedAt = now
-	}
 	surveyor.rounds++
 	surveyor.askedAt, surveyor.asked = now, asked
+	if !asked.Far {
+		return
+	}
+	if surveyor.farRounds == 0 {
+		surveyor.firstFarAt = now
+	}
+	surveyor.farRounds++
+}
+
+// Far reports whether the next round goes to other data centres, given the time up to which the
+// configuration is known to be the newest, and whether the VM is the first of its group. One that
+// was up and can't trust keys until it has heard others doesn't wait for the first.
+func (surveyor *Surveyor) Far(first bool, asOf, now time.Duration) bool {
+	return first || !surveyor.started && !surveyor.recent(asOf) || now-surveyor.readAt >= groupPatience
+}
+
+// recent reports whether the configuration was known to be the newest shortly before the first
+// reading of the era.
+func (surveyor *Surveyor) recent(asOf time.Duration) bool {
+	return asOf >= surveyor.readAt-maxUnknownTime
 }
 
 // RecordAnswer records that a VM of a data centre, "" for this VM's own, has said which
@@ -125,7 +164,10 @@
 // Surveying reports whether more rounds are to come. Some follow after the configuration counts as
 // the newest, as a VM that knows better may not have been asked.
 func (surveyor *Surveyor) Surveying() bool {
-	return surveyor.begun && (!surveyor.settled || surveyor.rounds > 0 && surveyor.rounds < minSurveyRounds && !surveyor.asked.Alone)
+	if !surveyor.settled {
+		return surveyor.begun
+	}
+	return surveyor.farRounds > 0 && surveyor.farRounds < minSurveyRounds && !surveyor.asked.Alone
 }
 
 // Settled reports whether readings of the era may count as up to date.
@@ -134,15 +176,15 @@
 // Settle ends the survey if the answers suffice, given the time up to which the configuration is
 // known to be the newest, and reports whether it has.
 func (surveyor *Surveyor) Settle(asOf, now time.Duration) bool {
-	if !surveyor.begun || surveyor.settled || surveyor.rounds == 0 {
+	if surveyor.settled || surveyor.farRounds == 0 {
 		return false
 	}
-	surveyor.settled = surveyor.suffices(asOf >= surveyor.readAt-maxUnknownTime, now-surveyor.firstAskedAt)
+	surveyor.settled = surveyor.suffices(surveyor.recent(asOf), now-surveyor.firstFarAt)
 	return surveyor.settled
 }
 
-// suffices reports whether the answers suffice. Recent is true if the configuration was known to be
-// the newest shortly before the first reading.
+// suffices reports whether the answers suffice after a time since VMs of other data centres were
+// asked first.
 func (surveyor *Surveyor) suffices(recent bool, waited time.Duration) bool {
 	late := waited >= surveyPatience
 	if surveyor.asked.Alone {
--- a/core/verifier/surveyor_test.go
+++ b/core/verifier/surveyor_test.go
@@ -25,6 +25,7 @@
 		surveyor.RecordReading(1, 30, false, 0)
 	}
 	surveyor.RecordReading(2, 20, true, readAt)
+	asked.Far = true
 	surveyor.RecordAsked(asked, readAt)
 	return surveyor
 }
@@ -100,7 +101,7 @@
 		rounds := 1
 		for now := readAt; now < readAt+duration; now += 10 * time.Millisecond {
 			if surveyor.Due(now) {
-				surveyor.RecordAsked(verifier.Asked{DataCentres: 1}, now)
+				surveyor.RecordAsked(verifier.Asked{DataCentres: 1, Far: true}, now)
 				rounds++
 			}
 		}
@@ -115,6 +116,31 @@
 	is.True(rounds(newSurvey(false, verifier.Asked{DataCentres: 1}), time.Hour) < 1900)
 }
 
+// Traffic between data centres is paid for: of a group that is up to date, only the first VM asks in others, unless it
+// doesn't end its survey.
+func TestFirstOfAGroupAsksForIt(t *testing.T) {
+	is := is.New(t)
+	started, up := newSurvey(true, verifier.Asked{}), newSurvey(false, verifier.Asked{})
+	soon, late := readAt+time.Second, readAt+1200*time.Millisecond
+	is.True(up.Far(true, fresh, readAt))
+	is.True(!up.Far(false, fresh, soon))
+	is.True(up.Far(false, fresh, late))
+	is.True(up.Far(false, old, readAt)) // can't trust keys
+	is.True(started.Far(true, old, readAt))
+	is.True(!started.Far(false, old, soon))
+	is.True(started.Far(false, old, late))
+	near := &verifier.Surveyor{}
+	near.RecordReading(2, 20, true, readAt)
+	near.RecordAsked(verifier.Asked{DataCentres: 2}, readAt)
+	near.RecordAnswer("", 0, false)
+	is.True(!near.Settle(fresh, readAt+time.Minute)) // it has not asked in the others
+	near.RecordConfirmed(1)
+	is.True(!near.Confirmed(2))
+	near.RecordConfirmed(2)
+	is.True(near.Confirmed(2) && !near.Confirmed(1))
+	is.True(!near.Surveying())
+}
+
 // Answers that were read late, as after a suspension, must not count for a later survey.
 func TestLateAnswersCountForNoSurvey(t *testing.T) {
 	is := is.New(t)
@@ -149,7 +175,7 @@
 			now += time.Duration(rapid.IntRange(0, 5000).Draw(t, "milliseconds")) * time.Millisecond
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				surveyor.RecordAsked(verifier.Asked{DataCentres: rapid.IntRange(0, 9).Draw(t, "asked")}, now)
+				surveyor.RecordAsked(verifier.Asked{DataCentres: rapid.IntRange(0, 9).Draw(t, "asked"), Far: rapid.Bool().Draw(t, "far")}, now)
 			case 1:
 				surveyor.RecordReading(2, rapid.Uint64().Draw(t, "version"), true, now)
 			case 2:
--- a/gateway/internal/messenger/survey.go
+++ b/gateway/internal/messenger/survey.go
@@ -12,21 +12,24 @@
 // newest, 0 if that isn't known. Earlier versions ignore it, and answer the hello without it.
 const surveyTable = "//survey"
 
-// AskFleet asks VMs which configuration they have in force: a random one of each other data
-// centre, and one of the group. It returns how many other data centres these are, and whether this
-// VM knows no other VM at all.
-func (messenger *Messenger) AskFleet() (dataCentres int, alone bool) {
+// AskFleet asks VMs which configuration they have in force: a random one of the group, and if far is
+// true one of each other data centre. It returns how many other data centres there are, and whether
+// this VM knows no other VM at all.
+func (messenger *Messenger) AskFleet(far bool) (dataCentres int, alone bool) {
 	messenger.mutex.Lock()
 	dataCentres, alone = len(messenger.contacts), len(messenger.contacts)+len(messenger.peers) == 0
-	var near []netip.AddrPort
+	var addresses []netip.AddrPort
 	if len(messenger.group) > 0 {
-		near = append(near, messenger.group[rand.IntN(len(messenger.group))].address)
+		addresses = append(addresses, messenger.group[rand.IntN(len(messenger.group))].address)
 	}
 	messenger.mutex.Unlock()
 	message := messenger.newMessage(true, nil)
 	messenger.addInForce(&message)
 	message.Claims = append(message.Claims, Claim{Table: surveyTable, Version: uint64(messenger.Clock())})
-	messenger.sendAll(append(messenger.contactAddresses(), near...), message)
+	if far {
+		addresses = append(addresses, messenger.contactAddresses()...)
+	}
+	messenger.sendAll(addresses, message)
 	return dataCentres, alone
 }
 
--- a/gateway/internal/messenger/survey_test.go
+++ b/gateway/internal/messenger/survey_test.go
@@ -65,19 +65,21 @@
 func TestSurveyAsksOtherDataCentres(t *testing.T) {
 	is := is.New(t)
 	asking := newSurveyed(t, "asking", "d", nil)
-	dataCentres, alone := asking.AskFleet()
+	dataCentres, alone := asking.AskFleet(true)
 	is.True(dataCentres == 0 && alone)
 	telling := newSurveyed(t, "telling", "e", &Claim{
 		Table: "t", Era: 2, Version: 7, StoreTime: time.Hour, InForce: 21, InForceEra: 1, KnownAsOf: 59 * time.Minute,
 	})
 	older := newSurveyed(t, "older", "f", nil) // as earlier versions, it has nothing to tell
 	asking.AddPeers([]Peer{telling.Self, older.Self})
-	dataCentres, alone = asking.AskFleet()
+	asking.AskFleet(false) // asks none of them
+	asking.now, telling.now = asking.now+1, telling.now+1
+	dataCentres, alone = asking.AskFleet(true)
 	is.True(dataCentres == 2 && !alone)
 	telling.deliver()
 	asking.deliver()
 	is.Equal(asking.heard, []Claim{{
-		Table: "t", DataCentre: "e", InForce: 21, InForceEra: 1, KnownAsOf: 59 * time.Minute, AskedAt: time.Hour,
+		Table: "t", DataCentre: "e", InForce: 21, InForceEra: 1, KnownAsOf: 59 * time.Minute, AskedAt: time.Hour + 1,
 	}})
 	older.receive(message{From: "asking", DataCentre: "d", Address: asking.Self.Address, Hello: true}) // reads no survey
 	asking.deliver()
@@ -91,7 +93,7 @@
 	telling := newSurveyed(t, "telling", "d", &Claim{Table: "t", InForce: 21, InForceEra: 1})
 	asking.AddPeers([]Peer{telling.Self})
 	telling.deliver() // a hello, as the VM was unknown
-	dataCentres, alone := asking.AskFleet()
+	dataCentres, alone := asking.AskFleet(true)
 	is.True(dataCentres == 0 && !alone)
 	telling.deliver()
 	is.Equal(telling.heard, []Claim{{Table: "t", InForce: 20, InForceEra: 1}})
@@ -107,7 +109,7 @@
 	asking := newSurveyed(t, "asking", "d", nil)
 	telling := newSurveyed(t, "telling", "e", &Claim{Table: "t", InForce: 21, InForceEra: 1, KnownAsOf: 50 * time.Minute})
 	asking.AddPeers([]Peer{telling.Self})
-	asking.AskFleet()
+	asking.AskFleet(true)
 	telling.now += time.Second // the question was under way for so long
 	telling.deliver()
 	asking.now += time.Minute
--- a/gateway/internal/starter/messages.go
+++ b/gateway/internal/starter/messages.go
@@ -61,6 +61,12 @@
 	return 1
 }
 
+// FirstInGroup reports whether the VM is the first of its group, false before it has joined.
+func (messages *messages) FirstInGroup() bool {
+	messenger := messages.messenger.Load()
+	return messenger != nil && messenger.FirstInGroup()
+}
+
 // inGroup reports whether a VM belongs to this VM's group.
 func (messages *messages) inGroup(name string) bool {
 	messenger := messages.messenger.Load()
@@ -106,13 +112,13 @@
 }
 
 // AskFleet asks other VMs what they have in force. It reports false before the VM has joined.
-func (messages *messages) AskFleet() (verifier.Asked, bool) {
+func (messages *messages) AskFleet(far bool) (verifier.Asked, bool) {
 	messenger := messages.messenger.Load()
 	if messenger == nil || !messenger.Introduced() {
 		return verifier.Asked{}, false
 	}
-	dataCentres, alone := messenger.AskFleet()
-	return verifier.Asked{DataCentres: dataCentres, Alone: alone}, true
+	dataCentres, alone := messenger.AskFleet(far)
+	return verifier.Asked{DataCentres: dataCentres, Alone: alone, Far: far}, true
 }
 
 // Candidates returns VMs to which requests may be passed on, none before the VM has joined.
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -38,9 +38,11 @@
 	Rank() int
 	// SendClaims sends the tracker's Claims to the group.
 	SendClaims()
-	// AskFleet asks VMs of the group and of each other data centre for their InForceClaim. It reports
-	// false if the other VMs aren't known yet.
-	AskFleet() (verifier.Asked, bool)
+	// FirstInGroup reports whether this VM is the first of its group.
+	FirstInGroup() bool
+	// AskFleet asks a VM of the group, and if far is true one of each other data centre, for their
+	// InForceClaim. It reports false if the other VMs aren't known yet.
+	AskFleet(far bool) (verifier.Asked, bool)
 }
 
 // Claim states that, as of StoreTime on the store's clock, a table has not changed
@@ -61,6 +63,8 @@
 	// sender doesn't say, and AskedAt when this VM asked for the claim, 0 if it didn't.
 	InForce            verifier.Origin
 	KnownAsOf, AskedAt time.Duration
+	// Confirmed is true if the sender's readings of Era count as up to date.
+	Confirmed bool
 	// Transferring is true while the sender receives a long answer. The others should
 	// call the store at once instead of waiting for its end.
 	Transferring bool
--- a/gateway/internal/tracker/survey.go
+++ b/gateway/internal/tracker/survey.go
@@ -31,11 +31,12 @@
 // continueSurvey asks other VMs if it is time, and reports whether the survey goes on.
 func (tracker *Tracker) continueSurvey() bool {
 	now := tracker.Clock()
+	first := tracker.Group.FirstInGroup()
 	tracker.surveyMutex.Lock()
-	due := tracker.surveyor.Due(now)
+	due, far := tracker.surveyor.Due(now), tracker.surveyor.Far(first, tracker.AsOf(), now)
 	tracker.surveyMutex.Unlock()
 	if due {
-		if asked, ok := tracker.Group.AskFleet(); ok {
+		if asked, ok := tracker.Group.AskFleet(far); ok {
 			tracker.surveyMutex.Lock()
 			tracker.surveyor.RecordAsked(asked, now)
 			tracker.surveyMutex.Unlock()
@@ -49,18 +50,11 @@
 
 // settle lets the configuration count as the newest if the answers of other VMs suffice.
 func (tracker *Tracker) settle() {
-	tracker.surveyMutex.Lock()
-	settled := tracker.surveyor.Settle(tracker.AsOf(), tracker.Clock())
-	if settled {
-		tracker.unconfirmed.Store(false)
-	}
-	tracker.surveyMutex.Unlock()
-	if settled {
-		tracker.finishSurvey("survey")
-	}
+	tracker.endSurvey(confirmedBySurvey, func(surveyor *verifier.Surveyor) { surveyor.Settle(tracker.AsOf(), tracker.Clock()) })
 }
 
-// finishSurvey logs that readings of the restored store count from now on, and takes in the newest.
+// finishSurvey logs that readings of the restored store count from now on, takes in the newest, and
+// tells the group.
 func (tracker *Tracker) finishSurvey(by string) {
 	tracker.surveyMutex.Lock()
 	answered, asked := tracker.surveyor.Answers()
@@ -73,8 +67,18 @@
 	}
 	tracker.Log.WithFields(fields).Info("configuration-confirmed")
 	tracker.advanceAsOf(tracker.configuration.asOf())
+	if by != confirmedByGroup {
+		tracker.Group.SendClaims()
+	}
 }
 
+// Who has ended a survey.
+const (
+	confirmedBySurvey   = "survey"
+	confirmedByOperator = "operator"
+	confirmedByGroup    = "group"
+)
+
 // recordSurveyReading records an answer of the store, and reports whether it begins a survey.
 func (tracker *Tracker) recordSurveyReading(reading platform.Reading) bool {
 	tracker.surveyMutex.Lock()
@@ -92,19 +96,31 @@
 
 // recordWrite records that the store's configuration was written at a version of the present era.
 func (tracker *Tracker) recordWrite(version uint64) {
+	tracker.endSurvey(confirmedByOperator, func(surveyor *verifier.Surveyor) { surveyor.RecordWrite(version) })
+}
+
+// endSurvey makes a change that may end the survey.
+func (tracker *Tracker) endSurvey(by string, change func(surveyor *verifier.Surveyor)) {
 	tracker.surveyMutex.Lock()
 	before := tracker.surveyor.Settled()
-	tracker.surveyor.RecordWrite(version)
-	settled := tracker.surveyor.Settled() && !before
-	if settled {
+	change(&tracker.surveyor)
+	ended := tracker.surveyor.Settled() && !before
+	if ended {
 		tracker.unconfirmed.Store(false)
 	}
 	tracker.surveyMutex.Unlock()
-	if settled {
-		tracker.finishSurvey("operator")
+	if ended {
+		tracker.finishSurvey(by)
 	}
 }
 
+// confirmedEra reports whether readings of the era, which began with a restore, count.
+func (tracker *Tracker) confirmedEra(era uint64) bool {
+	tracker.surveyMutex.Lock()
+	defer tracker.surveyMutex.Unlock()
+	return tracker.surveyor.Confirmed(era)
+}
+
 // InForceClaim returns a claim that says only which configuration is in force, as far as this VM
 // knows, and false if there is none.
 func (tracker *Tracker) InForceClaim() (Claim, bool) {
@@ -144,5 +160,9 @@
 	if claim.KnownAsOf != 0 && claim.InForce.Version <= index.Version {
 		tracker.raiseAsOf(claim.KnownAsOf)
 	}
+	if claim.Confirmed && claim.DataCentre == "" && claim.InForce.Version <= index.Version {
+		tracker.endSurvey(confirmedByGroup, func(surveyor *verifier.Surveyor) { surveyor.RecordConfirmed(claim.Era) })
+		return
+	}
 	tracker.settle()
 }
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -154,7 +154,7 @@
 			if !ok { // only what is in force is known
 				claim, ok = inForce, true
 			}
-			claim.InForce = inForce.InForce
+			claim.InForce, claim.Confirmed = inForce.InForce, tracker.confirmedEra(claim.Era)
 		}
 		if ok {
 			claims = append(claims, claim)
--- a/gateway/internal/tracker/tracker_test.go
+++ b/gateway/internal/tracker/tracker_test.go
@@ -34,7 +34,11 @@
 func (group *group) Rank() int { return group.rank }
 
 // AskFleet reports that no other VM is known, as those of the group are no VMs of the fleet's data centres.
-func (group *group) AskFleet() (verifier.Asked, bool) { return verifier.Asked{Alone: true}, true }
+func (group *group) AskFleet(bool) (verifier.Asked, bool) {
+	return verifier.Asked{Alone: true, Far: true}, true
+}
+
+func (group *group) FirstInGroup() bool { return true }
 
 func (group *group) SendClaims() {
 	sender := group.tracker.Load()
--- a/gateway/internal/tracker/transfer_test.go
+++ b/gateway/internal/tracker/transfer_test.go
@@ -85,7 +85,7 @@
 	claims := member.Claims()
 	for i := range claims {
 		if member.fleet.older.Load() {
-			claims[i].ServedSince = 0
+			claims[i].ServedSince, claims[i].Confirmed = 0, false
 		}
 	}
 	dropped := member.fleet.dropClaims.Load()
@@ -110,10 +110,13 @@
 }
 
 // AskFleet asks a VM of each other data centre and one of its own, which answer after 16 ms if both are up.
-func (member *member) AskFleet() (verifier.Asked, bool) {
+func (member *member) AskFleet(far bool) (verifier.Asked, bool) {
 	others := member.fleet.anyOf(member)
 	askedAt := time.Since(member.fleet.startTime)
 	for _, other := range others {
+		if !far && other.dataCentre() != member.dataCentre() {
+			continue
+		}
 		member.fleet.running.Go(func() {
 			time.Sleep(16 * time.Millisecond)
 			if member.down.Load() || other.down.Load() || member.fleet.dropClaims.Load() {
@@ -136,9 +139,12 @@
 		})
 	}
 	delete(others, member.dataCentre())
-	return verifier.Asked{DataCentres: len(others), Alone: len(member.fleet.members()) == 1}, true
+	return verifier.Asked{DataCentres: len(others), Alone: len(member.fleet.members()) == 1, Far: far}, true
 }
 
+// FirstInGroup takes the VMs of a data centre for a group.
+func (member *member) FirstInGroup() bool { return member.Rank() == 0 }
+
 // anyOf returns another VM of each data centre.
 func (fleet *fleet) anyOf(asking *member) map[string]*member {
 	found := make(map[string]*member)
