verifier: a survey whose answers are up to date takes one round

A VM that was up to date until shortly before the restore has heard from its own data centre what was in force there. So the further rounds, meant for answers of VMs that may have missed something, only follow such answers (TestRoundsOfASurvey).

--- a/gateway/internal/tracker/survey.go
+++ b/gateway/internal/tracker/survey.go
@@ -151,7 +151,9 @@
 		tracker.updateWithheld(func(withholder *verifier.Withholder) { withholder.RecordPeer(claim.InForce) })
 	}
 	tracker.surveyMutex.Lock()
-	tracker.surveyor.RecordAnswer(claim.DataCentre, claim.AskedAt, mute)
+	tracker.surveyor.RecordAnswer(verifier.Answer{
+		DataCentre: claim.DataCentre, AskedAt: claim.AskedAt, KnownAsOf: claim.KnownAsOf, Mute: mute,
+	})
 	tracker.surveyMutex.Unlock()
 	index := tracker.index.Load()
 	if !tracker.unconfirmed.Load() || index == nil {
