--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -199,7 +199,8 @@
 	return outage.endedAt + lapseGrace
 }
 
-// HandleClaim processes a claim of another VM of the group.
+// HandleClaim processes a claim of another VM of the group, or what a VM of another data centre has
+// in force.
 func (tracker *Tracker) HandleClaim(claim Claim) {
 	tracker.RecordContact()
 	tracker.handleInForce(claim)
