--- a/core/verifier/withholder.go
+++ b/core/verifier/withholder.go
@@ -99,13 +99,19 @@
 // one may be used.
 func (withholder *Withholder) Required() uint64 { return withholder.required }
 
-// Newest returns the newest version that the VM knows of, given the one in force: that one, or the
-// one that is required.
+// Newest returns the version that others must be told of, given the one in force: one that the
+// store has lost, else the newest that any VM has had in force as far as this VM knows.
 func (withholder *Withholder) Newest(inForce Origin) Origin {
 	if withholder.required > inForce.Version {
 		return Origin{Version: withholder.required, Era: withholder.requiredEra}
 	}
-	return inForce
+	newest := inForce
+	for era, version := range withholder.peers {
+		if version > newest.Version {
+			newest = Origin{Version: version, Era: era}
+		}
+	}
+	return newest
 }
 
 // AsOf returns the time up to which the configuration that is withheld was the newest.
--- a/core/verifier/withholder_test.go
+++ b/core/verifier/withholder_test.go
@@ -52,6 +52,25 @@
 	is.Equal(ordinary.Required(), uint64(0))
 }
 
+// A VM that has heard of a newer version must pass that on, also before it knows that the store has lost it.
+func TestVersionOfAPeerIsToldToOthers(t *testing.T) {
+	is := is.New(t)
+	own := verifier.Origin{Version: 10, Era: 1}
+	var withholder verifier.Withholder
+	is.Equal(withholder.Newest(own), own)
+	withholder.RecordReading(10, 1, 0)
+	withholder.RecordPeer(verifier.Origin{Version: 9, Era: 1})
+	is.Equal(withholder.Newest(own), own)
+	withholder.RecordPeer(verifier.Origin{Version: 11, Era: 1})
+	is.Equal(withholder.Newest(own), verifier.Origin{Version: 11, Era: 1})
+	withholder.RecordReading(10, 2, 0)
+	withholder.RecordPeer(verifier.Origin{Version: 12, Era: 2})
+	is.Equal(withholder.Newest(own), verifier.Origin{Version: 11, Era: 1}) // is lost, 12 isn't
+	own = verifier.Origin{Version: 12, Era: 2}
+	withholder.RecordReading(12, 2, 0)
+	is.Equal(withholder.Newest(own), own)
+}
+
 func TestStoreWithoutErasWithholdsNothing(t *testing.T) {
 	is := is.New(t)
 	var withholder verifier.Withholder
--- a/gateway/internal/tracker/faults_test.go
+++ b/gateway/internal/tracker/faults_test.go
@@ -33,6 +33,10 @@
 	// VM ended or will end.
 	storeFaultUntil time.Time
 	vmFaultUntil    [faultRunVMs]time.Time
+	// turnsAway is true if the store turns away whole data centres, and turnedAwayUntil when it last ended or will end
+	// to do so to each VM.
+	turnsAway       bool
+	turnedAwayUntil [faultRunVMs]time.Time
 	// restores is true if the store is restored from older copies. snapshots are copies of
 	// the last seconds, the oldest first.
 	restores  bool
@@ -84,11 +88,33 @@
 				faultRun.injectRestore()
 			}
 		}
+		if faultRun.turnsAway && faultRun.random.IntN(40) == 0 {
+			faultRun.turnDataCentreAway()
+		}
 		faultRun.checkVMs()
 		faultRun.checkFreshness()
 	}
 }
 
+// turnDataCentreAway resets the connections of the VMs of a data centre to the store for some seconds.
+func (faultRun *faultRun) turnDataCentreAway() {
+	first, duration := 2*faultRun.random.IntN(faultRunVMs/2), faultRun.randomDuration(500, 9000)
+	for rank := first; rank < first+2; rank++ {
+		if time.Now().Before(faultRun.vmFaultUntil[rank]) || time.Now().Before(faultRun.turnedAwayUntil[rank]) {
+			return
+		}
+	}
+	for rank := first; rank < first+2; rank++ {
+		member := faultRun.members()[rank]
+		faultRun.turnedAwayUntil[rank] = time.Now().Add(duration)
+		member.turnAway()
+		faultRun.running.Go(func() {
+			time.Sleep(duration)
+			member.turnedAway.Store(false)
+		})
+	}
+}
+
 const (
 	// maxSnapshots is the number of steps whose snapshots are kept.
 	maxSnapshots = 200
@@ -260,7 +286,7 @@
 		if member.down.Load() || index == nil || index.Version >= due {
 			continue
 		}
-		if now.Sub(faultRun.vmFaultUntil[rank]) < settleTime || now.Sub(faultRun.storeFaultUntil) < settleTime {
+		if now.Sub(faultRun.vmFaultUntil[rank]) < settleTime || now.Sub(faultRun.turnedAwayUntil[rank]) < settleTime || now.Sub(faultRun.storeFaultUntil) < settleTime {
 			continue
 		}
 		freshness := member.freshness()
@@ -282,16 +308,20 @@
 // routes over 10 Mbit/s.
 func TestConfirmedChangesAreInForceUnderRandomFaults(t *testing.T) {
 	for _, seed := range faultRunSeeds {
-		sweep(t, seed, false)
+		sweep(t, seed, false, false)
 	}
 }
 
 // sweep makes one run from a seed.
-func sweep(t *testing.T, seed uint64, restores bool) {
+func sweep(t *testing.T, seed uint64, restores, dataCentres bool) {
 	t.Run(fmt.Sprint(seed), func(t *testing.T) {
 		bytesPerSecond := answerBytes(manyRoutes) * 10 / 12
-		runFleet(t, faultRunVMs, bytesPerSecond, func(fleet *fleet) {
-			faultRun := &faultRun{fleet: fleet, random: rand.New(rand.NewPCG(seed, 1)), bytesPerSecond: bytesPerSecond, restores: restores}
+		run := func(test func(fleet *fleet)) { runFleet(t, faultRunVMs, bytesPerSecond, test) }
+		if dataCentres {
+			run = func(test func(fleet *fleet)) { runDataCentres(t, faultRunVMs/3, bytesPerSecond, test) }
+		}
+		run(func(fleet *fleet) {
+			faultRun := &faultRun{turnsAway: dataCentres, fleet: fleet, random: rand.New(rand.NewPCG(seed, 1)), bytesPerSecond: bytesPerSecond, restores: restores}
 			faultRun.run()
 			time.Sleep(time.Second)
 			faultRun.writeAgain()
@@ -320,8 +350,26 @@
 		}
 	}
 	for _, seed := range seeds {
-		sweep(t, seed, true)
+		sweep(t, seed, true, false)
 	}
 }
 
+// The same with the VMs in three data centres, of which the store turns away one or another at times.
+func TestConfirmedChangesAreInForceWhileDataCentresAreTurnedAway(t *testing.T) {
+	seeds := turnedAwaySeeds
+	if *extraSeeds > 0 {
+		seeds = nil
+		for seed := range *extraSeeds {
+			seeds = append(seeds, 2000+seed)
+		}
+	}
+	for _, seed := range seeds {
+		sweep(t, seed, true, true)
+	}
+}
+
+// turnedAwaySeeds are the seeds of these runs. With 2022 and 2034, VMs that had heard of a version in their group, but had
+// not read it, didn't tell other data centres of it.
+var turnedAwaySeeds = []uint64{2022, 2034, 0, 1, 2, 3, 4, 5}
+
 var extraSeeds = flag.Uint64("restore-seeds", 0, "run this number of other seeds with restores")
--- a/gateway/internal/tracker/survey_test.go
+++ b/gateway/internal/tracker/survey_test.go
@@ -9,14 +9,14 @@
 
 // runDataCentres runs a test on a fleet with the given number of VMs in each of three data centres. The first
 // VMs are those of the first data centre.
-func runDataCentres(t *testing.T, each int, test func(fleet *fleet)) {
-	runFleet(t, 0, 1<<20, func(fleet *fleet) {
+func runDataCentres(t *testing.T, each, bytesPerSecond int, test func(fleet *fleet)) {
+	runFleet(t, 0, bytesPerSecond, func(fleet *fleet) {
 		fleet.dataCentres = make(map[int]string)
 		for rank := range 3 * each {
 			fleet.dataCentres[rank] = []string{"a", "b", "c"}[rank/each]
 		}
 		for rank := range 3 * each {
-			fleet.start(rank, 1<<20)
+			fleet.start(rank, bytesPerSecond)
 		}
 		time.Sleep(10 * time.Second)
 		fleet.changeConfiguration(10, 1)
@@ -82,7 +82,7 @@
 // had been withdrawn meanwhile: no VM of its data centre knew better, and it never asked those of the others.
 func TestVMThatWasTurnedAwayAcceptsAWithdrawnKeyOfTheCopy(t *testing.T) {
 	for _, each := range []int{1, 2} { // the store turns the whole data centre away
-		runDataCentres(t, each, func(fleet *fleet) {
+		runDataCentres(t, each, 1<<20, func(fleet *fleet) {
 			turnedAway := fleet.members()[:each]
 			withdraw(fleet, turnedAway...)
 			checkDistrust(8*time.Second, turnedAway...)
@@ -94,7 +94,7 @@
 
 // The same holds for a VM that no other one reaches, until the operator has written again.
 func TestVMThatHearsNoOtherAcceptsAWithdrawnKeyOfTheCopy(t *testing.T) {
-	runDataCentres(t, 1, func(fleet *fleet) {
+	runDataCentres(t, 1, 1<<20, func(fleet *fleet) {
 		vm := fleet.members()[0]
 		vm.down.Store(true)
 		withdraw(fleet, vm)
@@ -108,7 +108,7 @@
 // whether it hears the others or not.
 func TestDataCentreThatStartsFromTheCopyServesAWithdrawnKey(t *testing.T) {
 	for _, cutOff := range []bool{false, true} {
-		runDataCentres(t, 2, func(fleet *fleet) {
+		runDataCentres(t, 2, 1<<20, func(fleet *fleet) {
 			fleet.kill(0)
 			fleet.kill(1)
 			withdraw(fleet)
@@ -131,7 +131,7 @@
 // newest.
 func TestCopyOfAnotherVersionHidesAWithdrawnKey(t *testing.T) {
 	for _, beforeCopy := range []uint64{9, 11} {
-		runDataCentres(t, 1, func(fleet *fleet) {
+		runDataCentres(t, 1, 1<<20, func(fleet *fleet) {
 			vm := fleet.members()[0]
 			older := fleet.store.Snapshot()
 			if beforeCopy < 10 {
@@ -159,7 +159,7 @@
 
 func TestTwoRestoresInARowHideAWithdrawnKey(t *testing.T) {
 	for _, pause := range []time.Duration{10 * time.Millisecond, 200 * time.Millisecond, 3 * time.Second} {
-		runDataCentres(t, 1, func(fleet *fleet) {
+		runDataCentres(t, 1, 1<<20, func(fleet *fleet) {
 			vm := fleet.members()[0]
 			snapshot := withdraw(fleet, vm)
 			time.Sleep(pause)
@@ -173,7 +173,7 @@
 
 // Datagrams may be lost as the survey begins.
 func TestLostAnswersHideAWithdrawnKey(t *testing.T) {
-	runDataCentres(t, 2, func(fleet *fleet) {
+	runDataCentres(t, 2, 1<<20, func(fleet *fleet) {
 		turnedAway := fleet.members()[:2]
 		fleet.dropClaims.Store(true)
 		withdraw(fleet, turnedAway...)
@@ -187,7 +187,7 @@
 // on to, also if nothing is written afterwards.
 func TestGoodKeysAreRefusedAfterARestore(t *testing.T) {
 	for _, each := range []int{1, 2} {
-		runDataCentres(t, each, func(fleet *fleet) {
+		runDataCentres(t, each, 1<<20, func(fleet *fleet) {
 			turnedAway, others := fleet.members()[:each], fleet.members()[each:]
 			for _, vm := range turnedAway {
 				vm.turnAway()
@@ -204,7 +204,7 @@
 // VMs that start on a store that was restored long ago accept keys as soon as others have answered.
 func TestGoodKeysAreRefusedByVMsThatStartAfterARestore(t *testing.T) {
 	for _, each := range []int{1, 2} {
-		runDataCentres(t, each, func(fleet *fleet) {
+		runDataCentres(t, each, 1<<20, func(fleet *fleet) {
 			restoreFor(fleet, fleet.store.Snapshot())
 			time.Sleep(time.Minute)
 			for rank := range each {
@@ -232,14 +232,14 @@
 		if size == 1 {
 			runFleet(t, 1, 1<<20, run)
 		} else {
-			runDataCentres(t, 1, run)
+			runDataCentres(t, 1, 1<<20, run)
 		}
 	}
 }
 
 // A data centre that is lost must not keep the others from serving after a restore.
 func TestLostDataCentreHoldsUpNoOther(t *testing.T) {
-	runDataCentres(t, 2, func(fleet *fleet) {
+	runDataCentres(t, 2, 1<<20, func(fleet *fleet) {
 		fleet.kill(4)
 		fleet.kill(5)
 		time.Sleep(5 * time.Second)
@@ -251,7 +251,7 @@
 // Beside VMs of an earlier version, which say less, a VM that was up to date serves on and one that starts long after
 // a restore serves soon, but one that was turned away distrusts the copy.
 func TestSurveyBesideOlderVMs(t *testing.T) {
-	runDataCentres(t, 1, func(fleet *fleet) {
+	runDataCentres(t, 1, 1<<20, func(fleet *fleet) {
 		fleet.older.Store(true)
 		vm := fleet.members()[0]
 		withdraw(fleet, vm)
@@ -262,7 +262,7 @@
 		fleet.start(0, 1<<20)
 		checkTrust(1500*time.Millisecond, fleet.members()...)
 	})
-	runDataCentres(t, 2, func(fleet *fleet) {
+	runDataCentres(t, 2, 1<<20, func(fleet *fleet) {
 		fleet.older.Store(true)
 		restoreFor(fleet, fleet.store.Snapshot())
 		checkTrust(0, fleet.members()...)
@@ -271,7 +271,7 @@
 
 // The last VM of a fleet must not refuse keys for good after a restore: the others, which it still knows, can't answer.
 func TestLastVMOfAFleetServesAgainAfterARestore(t *testing.T) {
-	runDataCentres(t, 1, func(fleet *fleet) {
+	runDataCentres(t, 1, 1<<20, func(fleet *fleet) {
 		fleet.kill(1)
 		fleet.kill(2)
 		time.Sleep(5 * time.Second)
