tracker, verifier: one word for the end of a survey

Read as a newcomer: the same state was called settled, confirmed and (not) unconfirmed, the last one also the name of another state, verifier.Freshness's. It is settled now, in the core, the claims and the messages. The line configuration-confirmed keeps its name.

A claim's Settled is looked up before its version: a version that was lost, heard of in between, would have gone out as settled with the older one (by reading, no test). What is in force is looked up for the configuration's claim only, no longer for that of the targets.

--- a/core/verifier/surveyor.go
+++ b/core/verifier/surveyor.go
@@ -99,14 +99,14 @@
 	surveyor.settled = surveyor.settled || surveyor.begun && version > surveyor.version
 }
 
-// RecordConfirmed records that the survey of a VM of the group has ended in an era, and that it has
+// RecordSettled records that the survey of a VM of the group has ended in an era, and that it has
 // no newer configuration.
-func (surveyor *Surveyor) RecordConfirmed(era uint64) {
+func (surveyor *Surveyor) RecordSettled(era uint64) {
 	surveyor.settled = surveyor.settled || surveyor.begun && era == surveyor.era
 }
 
-// Confirmed reports whether the survey of an era has ended, or it needed none.
-func (surveyor *Surveyor) Confirmed(era uint64) bool {
+// SettledIn reports whether the survey of an era has ended, or it needed none.
+func (surveyor *Surveyor) SettledIn(era uint64) bool {
 	return surveyor.settled && era == surveyor.era
 }
 
--- a/gateway/internal/messenger/eras_test.go
+++ b/gateway/internal/messenger/eras_test.go
@@ -22,7 +22,7 @@
 		is.NoErr(encoder.Encode(value))
 		return plain.Bytes()
 	}
-	claims := []Claim{{Table: "t", Era: 3, Version: 7, Rows: []Row{{Key: "k"}}}, {Table: "u", Version: 8}, {Table: "w", Version: 8, ServedSince: 5 * time.Second}, {Table: "v", InForce: 21, InForceEra: 2}, {Table: "x", Era: 2, Version: 9, InForce: 21, InForceEra: 2, Confirmed: true}}
+	claims := []Claim{{Table: "t", Era: 3, Version: 7, Rows: []Row{{Key: "k"}}}, {Table: "u", Version: 8}, {Table: "w", Version: 8, ServedSince: 5 * time.Second}, {Table: "v", InForce: 21, InForceEra: 2}, {Table: "x", Era: 2, Version: 9, InForce: 21, InForceEra: 2, Settled: true}}
 	var first struct {
 		From, DataCentre, Address string
 		Hello, Leaving, Relay     bool
--- a/gateway/internal/messenger/message.go
+++ b/gateway/internal/messenger/message.go
@@ -284,9 +284,9 @@
 	// ServedSince is the time on the store's clock since which it has answered the sender and its peers without an
 	// interruption, 0 if that isn't known.
 	ServedSince time.Duration `msgpack:"-"`
-	// Confirmed is true if the sender's readings of Era count as up to date, in claims about the
+	// Settled is true if the sender's readings of Era count as up to date, in claims about the
 	// table of the configuration.
-	Confirmed bool `msgpack:"-"`
+	Settled bool `msgpack:"-"`
 	// KnownAsOf is the time up to which InForce is known to have been the newest, on the clock of
 	// the VM that has the claim, 0 if that isn't known. It is told in answers to a survey only, see
 	// surveyTable: a datagram may be read long after it was sent.
@@ -299,7 +299,7 @@
 
 // erasPrefix and the name of a table are the table of an extra claim, which is sent along
 // with those of the message. It carries fields of the claim about that table: Era as Version,
-// InForce as After, ServedSince as StoreTime, InForceEra as the Version of its only row, if it isn't 0, and Confirmed as
+// InForce as After, ServedSince as StoreTime, InForceEra as the Version of its only row, if it isn't 0, and Settled as
 // AfterOutage. All versions refuse claims with more fields, but ignore and relay claims about tables that they don't know.
 const erasPrefix = "//era/"
 
@@ -310,7 +310,7 @@
 		if claim.Era == 0 && claim.InForce == 0 && claim.ServedSince == 0 {
 			continue
 		}
-		extra := Claim{Table: erasPrefix + claim.Table, Version: claim.Era, After: claim.InForce, StoreTime: claim.ServedSince, AfterOutage: claim.Confirmed}
+		extra := Claim{Table: erasPrefix + claim.Table, Version: claim.Era, After: claim.InForce, StoreTime: claim.ServedSince, AfterOutage: claim.Settled}
 		if claim.InForceEra > 0 {
 			extra.Rows = []Row{{Version: claim.InForceEra}}
 		}
@@ -333,7 +333,7 @@
 	for i := range claims {
 		found := extra[claims[i].Table]
 		claims[i].Era, claims[i].InForce, claims[i].ServedSince = found.Version, found.After, found.StoreTime
-		claims[i].Confirmed = found.AfterOutage
+		claims[i].Settled = found.AfterOutage
 		if len(found.Rows) > 0 {
 			claims[i].InForceEra = found.Rows[0].Version
 		}
--- a/gateway/internal/starter/fleet.go
+++ b/gateway/internal/starter/fleet.go
@@ -159,7 +159,7 @@
 func messageOf(own tracker.Claim) messenger.Claim {
 	return messenger.Claim{
 		Table: own.Table, Era: own.Era, Version: own.Version, StoreTime: own.StoreTime, After: own.After, AfterOutage: own.AfterOutage,
-		Transferring: own.Transferring, InForce: own.InForce.Version, InForceEra: own.InForce.Era, KnownAsOf: own.KnownAsOf, Confirmed: own.Confirmed,
+		Transferring: own.Transferring, InForce: own.InForce.Version, InForceEra: own.InForce.Era, KnownAsOf: own.KnownAsOf, Settled: own.Settled,
 		ServedSince: own.ServedSince,
 	}
 }
@@ -169,7 +169,7 @@
 	claim := tracker.Claim{
 		Table: received.Table, Era: received.Era, Version: received.Version, StoreTime: received.StoreTime, After: received.After, AfterOutage: received.AfterOutage,
 		Transferring: received.Transferring, InForce: verifier.Origin{Version: received.InForce, Era: received.InForceEra}, ServedSince: received.ServedSince,
-		Confirmed: received.Confirmed, KnownAsOf: received.KnownAsOf, AskedAt: received.AskedAt, DataCentre: received.DataCentre,
+		Settled: received.Settled, KnownAsOf: received.KnownAsOf, AskedAt: received.AskedAt, DataCentre: received.DataCentre,
 	}
 	for _, row := range received.Rows {
 		claim.Rows = append(claim.Rows, platform.Row{
--- a/gateway/internal/tracker/follower.go
+++ b/gateway/internal/tracker/follower.go
@@ -63,8 +63,8 @@
 	// sender doesn't say, and AskedAt when this VM asked for the claim, 0 if it didn't.
 	InForce            verifier.Origin
 	KnownAsOf, AskedAt time.Duration
-	// Confirmed is true if the sender's readings of Era count as up to date.
-	Confirmed bool
+	// Settled is true if the sender's readings of Era count as up to date.
+	Settled bool
 	// Transferring is true while the sender receives a long answer. The others should
 	// call the store at once instead of waiting for its end.
 	Transferring bool
--- a/gateway/internal/tracker/survey.go
+++ b/gateway/internal/tracker/survey.go
@@ -15,6 +15,13 @@
 // surveyTick is the interval at which a survey is continued.
 const surveyTick = 50 * time.Millisecond
 
+// What has ended a survey, for logs.
+const (
+	endedByAnswers  = "survey"
+	endedByOperator = "operator"
+	endedByGroup    = "group"
+)
+
 // runSurveys asks other VMs after each restore of the store, until the context ends.
 func (tracker *Tracker) runSurveys(ctx context.Context) {
 	for {
@@ -50,7 +57,7 @@
 
 // settle lets the configuration count as the newest if the answers of other VMs suffice.
 func (tracker *Tracker) settle() {
-	tracker.endSurvey(confirmedBySurvey, func(surveyor *verifier.Surveyor) { surveyor.Settle(tracker.AsOf(), tracker.Clock()) })
+	tracker.endSurvey(endedByAnswers, func(surveyor *verifier.Surveyor) { surveyor.Settle(tracker.AsOf(), tracker.Clock()) })
 }
 
 // finishSurvey logs that readings of the restored store count from now on, takes in the newest, and
@@ -67,23 +74,16 @@
 	}
 	tracker.Log.WithFields(fields).Info("configuration-confirmed")
 	tracker.advanceAsOf(tracker.configuration.asOf())
-	if by != confirmedByGroup {
+	if by != endedByGroup {
 		tracker.Group.SendClaims()
 	}
 }
 
-// Who has ended a survey.
-const (
-	confirmedBySurvey   = "survey"
-	confirmedByOperator = "operator"
-	confirmedByGroup    = "group"
-)
-
 // recordSurveyReading records an answer of the store, and reports whether it begins a survey.
 func (tracker *Tracker) recordSurveyReading(reading platform.Reading) bool {
 	tracker.surveyMutex.Lock()
 	begun := tracker.surveyor.RecordReading(reading.Era, reading.Version, keeper.Restored(reading.Era), tracker.Clock())
-	tracker.unconfirmed.Store(!tracker.surveyor.Settled())
+	tracker.unsettled.Store(!tracker.surveyor.Settled())
 	tracker.surveyMutex.Unlock()
 	if begun {
 		select {
@@ -96,7 +96,7 @@
 
 // recordWrite records that the store's configuration was written at a version of the present era.
 func (tracker *Tracker) recordWrite(version uint64) {
-	tracker.endSurvey(confirmedByOperator, func(surveyor *verifier.Surveyor) { surveyor.RecordWrite(version) })
+	tracker.endSurvey(endedByOperator, func(surveyor *verifier.Surveyor) { surveyor.RecordWrite(version) })
 }
 
 // endSurvey makes a change that may end the survey.
@@ -106,7 +106,7 @@
 	change(&tracker.surveyor)
 	ended := tracker.surveyor.Settled() && !before
 	if ended {
-		tracker.unconfirmed.Store(false)
+		tracker.unsettled.Store(false)
 	}
 	tracker.surveyMutex.Unlock()
 	if ended {
@@ -114,11 +114,11 @@
 	}
 }
 
-// confirmedEra reports whether readings of the era, which began with a restore, count.
-func (tracker *Tracker) confirmedEra(era uint64) bool {
+// settledIn reports whether readings of the era count as up to date.
+func (tracker *Tracker) settledIn(era uint64) bool {
 	tracker.surveyMutex.Lock()
 	defer tracker.surveyMutex.Unlock()
-	return tracker.surveyor.Confirmed(era)
+	return tracker.surveyor.SettledIn(era)
 }
 
 // InForceClaim returns a claim that says only which configuration is in force, as far as this VM
@@ -156,14 +156,14 @@
 	})
 	tracker.surveyMutex.Unlock()
 	index := tracker.index.Load()
-	if !tracker.unconfirmed.Load() || index == nil {
+	if !tracker.unsettled.Load() || index == nil {
 		return
 	}
 	if claim.KnownAsOf != 0 && claim.InForce.Version <= index.Version {
 		tracker.raiseAsOf(claim.KnownAsOf)
 	}
-	if claim.Confirmed && claim.DataCentre == "" && claim.InForce.Version <= index.Version {
-		tracker.endSurvey(confirmedByGroup, func(surveyor *verifier.Surveyor) { surveyor.RecordConfirmed(claim.Era) })
+	if claim.Settled && claim.DataCentre == "" && claim.InForce.Version <= index.Version {
+		tracker.endSurvey(endedByGroup, func(surveyor *verifier.Surveyor) { surveyor.RecordSettled(claim.Era) })
 		return
 	}
 	tracker.settle()
--- a/gateway/internal/tracker/tracker.go
+++ b/gateway/internal/tracker/tracker.go
@@ -86,11 +86,11 @@
 	withheld        atomic.Bool
 	withheldAsOf    atomic.Int64
 	// surveyor decides whether readings of a restored store may count as up to date. They don't
-	// while unconfirmed is true, which is changed with surveyMutex held. surveyBegun has a value
+	// while unsettled is true, which is changed with surveyMutex held. surveyBegun has a value
 	// once a survey has begun.
 	surveyMutex sync.Mutex
 	surveyor    verifier.Surveyor
-	unconfirmed atomic.Bool
+	unsettled   atomic.Bool
 	surveyBegun chan struct{}
 	// refused is true while the newest configuration is invalid.
 	refused atomic.Bool
@@ -150,11 +150,8 @@
 	var claims []Claim
 	for _, follower := range tracker.followers {
 		claim, ok := follower.claim()
-		if inForce, known := tracker.InForceClaim(); known && follower == tracker.configuration && claim.Era > 0 {
-			if !ok { // only what is in force is known
-				claim, ok = inForce, true
-			}
-			claim.InForce, claim.Confirmed = inForce.InForce, tracker.confirmedEra(claim.Era)
+		if follower == tracker.configuration && claim.Era > 0 {
+			claim, ok = tracker.addInForce(claim, ok)
 		}
 		if ok {
 			claims = append(claims, claim)
@@ -163,6 +160,21 @@
 	return claims
 }
 
+// addInForce adds what is in force to a claim about the configuration, and reports whether there is a
+// claim then: without a reading of the table, only what is in force is known.
+func (tracker *Tracker) addInForce(claim Claim, read bool) (Claim, bool) {
+	settled := tracker.settledIn(claim.Era) // before the version: one that was lost may be told meanwhile
+	inForce, known := tracker.InForceClaim()
+	switch {
+	case !known:
+		return claim, read
+	case !read:
+		claim = Claim{Table: inForce.Table}
+	}
+	claim.InForce, claim.Settled = inForce.InForce, settled
+	return claim, true
+}
+
 // AnyTableUnreachable reports whether the last call for any of the tables failed.
 func (tracker *Tracker) AnyTableUnreachable() bool {
 	for _, follower := range tracker.followers {
@@ -326,7 +338,7 @@
 // the newest configuration is invalid or was lost by the store, or may have been, the time
 // doesn't advance, because keys may have been withdrawn in it.
 func (tracker *Tracker) advanceAsOf(asOf time.Duration) {
-	if tracker.unconfirmed.Load() {
+	if tracker.unsettled.Load() {
 		tracker.notifyComplete()
 		return
 	}
--- a/gateway/internal/tracker/transfer_test.go
+++ b/gateway/internal/tracker/transfer_test.go
@@ -85,7 +85,7 @@
 	claims := member.Claims()
 	for i := range claims {
 		if member.fleet.older.Load() {
-			claims[i].ServedSince, claims[i].Confirmed = 0, false
+			claims[i].ServedSince, claims[i].Settled = 0, false
 		}
 	}
 	dropped := member.fleet.dropClaims.Load()
