verifier: two tests of surveys that a rewrite had deleted are back

Nobody noticed, as what they guard held. Found by planting the mistakes that they are named after: no test failed.

They are as before, with the names of today. With all VMs asking in other data centres the first one fails, with late answers counted the second.

--- a/core/verifier/surveyor_test.go
+++ b/core/verifier/surveyor_test.go
@@ -120,6 +120,43 @@
 	is.True(rounds(newSurvey(false, verifier.Asked{DataCentres: 1}), time.Hour) < 1900)
 }
 
+// Traffic between data centres is paid for: of a group that is up to date, only the first VM asks in others, unless it
+// doesn't end its survey.
+func TestFirstOfAGroupAsksForIt(t *testing.T) {
+	is := is.New(t)
+	started, up := newSurvey(true, verifier.Asked{}), newSurvey(false, verifier.Asked{})
+	soon, late := readAt+time.Second, readAt+1200*time.Millisecond
+	is.True(up.Far(true, fresh, readAt))
+	is.True(!up.Far(false, fresh, soon))
+	is.True(up.Far(false, fresh, late))
+	is.True(up.Far(false, old, readAt)) // can't trust keys
+	is.True(started.Far(true, old, readAt))
+	is.True(!started.Far(false, old, soon))
+	is.True(started.Far(false, old, late))
+	near := &verifier.Surveyor{}
+	near.RecordReading(2, 20, true, readAt)
+	near.RecordAsked(verifier.Asked{DataCentres: 2}, readAt)
+	near.RecordAnswer(verifier.Answer{})
+	is.True(!near.Settle(fresh, readAt+time.Minute)) // it has not asked in the others
+	near.RecordSettled(1)
+	is.True(!near.SettledIn(2))
+	near.RecordSettled(2)
+	is.True(near.SettledIn(2) && !near.SettledIn(1))
+	is.True(!near.Surveying())
+}
+
+// Answers that were read late, as after a suspension, must not count for a later survey.
+func TestLateAnswersCountForNoSurvey(t *testing.T) {
+	is := is.New(t)
+	surveyor := newSurvey(false, verifier.Asked{DataCentres: 1})
+	for _, askedAt := range []time.Duration{0, readAt - 1} {
+		surveyor.RecordAnswer(verifier.Answer{DataCentre: "b", AskedAt: askedAt})
+		is.True(!surveyor.Settle(fresh, readAt+29*time.Second))
+	}
+	surveyor.RecordAnswer(verifier.Answer{DataCentre: "b", AskedAt: readAt})
+	is.True(surveyor.Settle(fresh, readAt+time.Minute))
+}
+
 // The last VM of a fleet serves again some time after a restore if it was up to date. One that wasn't does not, nor
 // one that has just started.
 func TestVMThatNobodyAnswersGoesByWhatItKnew(t *testing.T) {
